Frame: verdicts, platform interfaces, process frame, seams between packages

Cause: five packages are built side by side and need their seams fixed first. Conclusion: packages can be written against these interfaces.

--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,113 @@
+// Package config reads and checks the YAML settings of a process.
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+)
+
+// VM says which VM a process runs on. The process learns this from its settings only.
+type VM struct {
+	// Name is unique among VMs that are alive at the same time.
+	Name string `yaml:"name" validate:"required"`
+	// AvailabilityZone is the availability zone of the VM.
+	AvailabilityZone string `yaml:"availability_zone" validate:"required"`
+	// Region is the region of the availability zone.
+	Region string `yaml:"region" validate:"required"`
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	// URL is the base URL of the table, the object store, the VM list and the weight store.
+	URL string `yaml:"url" validate:"required,url"`
+	// Timeout bounds one call. Default 2s.
+	Timeout time.Duration `yaml:"timeout" validate:"min=0"`
+}
+
+// TLS names the files for mutual TLS between our processes.
+type TLS struct {
+	// CA is the file of the certificate authority that signs every process's certificate.
+	CA string `yaml:"ca" validate:"required"`
+	// Certificate is the file of this VM's certificate.
+	Certificate string `yaml:"certificate" validate:"required"`
+	// Key is the file of this VM's private key.
+	Key string `yaml:"key" validate:"required"`
+}
+
+// Log configures the log.
+type Log struct {
+	// Level is debug, info, warn or error. Default info.
+	Level string `yaml:"level" validate:"omitempty,oneof=debug info warn error"`
+}
+
+// Tracing configures the export of spans.
+type Tracing struct {
+	// OTLPURL is the URL of an OTLP/HTTP collector. Empty turns the export off.
+	OTLPURL string `yaml:"otlp_url" validate:"omitempty,url"`
+}
+
+// Common holds the settings that every daemon has.
+type Common struct {
+	VM       VM       `yaml:"vm"`
+	Platform Platform `yaml:"platform"`
+	TLS      TLS      `yaml:"tls"`
+	Log      Log      `yaml:"log"`
+	Tracing  Tracing  `yaml:"tracing"`
+	// Status is the TCP address (IP:port) of /metrics, /healthz and /readyz.
+	Status string `yaml:"status" validate:"required,hostname_port"`
+	// Peers is the UDP address (IP:port) on which other processes reach this one.
+	Peers string `yaml:"peers" validate:"required,hostname_port"`
+}
+
+// Entry holds the settings of rosemary-entry.
+type Entry struct {
+	Common `yaml:",inline"`
+	// Callers is the TCP address (IP:port) on which callers reach this entry.
+	Callers string `yaml:"callers" validate:"required,hostname_port"`
+	// BatchPeers is the peer address of rosemary-batch on this VM.
+	BatchPeers string `yaml:"batch_peers" validate:"required,hostname_port"`
+	// OperatorPeers is the peer address of rosemary-operator on this VM.
+	OperatorPeers string `yaml:"operator_peers" validate:"required,hostname_port"`
+}
+
+// Batch holds the settings of rosemary-batch.
+type Batch struct {
+	Common `yaml:",inline"`
+	// Entry is the peer address of rosemary-entry on this VM.
+	Entry string `yaml:"entry" validate:"required,hostname_port"`
+}
+
+// Operator holds the settings of rosemary-operator.
+type Operator struct {
+	Common `yaml:",inline"`
+	// Operators is the TCP address (IP:port) of the operators' HTTP interface.
+	Operators string `yaml:"operators" validate:"required,hostname_port"`
+	// Entry is the peer address of rosemary-entry on this VM.
+	Entry string `yaml:"entry" validate:"required,hostname_port"`
+}
+
+// Load reads the file at path into out, a pointer to a settings struct. An unknown key, a wrong
+// type or a missing value is an error that names the file, the line and the key.
+func Load(path string, out any) error {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, content, out)
+}
+
+// Parse does what Load does, on content that has been read already. The name is used in errors.
+func Parse(name string, content []byte, out any) error {
+	decoder := yaml.NewDecoder(bytes.NewReader(content),
+		yaml.Strict(),
+		yaml.Validator(validator.New(validator.WithRequiredStructEnabled())))
+	if err := decoder.Decode(out); err != nil {
+		return fmt.Errorf("%s: %s", name, yaml.FormatError(err, false, true))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/settle.go
@@ -0,0 +1,73 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// settleDelay separates attempts to learn or repeat the outcome of a commit.
+const settleDelay = 50 * time.Millisecond
+
+// Applied reports whether the rows just read show that the transaction took effect.
+type Applied func(rows []Row) bool
+
+// CommitSettled commits txn until its outcome is known or ctx ends.
+//
+// When a reply is lost, it reads the keys of txn's conditions and asks applied whether they show
+// this transaction's own operation id. The transaction is sent again only after that, which is
+// safe because its conditions can hold at most once. Every condition must name a row that
+// txn writes; otherwise repeating it could apply it twice.
+//
+// It returns nil when the transaction is in force, *ConflictError when it can no longer be, and
+// ErrOutcomeUnknown or ErrUnavailable when ctx ended first.
+func CommitSettled(ctx context.Context, table Table, txn Txn, applied Applied) error {
+	uncertain := false
+	for {
+		_, err := table.Commit(ctx, txn)
+		var conflict *ConflictError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &conflict) && !uncertain:
+			return err
+		case errors.As(err, &conflict):
+			rows, readErr := table.Get(ctx, conditionKeys(txn)...)
+			if readErr == nil {
+				if applied(rows) {
+					return nil
+				}
+				return err
+			}
+		case errors.Is(err, ErrOutcomeUnknown):
+			uncertain = true
+		case !errors.Is(err, ErrUnavailable):
+			return err
+		}
+		if waitErr := sleep(ctx, settleDelay); waitErr != nil {
+			if uncertain {
+				return ErrOutcomeUnknown
+			}
+			return ErrUnavailable
+		}
+	}
+}
+
+func conditionKeys(txn Txn) []string {
+	keys := make([]string, 0, len(txn.Conditions))
+	for _, c := range txn.Conditions {
+		keys = append(keys, c.Key)
+	}
+	return keys
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/scripts/unit.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs every test under the race detector, passing over the tests that KNOWN-RED.txt lists.
+# A line of KNOWN-RED.txt starts with the name of the test, up to the first blank.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go=${GO:-go}
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+  echo "Known failures, not run:"
+  cat KNOWN-RED.txt
+  names=$(awk 'NF && $1 !~ /^#/ {print "^" $1 "$"}' KNOWN-RED.txt | paste -sd'|')
+  [ -z "$names" ] || skip=(-skip "$names")
+fi
+"$go" test -race -count=1 -timeout 15m "${skip[@]}" ./...
--- /dev/null
+++ b/settings/types.go
@@ -0,0 +1,84 @@
+// Package settings holds the operators' settings: a tree of documents under paths, changed in whole
+// revisions, each part owned by one team.
+package settings
+
+import "time"
+
+// Client is one client account of the callers' interface.
+// Its path is TEAM-PATH/clients/NAME.
+type Client struct {
+	// Name is unique across the fleet.
+	Name string `yaml:"-"`
+	// KeySHA256 are hexadecimal SHA-256 digests of the client's API keys.
+	KeySHA256 []string `yaml:"key_sha256" validate:"required,min=1,dive,len=64,hexadecimal"`
+	// Weight is the client's share of contended slots relative to other clients. Default 1.
+	Weight float64 `yaml:"weight" validate:"min=0"`
+	// Deadline bounds the wait for the first token of an online request that names none. Default 30s.
+	Deadline time.Duration `yaml:"deadline" validate:"min=0"`
+}
+
+// Model is a model that callers can name. Its path is fleet/models/NAME.
+type Model struct {
+	Name string `yaml:"-"`
+	// MaxTokens is the largest completion that a caller may ask for. Default 4096.
+	MaxTokens int `yaml:"max_tokens" validate:"min=0"`
+}
+
+// Target is a back end: a model engine or a plain service. Its path is fleet/targets/NAME.
+type Target struct {
+	Name string `yaml:"-"`
+	// Address is the target's HTTP address (IP:port).
+	Address string `yaml:"address" validate:"required,hostname_port"`
+	// AvailabilityZone is where the target runs.
+	AvailabilityZone string `yaml:"availability_zone" validate:"required"`
+	// Model is the model that the engine serves; empty for a plain service.
+	Model string `yaml:"model"`
+	// Service is the plain service that the target serves; empty for an engine.
+	Service string `yaml:"service"`
+	// Slots is the number of requests that the target runs at once.
+	Slots int `yaml:"slots" validate:"required,min=1"`
+	// ChecksFencing says that the target refuses an order with an old fencing number.
+	ChecksFencing bool `yaml:"checks_fencing"`
+}
+
+// Service is a plain service behind /services/NAME/. Its path is TEAM-PATH/services/NAME.
+type Service struct {
+	Name string `yaml:"-"`
+	// Timeout bounds one call. Default 30s.
+	Timeout time.Duration `yaml:"timeout" validate:"min=0"`
+	// IdempotentMethods replaces the methods that RFC 9110 section 9.2.2 names as idempotent.
+	IdempotentMethods []string `yaml:"idempotent_methods"`
+	// Clients are the clients that may call the service. Empty means all.
+	Clients []string `yaml:"clients"`
+}
+
+// Operator is a key of the operators' interface. Its path is fleet/operators/NAME.
+type Operator struct {
+	Name string `yaml:"-"`
+	// KeySHA256 is the hexadecimal SHA-256 digest of the operator's key.
+	KeySHA256 string `yaml:"key_sha256" validate:"required,len=64,hexadecimal"`
+	// Path is the subtree that the operator may read and change; "" is the whole tree.
+	Path string `yaml:"path"`
+}
+
+// Snapshot is one whole, parsed revision. It is immutable.
+type Snapshot struct {
+	// Revision numbers the revision; zero is the empty tree.
+	Revision uint64
+	// Documents holds the YAML text of each path.
+	Documents map[string]string
+
+	Clients   map[string]*Client
+	Models    map[string]*Model
+	Targets   map[string]*Target
+	Services  map[string]*Service
+	Operators map[string]*Operator
+}
+
+// Source gives the revision in force on this VM.
+type Source interface {
+	// Current returns the newest revision that the VM knows. It never goes back.
+	Current() *Snapshot
+	// Fresh reports whether the VM has confirmed its revision lately enough to take new work.
+	Fresh() bool
+}
