--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -87,6 +87,9 @@
 	Common `yaml:",inline"`
 	// Operators is the TCP address (IP:port) of the operators' HTTP interface.
 	Operators string `yaml:"operators" validate:"required,hostname_port"`
+	// RootKeySHA256 is the hexadecimal SHA-256 digest of a key that may change the whole tree, so that the
+	// first operators can be set up. Empty means that there is none.
+	RootKeySHA256 string `yaml:"root_key_sha256" validate:"omitempty,len=64,hexadecimal"`
 	// Entry is the peer address of rosemary-entry on this VM.
 	Entry string `yaml:"entry" validate:"required,hostname_port"`
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -34,6 +34,8 @@
 	// Summary is one sentence in plain words.
 	Summary string  `cbor:"3,keyasint" json:"summary"`
 	Events  []Event `cbor:"4,keyasint" json:"events"`
+	// Client is the client that the subject belongs to. Only operators of the client's team may read the account.
+	Client string `cbor:"5,keyasint" json:"client,omitempty"`
 }
 
 // Event is one step of an account.
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,174 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+)
+
+// Defaults of documents.
+const (
+	defaultWeight         = 1.0
+	defaultDeadline       = 30 * time.Second
+	defaultMaxTokens      = 4096
+	defaultServiceTimeout = 30 * time.Second
+)
+
+// idempotentMethods are the methods that RFC 9110 section 9.2.2 defines as idempotent.
+var idempotentMethods = []string{"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
+
+var documentValidator = sync.OnceValue(func() *validator.Validate {
+	return validator.New(validator.WithRequiredStructEnabled())
+})
+
+// attach parses a document of the kind at loc and adds it to the snapshot's parsed form.
+func (s *Snapshot) attach(loc location, document string) error {
+	switch loc.kind {
+	case KindClient:
+		return s.attachClient(loc, document)
+	case KindModel:
+		return s.attachModel(loc.name, document)
+	case KindTarget:
+		return s.attachTarget(loc.name, document)
+	case KindService:
+		return s.attachService(loc, document)
+	case KindOperator:
+		return s.attachOperator(loc.name, document)
+	default:
+		return fmt.Errorf("unknown kind of document %q", loc.kind)
+	}
+}
+
+func (s *Snapshot) attachClient(loc location, document string) error {
+	client := &Client{Name: loc.name, Owner: loc.owner, Weight: defaultWeight, Deadline: defaultDeadline}
+	if err := parse(document, client); err != nil {
+		return err
+	}
+	if _, taken := s.Clients[loc.name]; taken {
+		return fmt.Errorf("another team has a client named %q", loc.name)
+	}
+	for _, digest := range client.KeySHA256 {
+		if other, taken := s.clientsByKey[strings.ToLower(digest)]; taken {
+			return fmt.Errorf("a key of this client is also a key of client %q", other.Name)
+		}
+		s.clientsByKey[strings.ToLower(digest)] = client
+	}
+	s.Clients[loc.name] = client
+	return nil
+}
+
+func (s *Snapshot) attachModel(name, document string) error {
+	model := &Model{Name: name, MaxTokens: defaultMaxTokens}
+	if err := parse(document, model); err != nil {
+		return err
+	}
+	s.Models[name] = model
+	return nil
+}
+
+func (s *Snapshot) attachTarget(name, document string) error {
+	target := &Target{Name: name}
+	if err := parse(document, target); err != nil {
+		return err
+	}
+	if (target.Model == "") == (target.Service == "") {
+		return errors.New("exactly one of model and service must be set")
+	}
+	if _, err := netip.ParseAddrPort(target.Address); err != nil {
+		return fmt.Errorf("address must be IP:port: %w", err)
+	}
+	s.Targets[name] = target
+	return nil
+}
+
+func (s *Snapshot) attachService(loc location, document string) error {
+	service := &Service{Name: loc.name, Owner: loc.owner, Timeout: defaultServiceTimeout, IdempotentMethods: idempotentMethods}
+	if err := parse(document, service); err != nil {
+		return err
+	}
+	if _, taken := s.Services[loc.name]; taken {
+		return fmt.Errorf("another team has a service named %q", loc.name)
+	}
+	s.Services[loc.name] = service
+	return nil
+}
+
+func (s *Snapshot) attachOperator(name, document string) error {
+	operator := &Operator{Name: name}
+	if err := parse(document, operator); err != nil {
+		return err
+	}
+	if err := CheckPath(operator.Path); err != nil {
+		return err
+	}
+	digest := strings.ToLower(operator.KeySHA256)
+	if other, taken := s.operatorsByKey[digest]; taken {
+		return fmt.Errorf("the key is also the key of operator %q", other.Name)
+	}
+	s.operatorsByKey[digest] = operator
+	s.Operators[name] = operator
+	return nil
+}
+
+// parse decodes a document strictly: an unknown key, a wrong type or a missing value is an error
+// that names the line and the key.
+func parse(document string, out any) error {
+	decoder := yaml.NewDecoder(strings.NewReader(document), yaml.Strict(), yaml.Validator(documentValidator()))
+	if err := decoder.Decode(out); err != nil {
+		return errors.New(strings.TrimSpace(yaml.FormatError(err, false, false)))
+	}
+	return nil
+}
+
+// checkReferences reports documents that name others which do not exist.
+func (s *Snapshot) checkReferences() []Problem {
+	var problems []Problem
+	for path := range s.Documents {
+		loc, err := locate(path)
+		if err != nil {
+			continue
+		}
+		if message := s.brokenReference(loc); message != "" {
+			problems = append(problems, Problem{Path: path, Message: message})
+		}
+	}
+	slices.SortFunc(problems, func(a, b Problem) int { return strings.Compare(a.Path, b.Path) })
+	return problems
+}
+
+func (s *Snapshot) brokenReference(loc location) string {
+	switch loc.kind {
+	case KindTarget:
+		return s.brokenTarget(s.Targets[loc.name])
+	case KindService:
+		return s.brokenService(s.Services[loc.name])
+	default:
+		return ""
+	}
+}
+
+func (s *Snapshot) brokenTarget(target *Target) string {
+	if _, ok := s.Models[target.Model]; target.Model != "" && !ok {
+		return fmt.Sprintf("model %q does not exist", target.Model)
+	}
+	if _, ok := s.Services[target.Service]; target.Service != "" && !ok {
+		return fmt.Sprintf("service %q does not exist", target.Service)
+	}
+	return ""
+}
+
+func (s *Snapshot) brokenService(service *Service) string {
+	for _, name := range service.Clients {
+		if _, ok := s.Clients[name]; !ok {
+			return fmt.Sprintf("client %q does not exist", name)
+		}
+	}
+	return ""
+}
--- a/settings/types.go
+++ b/settings/types.go
@@ -9,6 +9,8 @@
 type Client struct {
 	// Name is unique across the fleet.
 	Name string `yaml:"-"`
+	// Owner is the path of the team that the client belongs to.
+	Owner string `yaml:"-"`
 	// KeySHA256 are hexadecimal SHA-256 digests of the client's API keys.
 	KeySHA256 []string `yaml:"key_sha256" validate:"required,min=1,dive,len=64,hexadecimal"`
 	// Weight is the client's share of contended slots relative to other clients. Default 1.
@@ -43,7 +45,10 @@
 
 // Service is a plain service behind /services/NAME/. Its path is TEAM-PATH/services/NAME.
 type Service struct {
+	// Name is unique across the fleet.
 	Name string `yaml:"-"`
+	// Owner is the path of the team that the service belongs to.
+	Owner string `yaml:"-"`
 	// Timeout bounds one call. Default 30s.
 	Timeout time.Duration `yaml:"timeout" validate:"min=0"`
 	// IdempotentMethods replaces the methods that RFC 9110 section 9.2.2 names as idempotent.
@@ -73,6 +78,12 @@
 	Targets   map[string]*Target
 	Services  map[string]*Service
 	Operators map[string]*Operator
+
+	// changed holds, for each document and each of its ancestors, the newest revision that changed it.
+	changed map[string]uint64
+	// clientsByKey and operatorsByKey are indexed by the lower-case digest of the key.
+	clientsByKey   map[string]*Client
+	operatorsByKey map[string]*Operator
 }
 
 // Source gives the revision in force on this VM.
