--- /dev/null
+++ b/internal/peer/config.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/config"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxMessageBytes = 8 << 20
+	DefaultIdleTimeout     = 15 * time.Minute
+	DefaultDialTimeout     = 2 * time.Second
+	DefaultCallTimeout     = 10 * time.Second
+	DefaultVerifyAfter     = time.Second
+	DefaultVerifyTimeout   = 500 * time.Millisecond
+	DefaultLivenessPeriod  = time.Second
+	DefaultLivenessTimeout = 3 * time.Second
+)
+
+// Config configures a Node. Zero fields take their defaults.
+type Config struct {
+	// Address is the UDP address (IP:port) to listen on. Port 0 picks a free one.
+	Address string
+	// TLS names the files for mutual TLS.
+	TLS config.TLS
+	// Log receives what the node cannot report to a caller.
+	Log zerolog.Logger
+	// MaxMessageBytes bounds one encoded message, in bytes. Default 8 MiB.
+	MaxMessageBytes int64
+	// IdleTimeout closes a connection without traffic. Default 15 minutes, more than twice the time
+	// between two probes of one pair of VMs at 360 VMs, so that probes do not pay for handshakes.
+	IdleTimeout time.Duration
+	// DialTimeout bounds a handshake. Default 2 s.
+	DialTimeout time.Duration
+	// CallTimeout bounds a call whose context has no deadline. Default 10 s.
+	CallTimeout time.Duration
+	// VerifyAfter is the silence after which a connection is checked before a call uses it. Default 1 s.
+	VerifyAfter time.Duration
+	// VerifyTimeout bounds that check. Default 500 ms.
+	VerifyTimeout time.Duration
+	// LivenessPeriod is the time between checks of a connection that carries calls or streams. Default 1 s.
+	LivenessPeriod time.Duration
+	// LivenessTimeout is how long such a check may stay unanswered before the connection is closed. Default 3 s.
+	LivenessTimeout time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxMessageBytes, DefaultMaxMessageBytes)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&c.DialTimeout, DefaultDialTimeout)
+	setDefault(&c.CallTimeout, DefaultCallTimeout)
+	setDefault(&c.VerifyAfter, DefaultVerifyAfter)
+	setDefault(&c.VerifyTimeout, DefaultVerifyTimeout)
+	setDefault(&c.LivenessPeriod, DefaultLivenessPeriod)
+	setDefault(&c.LivenessTimeout, DefaultLivenessTimeout)
+	return c
+}
+
+func setDefault[T ~int64](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/peer/connection.go
@@ -0,0 +1,218 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// connection is a QUIC connection with what the node knows of it.
+type connection struct {
+	quic *quic.Conn
+	peer Identity
+	// active counts calls and streams in both directions.
+	active atomic.Int64
+	// heard is when something last arrived, in nanoseconds since the process started to measure.
+	heard atomic.Int64
+	// checking is true while a liveness check runs.
+	checking atomic.Bool
+}
+
+// epoch is the origin of the monotonic times in connection.heard.
+var epoch = time.Now()
+
+func (c *connection) touch() { c.heard.Store(int64(time.Since(epoch))) }
+
+func (c *connection) silence() time.Duration {
+	return time.Since(epoch) - time.Duration(c.heard.Load())
+}
+
+// abandon closes a connection whose other end does not answer.
+func (c *connection) abandon() { _ = c.quic.CloseWithError(codeUnreachable, "no answer") }
+
+// ping makes one round trip on a stream of its own.
+func (c *connection) ping(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	stream, err := c.quic.OpenStreamSync(ctx)
+	if err != nil {
+		return err
+	}
+	defer stream.CancelRead(streamCancelled)
+	deadline, _ := ctx.Deadline()
+	if err := stream.SetDeadline(deadline); err != nil {
+		return err
+	}
+	request, err := encode(DefaultMaxMessageBytes, header{Kind: kindPing, Method: pingMethod})
+	if err != nil {
+		return err
+	}
+	if _, err := stream.Write(request); err != nil {
+		return err
+	}
+	if err := stream.Close(); err != nil {
+		return err
+	}
+	if err := newDecoder(stream, DefaultMaxMessageBytes).decode(&answer{}); err != nil {
+		return err
+	}
+	c.touch()
+	return nil
+}
+
+// pingMethod pads pings to the size from which a stateless reset can be told from its trigger
+// (RFC 9000 section 10.3.3): a restarted process does not answer smaller packets.
+const pingMethod Method = "peer.connection.ping.padding.bytes"
+
+// connectTo returns a connection to an address, dialing if there is none that works.
+func (n *Node) connectTo(ctx context.Context, to netip.AddrPort) (*connection, error) {
+	if c := n.cached(to); c != nil {
+		if c.silence() < n.cfg.VerifyAfter || n.verify(c) {
+			return c, nil
+		}
+	}
+	return n.dial(ctx, to)
+}
+
+// Verify checks the connection to an address, if there is one, and gives it up when it does not
+// answer, so that the next message goes over a new one. A caller that misses an answer to a datagram calls it.
+func (n *Node) Verify(to netip.AddrPort) {
+	c := n.cached(to)
+	if c == nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.closed {
+		n.tasks.Go(func() { n.verify(c) })
+	}
+}
+
+func (n *Node) verify(c *connection) bool {
+	_, err, _ := n.flights.Do(fmt.Sprintf("verify %p", c), func() (any, error) {
+		return nil, c.ping(n.ctx, n.cfg.VerifyTimeout)
+	})
+	if err == nil {
+		return true
+	}
+	n.forget(c)
+	if c.active.Load() == 0 {
+		c.abandon()
+	}
+	return false
+}
+
+// dial makes a connection. Concurrent callers share one handshake.
+func (n *Node) dial(ctx context.Context, to netip.AddrPort) (*connection, error) {
+	result := n.flights.DoChan("dial "+to.String(), func() (any, error) {
+		if c := n.cached(to); c != nil {
+			return c, nil
+		}
+		return n.handshake(to)
+	})
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case r := <-result:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		return r.Val.(*connection), nil
+	}
+}
+
+func (n *Node) handshake(to netip.AddrPort) (*connection, error) {
+	ctx, cancel := context.WithTimeout(n.ctx, n.cfg.DialTimeout)
+	defer cancel()
+	dials.Inc()
+	conn, err := n.transport.Dial(ctx, net.UDPAddrFromAddrPort(to), n.creds.tls, n.quicCfg)
+	if err != nil {
+		failedDials.Inc()
+		return nil, fmt.Errorf("dial %s: %w", to, err)
+	}
+	return n.adopt(conn)
+}
+
+// adopt takes a new connection into use, in place of an older one to the same address: a peer
+// that dials again may have lost the older one in a restart.
+func (n *Node) adopt(conn *quic.Conn) (*connection, error) {
+	identity, err := identityOf(conn)
+	if err != nil {
+		_ = conn.CloseWithError(codeBadPeer, err.Error())
+		return nil, err
+	}
+	c := &connection{quic: conn, peer: identity}
+	c.touch()
+	n.mu.Lock()
+	closed := n.closed
+	if !closed {
+		n.connections[identity.Address] = c
+		n.all[c] = struct{}{}
+		openConnections.Inc()
+		n.tasks.Go(func() { n.serve(c) })
+		n.tasks.Go(func() { n.receiveDatagrams(c) })
+	}
+	n.mu.Unlock()
+	if closed {
+		_ = conn.CloseWithError(codeClosed, "closed")
+		return nil, ErrClosed
+	}
+	return c, nil
+}
+
+// serve accepts the peer's calls and streams until the connection ends.
+func (n *Node) serve(c *connection) {
+	for {
+		stream, err := c.quic.AcceptStream(n.ctx)
+		if err != nil {
+			break
+		}
+		c.touch()
+		n.tasks.Go(func() { n.serveStream(c, stream) })
+	}
+	_ = c.quic.CloseWithError(codeClosed, "closed")
+	n.forget(c)
+	n.mu.Lock()
+	delete(n.all, c)
+	n.mu.Unlock()
+	openConnections.Dec()
+}
+
+func (n *Node) cached(to netip.AddrPort) *connection {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.connections[to]
+	if c == nil || c.quic.Context().Err() != nil {
+		return nil
+	}
+	return c
+}
+
+func (n *Node) forget(c *connection) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.connections[c.peer.Address] == c {
+		delete(n.connections, c.peer.Address)
+	}
+}
+
+func (n *Node) allConnections() []*connection {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := make([]*connection, 0, len(n.all))
+	for c := range n.all {
+		all = append(all, c)
+	}
+	return all
+}
+
+func isRemote(err error) bool {
+	_, ok := errors.AsType[*RemoteError](err)
+	return ok
+}
--- /dev/null
+++ b/internal/peer/node.go
@@ -0,0 +1,213 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/singleflight"
+)
+
+// maxIncomingStreams bounds the calls and streams that one peer may have open at a node.
+const maxIncomingStreams = 4096
+
+// packetBytes is the size of QUIC packets. It is fixed, since searching for a larger one costs
+// several kilobytes for each of hundreds of connections that mostly carry probes.
+const packetBytes = 1280
+
+// Node is one process's end of the transport. Its methods are safe for concurrent use once it is started.
+type Node struct {
+	cfg       Config
+	creds     credentials
+	udp       *net.UDPConn
+	transport *quic.Transport
+	listener  *quic.Listener
+	quicCfg   *quic.Config
+
+	calls     map[Method]CallHandler
+	streams   map[Method]StreamHandler
+	datagrams DatagramHandler
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+	// handlers counts running handlers, which Close waits for.
+	handlers sync.WaitGroup
+	flights  singleflight.Group
+
+	mu          sync.Mutex
+	closed      bool
+	connections map[netip.AddrPort]*connection
+	all         map[*connection]struct{}
+}
+
+var (
+	_ Caller    = (*Node)(nil)
+	_ Registrar = (*Node)(nil)
+)
+
+// Listen opens the node's UDP socket. Handlers are registered next, then Start accepts connections.
+func Listen(cfg Config) (*Node, error) {
+	cfg = cfg.withDefaults()
+	creds, err := loadCredentials(cfg.TLS)
+	if err != nil {
+		return nil, err
+	}
+	address, err := netip.ParseAddrPort(cfg.Address)
+	if err != nil {
+		return nil, fmt.Errorf("parse peer address: %w", err)
+	}
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Node{
+		cfg:       cfg,
+		creds:     creds,
+		udp:       udp,
+		transport: &quic.Transport{Conn: udp, StatelessResetKey: &creds.resetKey},
+		quicCfg: &quic.Config{
+			MaxIdleTimeout:          cfg.IdleTimeout,
+			HandshakeIdleTimeout:    cfg.DialTimeout,
+			MaxIncomingStreams:      maxIncomingStreams,
+			EnableDatagrams:         true,
+			InitialPacketSize:       packetBytes,
+			DisablePathMTUDiscovery: true,
+		},
+		calls:       map[Method]CallHandler{},
+		streams:     map[Method]StreamHandler{},
+		ctx:         ctx,
+		cancel:      cancel,
+		connections: map[netip.AddrPort]*connection{},
+		all:         map[*connection]struct{}{},
+	}, nil
+}
+
+// Address returns the address on which the node listens.
+func (n *Node) Address() netip.AddrPort {
+	return n.udp.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// HandleCall implements Registrar.
+func (n *Node) HandleCall(method Method, handler CallHandler) { n.calls[method] = handler }
+
+// HandleStream implements Registrar.
+func (n *Node) HandleStream(method Method, handler StreamHandler) { n.streams[method] = handler }
+
+// HandleDatagram sets the handler of datagrams. It must be called before Start.
+func (n *Node) HandleDatagram(handler DatagramHandler) { n.datagrams = handler }
+
+// Start accepts connections.
+func (n *Node) Start() error {
+	listener, err := n.transport.Listen(n.creds.tls, n.quicCfg)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	n.listener = listener
+	n.tasks.Go(n.accept)
+	n.tasks.Go(n.watch)
+	return nil
+}
+
+func (n *Node) accept() {
+	for {
+		conn, err := n.listener.Accept(n.ctx)
+		if err != nil {
+			return
+		}
+		if _, err := n.adopt(conn); err != nil {
+			n.cfg.Log.Warn().Err(err).Str("address", conn.RemoteAddr().String()).Msg("peer refused")
+		}
+	}
+}
+
+// Close refuses new calls and streams, waits for running handlers until ctx ends, and closes all connections.
+func (n *Node) Close(ctx context.Context) error {
+	n.mu.Lock()
+	alreadyClosed := n.closed
+	n.closed = true
+	n.mu.Unlock()
+	if alreadyClosed {
+		return nil
+	}
+	err := waitFor(ctx, &n.handlers)
+	n.flush(ctx)
+	n.cancel()
+	for _, c := range n.allConnections() {
+		_ = c.quic.CloseWithError(codeClosed, "closed")
+	}
+	if n.listener != nil {
+		err = errors.Join(err, n.listener.Close())
+	}
+	n.tasks.Wait()
+	return errors.Join(err, n.transport.Close(), n.udp.Close())
+}
+
+// flush makes a round trip on every connection in use lately, so that the answers written before
+// have left: closing a connection drops what it has not sent yet.
+func (n *Node) flush(ctx context.Context) {
+	var pings sync.WaitGroup
+	for _, c := range n.allConnections() {
+		if c.silence() < n.cfg.LivenessTimeout {
+			pings.Go(func() { _ = c.ping(ctx, n.cfg.VerifyTimeout) })
+		}
+	}
+	pings.Wait()
+}
+
+func waitFor(ctx context.Context, group *sync.WaitGroup) error {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("handlers still running: %w", ctx.Err())
+	}
+}
+
+// enter counts a handler as running. It fails when the node is closing.
+func (n *Node) enter() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
+	n.handlers.Add(1)
+	return true
+}
+
+// watch checks connections that carry calls or streams, so that the loss of a process ends them
+// within Config.LivenessPeriod plus Config.LivenessTimeout.
+func (n *Node) watch() {
+	ticker := time.NewTicker(n.cfg.LivenessPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, c := range n.allConnections() {
+			if c.active.Load() > 0 && c.checking.CompareAndSwap(false, true) {
+				n.tasks.Go(func() { n.checkLiveness(c) })
+			}
+		}
+	}
+}
+
+func (n *Node) checkLiveness(c *connection) {
+	defer c.checking.Store(false)
+	if err := c.ping(n.ctx, n.cfg.LivenessTimeout); err != nil {
+		c.abandon()
+	}
+}
--- /dev/null
+++ b/internal/peer/stream.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/quic-go/quic-go"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// messageStream implements Stream on a QUIC stream.
+type messageStream struct {
+	quic    *quic.Stream
+	conn    *connection
+	limit   int64
+	decoder *decoder
+
+	sendMu  sync.Mutex
+	closed  atomic.Bool
+	onClose func()
+}
+
+// OpenStream implements Caller. The stream ends when ctx ends or Close is called. It fails with
+// *UnansweredError when there is no connection.
+func (n *Node) OpenStream(ctx context.Context, to netip.AddrPort, method Method) (Stream, error) {
+	ctx, span := startSpan(ctx, trace.SpanKindClient, method, to)
+	defer span.End()
+	c, stream, err := n.open(ctx, to)
+	if err != nil {
+		return nil, &UnansweredError{Cause: err}
+	}
+	s := &messageStream{
+		quic:    stream,
+		conn:    c,
+		limit:   n.cfg.MaxMessageBytes,
+		decoder: newDecoder(countingReader{stream}, n.cfg.MaxMessageBytes),
+	}
+	stop := cancelOnEnd(ctx, stream)
+	s.onClose = func() {
+		stop()
+		c.active.Add(-1)
+	}
+	if err := s.Send(newHeader(ctx, kindStream, method)); err != nil {
+		_ = s.Close()
+		return nil, &UnansweredError{Sent: true, Cause: err}
+	}
+	return s, nil
+}
+
+// Send implements Stream.
+func (s *messageStream) Send(message any) error {
+	encoded, err := encode(s.limit, message)
+	if err != nil {
+		return err
+	}
+	s.sendMu.Lock()
+	defer s.sendMu.Unlock()
+	sentBytes.Add(len(encoded))
+	_, err = s.quic.Write(encoded)
+	return err
+}
+
+// Receive implements Stream.
+func (s *messageStream) Receive(message any) error {
+	if err := s.decoder.decode(message); err != nil {
+		return err
+	}
+	s.conn.touch()
+	return nil
+}
+
+// Close implements Stream.
+func (s *messageStream) Close() error {
+	if !s.closed.CompareAndSwap(false, true) {
+		return nil
+	}
+	s.sendMu.Lock()
+	err := s.quic.Close()
+	s.sendMu.Unlock()
+	s.quic.CancelRead(streamCancelled)
+	s.onClose()
+	return err
+}
+
+func (n *Node) serveMessages(ctx context.Context, c *connection, stream *quic.Stream, method Method, decoder *decoder) error {
+	handler, ok := n.streams[method]
+	if !ok {
+		stream.CancelRead(streamFailed)
+		stream.CancelWrite(streamFailed)
+		return &RemoteError{Code: CodeUnknownMethod, Message: string(method)}
+	}
+	s := &messageStream{quic: stream, conn: c, limit: n.cfg.MaxMessageBytes, decoder: decoder, onClose: func() {}}
+	err := handler(ctx, c.peer, s)
+	if err != nil {
+		// A reset tells the other end that the stream did not end as planned.
+		stream.CancelWrite(streamFailed)
+	}
+	_ = s.Close()
+	return err
+}
--- /dev/null
+++ b/internal/peer/tls.go
@@ -0,0 +1,73 @@
+package peer
+
+import (
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/config"
+)
+
+// alpn names the protocol between our processes, with its version.
+const alpn = "rosemarydyke/1"
+
+// credentials are what a node proves its identity with.
+type credentials struct {
+	tls *tls.Config
+	// resetKey derives stateless reset tokens (RFC 9000 section 10.3). It depends only on the
+	// private key, so that a restarted process can reset the connections of its predecessor.
+	resetKey quic.StatelessResetKey
+}
+
+func loadCredentials(files config.TLS) (credentials, error) {
+	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	if err != nil {
+		return credentials{}, fmt.Errorf("load certificate: %w", err)
+	}
+	keyPEM, err := os.ReadFile(files.Key)
+	if err != nil {
+		return credentials{}, fmt.Errorf("read key: %w", err)
+	}
+	caPEM, err := os.ReadFile(files.CA)
+	if err != nil {
+		return credentials{}, fmt.Errorf("read certificate authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(caPEM) {
+		return credentials{}, fmt.Errorf("read certificate authority: %s holds no certificate", files.CA)
+	}
+	return credentials{
+		tls: &tls.Config{
+			Certificates: []tls.Certificate{certificate},
+			RootCAs:      pool,
+			ClientCAs:    pool,
+			ClientAuth:   tls.RequireAndVerifyClientCert,
+			NextProtos:   []string{alpn},
+			MinVersion:   tls.VersionTLS13,
+		},
+		resetKey: sha256.Sum256(append([]byte("rosemarydyke stateless reset\n"), keyPEM...)),
+	}, nil
+}
+
+// identityOf returns the VM name in the verified certificate of a connection's other end.
+func identityOf(conn *quic.Conn) (Identity, error) {
+	certificates := conn.ConnectionState().TLS.PeerCertificates
+	if len(certificates) == 0 {
+		return Identity{}, errors.New("peer sent no certificate")
+	}
+	vm := certificates[0].Subject.CommonName
+	if vm == "" {
+		return Identity{}, errors.New("peer's certificate has no common name")
+	}
+	address, err := netip.ParseAddrPort(conn.RemoteAddr().String())
+	if err != nil {
+		return Identity{}, fmt.Errorf("parse peer's address: %w", err)
+	}
+	return Identity{VM: vm, Address: netip.AddrPortFrom(address.Addr().Unmap(), address.Port())}, nil
+}
