Admission, thin: owners, credits, queues, batch slots, quarantine decisions

Cause: engines admit whatever arrives and know no priorities, so the fleet must keep the queue and share each target's slots itself. Change: target (ownership, ledger, holder, health, pacer), dispatch (fair queue, target choice, wait estimate, retry budget) and quarantine (suspects) as pure packages; internal/admission/controller carries out their decisions over peer calls and serves the batch slot stream.

--- /dev/null
+++ b/internal/admission/controller/config.go
@@ -0,0 +1,92 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/dispatch"
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
+	"github.com/rosemarydyke/rosemarydyke/settings"
+	"github.com/rosemarydyke/rosemarydyke/target"
+)
+
+// Prober finds out whether a target takes connections again.
+type Prober interface {
+	// Probe returns nil when the target answers.
+	Probe(ctx context.Context, target *settings.Target) error
+}
+
+// Config configures a Controller.
+type Config struct {
+	// VM is this VM's name, and AvailabilityZone where it runs.
+	VM               string
+	AvailabilityZone string
+	// Members gives the live VMs, this one included.
+	Members member.View
+	// Settings gives the targets and the clients' weights.
+	Settings settings.Source
+	// Caller reaches the entries that own targets.
+	Caller peer.Caller
+	// VMs is the platform's list, in which targets are announced as leaving. Nil leaves that sign out.
+	VMs platform.VMList
+	// Prober probes ejected targets. Default: a TCP connection to the target's address.
+	Prober Prober
+	// Log takes the component's log.
+	Log zerolog.Logger
+
+	// RenewInterval is the time between two renewals of credits. Default 1s.
+	RenewInterval time.Duration
+	// TickInterval is the time between two looks at settings, members and expiries. Default 250ms.
+	TickInterval time.Duration
+	// VMListInterval is the time between two readings of the platform's list. Default 2s.
+	VMListInterval time.Duration
+	// CallTimeout bounds one call to an owner. Default 1s.
+	CallTimeout time.Duration
+	// AskWait is how long an owner holds an ask that it cannot meet yet. Default 250ms.
+	AskWait time.Duration
+	// MinTargets is the number of targets of each model or service that this VM exchanges credits for. Default 6.
+	MinTargets int
+	// PrefixEntries bounds the index of prompt prefixes. Default 65536.
+	PrefixEntries int
+
+	// Ledger, Health, Pacer, Retry and Quarantine configure the decisions.
+	Ledger     target.LedgerConfig
+	Health     target.HealthConfig
+	Pacer      target.PacerConfig
+	Retry      dispatch.RetryConfig
+	Quarantine quarantine.Config
+}
+
+func (c Config) withDefaults() Config {
+	c.RenewInterval = cmp.Or(c.RenewInterval, time.Second)
+	c.TickInterval = cmp.Or(c.TickInterval, 250*time.Millisecond)
+	c.VMListInterval = cmp.Or(c.VMListInterval, 2*time.Second)
+	c.CallTimeout = cmp.Or(c.CallTimeout, time.Second)
+	c.AskWait = cmp.Or(c.AskWait, 250*time.Millisecond)
+	c.MinTargets = cmp.Or(c.MinTargets, 6)
+	c.PrefixEntries = cmp.Or(c.PrefixEntries, 65536)
+	if c.Prober == nil {
+		c.Prober = dialProber{}
+	}
+	return c
+}
+
+// dialProber probes a target by connecting to it.
+type dialProber struct{}
+
+// Probe implements Prober.
+func (dialProber) Probe(ctx context.Context, target *settings.Target) error {
+	var dialer net.Dialer
+	connection, err := dialer.DialContext(ctx, "tcp", target.Address)
+	if err != nil {
+		return err
+	}
+	return connection.Close()
+}
--- /dev/null
+++ b/internal/admission/controller/credits.go
@@ -0,0 +1,283 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/dispatch"
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/target"
+)
+
+const (
+	// maxPlanned bounds the waiting requests for which one pass asks for credits.
+	maxPlanned = 64
+	// maxQueuedAsks bounds the asks of one pool that owners without a free slot hold.
+	maxQueuedAsks = 3
+)
+
+// askLocal renews the credits of a target that this VM owns, with no message.
+func (c *Controller) askLocal(t *targetState, waiting int, now time.Time) {
+	ask := t.holder.Ask(now, waiting)
+	ask.Holder, ask.Session = c.config.VM, c.session
+	answer, revoke := t.ledger.Request(now, ask)
+	t.holder.Answered(ask.Sequence, answer)
+	c.revoke(revoke)
+}
+
+// askRemote asks a target's owner for credits and goes on when the answer comes.
+func (c *Controller) askRemote(t *targetState, waiting int, now time.Time) {
+	ask := t.holder.Ask(now, waiting)
+	t.asked = waiting
+	message := CreditsAsk{Session: c.session, Targets: []TargetAsk{newTargetAsk(t.settings.Name, ask)}, Wait: waiting > 0}
+	go c.call(t.owner.Owner.EntryPeers, message, []*targetState{t})
+}
+
+// call sends asks to an owner and applies its answers.
+func (c *Controller) call(owner string, message CreditsAsk, targets []*targetState) {
+	answer, err := c.callOwner(owner, message)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if err == nil && len(answer.Targets) != len(targets) {
+		err = errors.New("answer does not match the asks")
+	}
+	if err != nil {
+		metricCreditFailures.Inc()
+		c.config.Log.Debug().Err(err).Str("owner", owner).Msg("credits could not be renewed")
+	}
+	for i, t := range targets {
+		t.apply(message.Targets[i].Sequence, err, answer.Targets, i)
+	}
+	if err != nil {
+		// The next tick asks again; asking here would loop while the owner is away.
+		return
+	}
+	for _, t := range targets {
+		c.pump(t.pool, now)
+	}
+}
+
+// apply applies the i-th answer, or the failure of the call.
+func (t *targetState) apply(sequence uint64, err error, answers []TargetAnswer, i int) {
+	latest := false
+	if err != nil || answers[i].NotOwner {
+		latest = t.holder.Failed(sequence)
+	} else {
+		latest = t.holder.Answered(sequence, answers[i].answer())
+	}
+	if latest {
+		t.asked = 0
+	}
+}
+
+// isWaiting reports whether an ask for waiting requests is under way. A renewal does not count: it can be replaced.
+func (t *targetState) isWaiting() bool { return t.holder.Asking() && t.asked > 0 }
+
+func (c *Controller) callOwner(owner string, message CreditsAsk) (CreditsAnswer, error) {
+	var answer CreditsAnswer
+	address, err := netip.ParseAddrPort(owner)
+	if err != nil {
+		return answer, err
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.config.CallTimeout)
+	defer cancel()
+	metricCreditCalls.Inc()
+	err = c.config.Caller.Call(ctx, address, MethodCredits, message, &answer)
+	return answer, err
+}
+
+// renew renews the credits of all chosen targets: one message to each owner.
+func (c *Controller) renew(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	asks := make(map[string]*CreditsAsk)
+	asked := make(map[string][]*targetState)
+	for _, name := range sortedNames(c.targets) {
+		t := c.targets[name]
+		switch {
+		case !t.owned || t.holder.Asking():
+		case t.ledger != nil:
+			c.askLocal(t, t.pool.queue.Len(), now)
+		case t.chosen || t.holder.Limit() > 0 || t.holder.Suspect != 0:
+			owner := t.owner.Owner.EntryPeers
+			if asks[owner] == nil {
+				asks[owner] = &CreditsAsk{Session: c.session}
+			}
+			asks[owner].Targets = append(asks[owner].Targets, newTargetAsk(name, t.holder.Ask(now, 0)))
+			asked[owner] = append(asked[owner], t)
+		}
+	}
+	for owner, message := range asks {
+		go c.call(owner, *message, asked[owner])
+	}
+}
+
+// returnCredits gives credits back at once when others wait for them.
+func (c *Controller) returnCredits(t *targetState, now time.Time) {
+	if !t.owned || t.holder.Asking() || t.pool.queue.Len() > 0 {
+		return
+	}
+	if t.ledger != nil {
+		c.askLocal(t, 0, now)
+		t.notify()
+		return
+	}
+	if t.holder.Scarce && t.holder.Free(now) > 0 {
+		c.askRemote(t, 0, now)
+	}
+}
+
+// requestCredits asks owners for credits for the waiting requests of a pool: first where slots can
+// be had at once, and else where one is freed soonest.
+func (c *Controller) requestCredits(p *pool, now time.Time) {
+	c.askForLanes(p, now)
+	missing := min(p.queue.Len(), maxPlanned) - p.pendingAsks()
+	if missing <= 0 {
+		return
+	}
+	plan, unmet := c.planAsks(p, missing, now)
+	for i, count := range plan {
+		if count > 0 {
+			c.askFor(p.targets[i], count, now)
+		}
+	}
+	if unmet > 0 {
+		c.waitForCredits(p, unmet, now)
+	}
+}
+
+// askForLanes asks for a credit on each target where a suspect waits to run.
+func (c *Controller) askForLanes(p *pool, now time.Time) {
+	for _, t := range p.targets {
+		if t.holder.Suspect != 0 && !t.suspectRunning && t.holder.Free(now) == 0 {
+			c.askFor(t, 1, now)
+		}
+	}
+}
+
+func (p *pool) pendingAsks() int {
+	total := 0
+	for _, t := range p.targets {
+		total += t.asked
+	}
+	return total
+}
+
+// planAsks distributes missing credits over the targets whose owners can grant some.
+func (c *Controller) planAsks(p *pool, missing int, now time.Time) (plan []int, unmet int) {
+	candidates := c.candidates(p, now)
+	for i, t := range p.targets {
+		candidates[i].Free = 0
+		if t.chosen && t.owned && !t.isWaiting() {
+			candidates[i].Free = min(t.obtainable(now), t.shareLeft(candidates[i].Share))
+		}
+	}
+	plan = make([]int, len(candidates))
+	for n := range missing {
+		i, ok := c.chooser.Pick(dispatch.Query{}, candidates, rand.IntN)
+		if !ok {
+			return plan, missing - n
+		}
+		plan[i]++
+		candidates[i].Free--
+		candidates[i].InUse++
+	}
+	return plan, 0
+}
+
+// askFor asks a target's owner for credits unless an ask is under way.
+func (c *Controller) askFor(t *targetState, count int, now time.Time) {
+	switch {
+	case !t.owned || t.isWaiting():
+	case t.ledger != nil:
+		c.askLocal(t, count, now)
+	default:
+		c.askRemote(t, count, now)
+	}
+}
+
+// waitForCredits leaves asks with owners that have no free slot, and looks further afield.
+func (c *Controller) waitForCredits(p *pool, unmet int, now time.Time) {
+	c.widen(p, now)
+	queued := 0
+	for _, t := range p.targets {
+		if t.asked > 0 {
+			queued++
+		}
+	}
+	for _, i := range rand.Perm(len(p.targets)) {
+		t := p.targets[i]
+		if !t.chosen || !t.owned || t.isWaiting() || p.health.Share(now, t.settings.Name) == 0 {
+			continue
+		}
+		if t.ledger != nil {
+			c.askLocal(t, unmet, now)
+			continue
+		}
+		if queued < maxQueuedAsks {
+			c.askRemote(t, unmet, now)
+			queued++
+		}
+	}
+}
+
+// handleCredits answers the asks of another entry.
+func (c *Controller) handleCredits(ctx context.Context, from peer.Identity, decode func(any) error) (any, error) {
+	var message CreditsAsk
+	if err := decode(&message); err != nil {
+		return nil, &peer.RemoteError{Code: "invalid_message", Message: err.Error()}
+	}
+	answer := CreditsAnswer{Targets: make([]TargetAnswer, len(message.Targets))}
+	deadline := time.NewTimer(c.config.AskWait)
+	defer deadline.Stop()
+	for {
+		changed, short := c.answerAsks(from.VM, message, answer.Targets)
+		if !short || !message.Wait {
+			return answer, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return answer, nil
+		case <-ctx.Done():
+			return answer, nil
+		}
+	}
+}
+
+// answerAsks fills in the answers. It reports whether an ask got nothing of what it wants, and when to look again.
+func (c *Controller) answerAsks(holder string, message CreditsAsk, answers []TargetAnswer) (changed <-chan struct{}, short bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for i, ask := range message.Targets {
+		t := c.targets[ask.Target]
+		if t == nil || t.ledger == nil {
+			answers[i] = TargetAnswer{NotOwner: true}
+			continue
+		}
+		answer, revoke := t.ledger.Request(now, ask.ask(holder, message.Session))
+		c.revoke(revoke)
+		if ask.Want <= ask.Held {
+			// Credits may have been returned that others wait for.
+			t.notify()
+		}
+		answers[i] = newTargetAnswer(answer)
+		if isShort(ask, answer) {
+			changed, short = t.changed, true
+		}
+	}
+	return changed, short
+}
+
+// isShort reports whether an ask got nothing of what it wants.
+func isShort(ask TargetAsk, answer target.Answer) bool {
+	if answer.Stale {
+		return false
+	}
+	return answer.Granted <= ask.Held && ask.Want > ask.Held
+}
--- /dev/null
+++ b/internal/admission/controller/fleet_test.go
@@ -0,0 +1,268 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/admission"
+	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/settings"
+)
+
+// oneWay is the delay between two VMs of the test fleet.
+const oneWay = time.Millisecond
+
+// fleet is a set of controllers that call each other in memory.
+type fleet struct {
+	t        *testing.T
+	ctx      context.Context
+	mu       sync.Mutex
+	members  []member.Member
+	snapshot *settings.Snapshot
+	fresh    bool
+	nodes    map[string]*node
+	// cut are the VMs that no call reaches.
+	cut map[string]bool
+}
+
+type node struct {
+	*Controller
+	fleet   *fleet
+	vm      string
+	calls   map[peer.Method]peer.CallHandler
+	streams map[peer.Method]peer.StreamHandler
+	sent    int
+}
+
+// runFleet runs a test on a fleet of VMs, one per availability zone, in virtual time.
+func runFleet(t *testing.T, vms int, targets []*settings.Target, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		f := &fleet{t: t, ctx: ctx, fresh: true, nodes: make(map[string]*node), cut: make(map[string]bool)}
+		f.snapshot = &settings.Snapshot{Revision: 1, Clients: map[string]*settings.Client{}}
+		f.setTargets(targets...)
+		for i := range vms {
+			f.members = append(f.members, member.Member{
+				VM:               fmt.Sprintf("vm-%d", i+1),
+				State:            member.Alive,
+				AvailabilityZone: fmt.Sprintf("az-%c", 'a'+i%3),
+				Region:           "r1",
+				EntryPeers:       fmt.Sprintf("127.0.0.1:%d", 8201+i),
+			})
+		}
+		for _, m := range f.members {
+			f.start(m)
+		}
+		test(f)
+		stop()
+		synctest.Wait()
+	})
+}
+
+func (f *fleet) setTargets(targets ...*settings.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := *f.snapshot
+	next.Revision++
+	next.Targets = make(map[string]*settings.Target)
+	for _, target := range targets {
+		next.Targets[target.Name] = target
+	}
+	f.snapshot = &next
+}
+
+func (f *fleet) start(m member.Member) *node {
+	n := &node{
+		fleet:   f,
+		vm:      m.VM,
+		calls:   make(map[peer.Method]peer.CallHandler),
+		streams: make(map[peer.Method]peer.StreamHandler),
+	}
+	n.Controller = New(Config{
+		VM:               m.VM,
+		AvailabilityZone: m.AvailabilityZone,
+		Members:          n,
+		Settings:         f,
+		Caller:           n,
+		Prober:           n,
+	})
+	n.Register(n)
+	f.nodes[m.VM] = n
+	n.Start(f.ctx)
+	return n
+}
+
+// engine returns the settings of a model engine.
+func engine(name, zone string, slots int) *settings.Target {
+	return &settings.Target{Name: name, Address: "127.0.0.1:9101", AvailabilityZone: zone, Model: "m", Slots: slots}
+}
+
+// lose makes a VM unreachable and, to the others, dead.
+func (f *fleet) lose(vm string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[vm] = true
+	f.members = slices.DeleteFunc(slices.Clone(f.members), func(m member.Member) bool { return m.VM == vm })
+}
+
+func (f *fleet) Current() *settings.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot
+}
+
+func (f *fleet) Fresh() bool { return f.fresh }
+
+func (n *node) Members() []member.Member {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return slices.Clone(n.fleet.members)
+}
+
+func (n *node) Self() member.Member {
+	for _, m := range n.Members() {
+		if m.VM == n.vm {
+			return m
+		}
+	}
+	return member.Member{VM: n.vm}
+}
+
+func (n *node) Probe(context.Context, *settings.Target) error { return nil }
+
+func (n *node) HandleCall(method peer.Method, handler peer.CallHandler) { n.calls[method] = handler }
+
+func (n *node) HandleStream(method peer.Method, handler peer.StreamHandler) {
+	n.streams[method] = handler
+}
+
+func (n *node) Call(ctx context.Context, to netip.AddrPort, method peer.Method, request, response any) error {
+	n.fleet.mu.Lock()
+	n.sent++
+	var callee *node
+	for _, m := range n.fleet.members {
+		if m.EntryPeers == to.String() {
+			callee = n.fleet.nodes[m.VM]
+		}
+	}
+	lost := callee == nil || n.fleet.cut[n.vm] || n.fleet.cut[callee.vm]
+	n.fleet.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(oneWay)
+	answer, err := callee.calls[method](ctx, peer.Identity{VM: n.vm}, func(into any) error { return recode(request, into) })
+	if err != nil {
+		return err
+	}
+	time.Sleep(oneWay)
+	return recode(answer, response)
+}
+
+func (n *node) OpenStream(context.Context, netip.AddrPort, peer.Method) (peer.Stream, error) {
+	return nil, errors.New("not used")
+}
+
+// recode passes a message through its encoding.
+func recode(from, into any) error {
+	content, err := cbor.Marshal(from)
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(content, into)
+}
+
+// acquire asks for a slot for an online request of a client.
+func (n *node) acquire(client string, deadline time.Duration) (*admission.Grant, error) {
+	return n.Acquire(n.fleet.ctx, admission.Request{
+		ID:       n.vm + ".1",
+		Client:   client,
+		Model:    "m",
+		Deadline: time.Now().Add(deadline),
+	})
+}
+
+// batchWorker is a batch process that holds every slot it is granted until it is revoked.
+type batchWorker struct {
+	mu       sync.Mutex
+	held     map[uint64]batchslots.Granted
+	granted  int
+	revoked  int
+	incoming chan batchslots.ToEntry
+}
+
+func (n *node) startBatch(wants int) *batchWorker {
+	w := &batchWorker{held: make(map[uint64]batchslots.Granted), incoming: make(chan batchslots.ToEntry, 1024)}
+	ctx, cancel := context.WithCancel(n.fleet.ctx)
+	stop := context.AfterFunc(ctx, func() { close(w.incoming) })
+	_ = stop
+	go func() {
+		defer cancel()
+		_ = n.streams[batchslots.Method](ctx, peer.Identity{VM: n.vm}, w)
+	}()
+	w.incoming <- batchslots.ToEntry{Demand: &batchslots.Demand{Wants: []batchslots.Want{{Model: "m", Slots: wants}}}}
+	return w
+}
+
+func (w *batchWorker) Send(message any) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := message.(batchslots.ToBatch)
+	switch {
+	case m.Granted != nil:
+		w.granted++
+		w.held[m.Granted.Slot] = *m.Granted
+	case m.Revoked != nil:
+		w.revoked++
+		delete(w.held, m.Revoked.Slot)
+		w.incoming <- batchslots.ToEntry{Released: &batchslots.Released{Slot: m.Revoked.Slot}}
+	}
+	return nil
+}
+
+func (w *batchWorker) Receive(into any) error {
+	message, ok := <-w.incoming
+	if !ok {
+		return io.EOF
+	}
+	*into.(*batchslots.ToEntry) = message
+	return nil
+}
+
+func (w *batchWorker) Close() error { return nil }
+
+func (w *batchWorker) running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.held)
+}
+
+// ownerOf returns the node that owns a target.
+func (f *fleet) ownerOf(name string) *node {
+	for _, n := range f.nodes {
+		for _, info := range n.Targets() {
+			if info.Name == name && info.Owner == n.vm {
+				return n
+			}
+		}
+	}
+	f.t.Fatalf("nobody owns %s", name)
+	return nil
+}
+
+func contains(err error, text string) bool { return err != nil && strings.Contains(err.Error(), text) }
--- /dev/null
+++ b/internal/admission/controller/messages.go
@@ -0,0 +1,92 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/target"
+)
+
+// MethodCredits asks an owner for credits: CreditsAsk to CreditsAnswer.
+const MethodCredits peer.Method = "credits.request"
+
+// CreditsAsk carries one entry's asks for all targets of one owner.
+type CreditsAsk struct {
+	// Session identifies the asking process.
+	Session uint64      `cbor:"1,keyasint"`
+	Targets []TargetAsk `cbor:"2,keyasint"`
+	// Wait lets the owner hold the answer back for a moment until it can grant more.
+	Wait bool `cbor:"3,keyasint,omitempty"`
+}
+
+// TargetAsk is target.Ask on the wire.
+type TargetAsk struct {
+	Target   string `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
+	Held     int    `cbor:"3,keyasint,omitempty"`
+	InUse    int    `cbor:"4,keyasint,omitempty"`
+	Want     int    `cbor:"5,keyasint,omitempty"`
+	Suspect  uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+func newTargetAsk(name string, ask target.Ask) TargetAsk {
+	return TargetAsk{
+		Target:   name,
+		Sequence: ask.Sequence,
+		Held:     ask.Held,
+		InUse:    ask.InUse,
+		Want:     ask.Want,
+		Suspect:  ask.Suspect,
+	}
+}
+
+func (a TargetAsk) ask(holder string, session uint64) target.Ask {
+	return target.Ask{
+		Holder:   holder,
+		Session:  session,
+		Sequence: a.Sequence,
+		Held:     a.Held,
+		InUse:    a.InUse,
+		Want:     a.Want,
+		Suspect:  a.Suspect,
+	}
+}
+
+// CreditsAnswer answers the asks, in their order.
+type CreditsAnswer struct {
+	Targets []TargetAnswer `cbor:"1,keyasint"`
+}
+
+// TargetAnswer is target.Answer on the wire.
+type TargetAnswer struct {
+	// NotOwner says that the asked VM does not own the target; the other fields are zero.
+	NotOwner   bool          `cbor:"1,keyasint,omitempty"`
+	Granted    int           `cbor:"2,keyasint,omitempty"`
+	TTL        time.Duration `cbor:"3,keyasint,omitempty"`
+	Obtainable int           `cbor:"4,keyasint,omitempty"`
+	Scarce     bool          `cbor:"5,keyasint,omitempty"`
+	Suspect    uint64        `cbor:"6,keyasint,omitempty"`
+	Stale      bool          `cbor:"7,keyasint,omitempty"`
+}
+
+func newTargetAnswer(answer target.Answer) TargetAnswer {
+	return TargetAnswer{
+		Granted:    answer.Granted,
+		TTL:        answer.TTL,
+		Obtainable: answer.Obtainable,
+		Scarce:     answer.Scarce,
+		Suspect:    answer.Suspect,
+		Stale:      answer.Stale,
+	}
+}
+
+func (a TargetAnswer) answer() target.Answer {
+	return target.Answer{
+		Granted:    a.Granted,
+		TTL:        a.TTL,
+		Obtainable: a.Obtainable,
+		Scarce:     a.Scarce,
+		Suspect:    a.Suspect,
+		Stale:      a.Stale,
+	}
+}
--- /dev/null
+++ b/internal/admission/controller/suspects.go
@@ -0,0 +1,90 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/dispatch"
+	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
+)
+
+// cut records that a target broke off a request.
+func (c *Controller) cut(t *targetState, fingerprint uint64, now time.Time) {
+	before := c.quarantine.Status(fingerprint)
+	if c.quarantine.Cut(now, fingerprint, t.settings.Name) == quarantine.Quarantined && before != quarantine.Quarantined {
+		c.quarantined(fingerprint)
+	}
+}
+
+// quarantined carries out a quarantine on this VM.
+func (c *Controller) quarantined(fingerprint uint64) {
+	metricQuarantined.Inc()
+	c.config.Log.Warn().Uint64("fingerprint", fingerprint).
+		Strs("targets", c.quarantine.Targets(fingerprint)).Msg("request quarantined")
+	c.tellBatch(batchslots.ToBatch{Quarantined: &batchslots.Quarantined{Fingerprints: []uint64{fingerprint}}})
+}
+
+// refuseWaitingQuarantined refuses the waiting requests that have been quarantined since they came.
+func (c *Controller) refuseWaitingQuarantined(p *pool) {
+	for p.queue.Len() > 0 {
+		item := p.queue.Next(func(item *dispatch.Item) bool {
+			return c.quarantine.Status(item.Value.(*waiter).request.Fingerprint) == quarantine.Quarantined
+		})
+		if item == nil {
+			return
+		}
+		w := item.Value.(*waiter)
+		c.leaveLane(w)
+		w.granted <- admitted{err: c.refuseQuarantined(w.request.Fingerprint)}
+	}
+}
+
+// placeSuspect returns the one target on which a suspect may run now, or nil.
+//
+// All VMs send one fingerprint to the same target, whose owner lets one suspect at a time run there. So
+// two suspects never meet, and copies of one request that came through several VMs do not crash several targets.
+func (c *Controller) placeSuspect(w *waiter, now time.Time) *targetState {
+	lane := c.laneFor(w, now)
+	if w.lane != lane {
+		c.leaveLane(w)
+	}
+	if lane == nil {
+		return nil
+	}
+	if lane.holder.Suspect == 0 {
+		lane.holder.Suspect = w.request.Fingerprint
+		w.lane = lane
+		c.askFor(lane, 1, now)
+	}
+	if w.lane != lane || lane.suspectRunning || !lane.holder.MaySuspect(now, w.request.Fingerprint) {
+		return nil
+	}
+	return lane
+}
+
+// laneFor returns the target with the highest rank for the fingerprint, of those that it has not been sent to.
+func (c *Controller) laneFor(w *waiter, now time.Time) *targetState {
+	crashed := c.quarantine.Targets(w.request.Fingerprint)
+	var best *targetState
+	var bestRank uint64
+	for _, t := range w.pool.targets {
+		name := t.settings.Name
+		if w.pool.health.Share(now, name) == 0 || slices.Contains(w.request.Tried, name) || slices.Contains(crashed, name) {
+			continue
+		}
+		if rank := dispatch.BlockRank(w.request.Fingerprint, name); best == nil || rank > bestRank {
+			best, bestRank = t, rank
+		}
+	}
+	return best
+}
+
+// leaveLane gives up a suspect's claim on its target.
+func (c *Controller) leaveLane(w *waiter) {
+	if w.lane == nil || w.lane.suspectRunning {
+		return
+	}
+	w.lane.holder.Suspect = 0
+	w.lane = nil
+}
