--- a/internal/rapidtest/rapidtest.go
+++ b/internal/rapidtest/rapidtest.go
@@ -22,6 +22,8 @@
 	defaultSeed    = "1"
 	// steps is the mean number of steps in one run of a state machine.
 	steps = "150"
+	// naiveChecks is the number of checks within which a naive version has to fail.
+	naiveChecks = "1000"
 )
 
 // Main runs the tests of a package with a fixed seed and number of checks. The environment variables
@@ -48,6 +50,13 @@
 	shrinkTime := flag.Lookup("rapid.shrinktime").Value.String()
 	set("rapid.shrinktime", "0s")
 	defer set("rapid.shrinktime", shrinkTime)
+	// A fresh seed must not decide whether the naive version is caught.
+	seed := flag.Lookup("rapid.seed").Value.String()
+	set("rapid.seed", defaultSeed)
+	defer set("rapid.seed", seed)
+	checks := flag.Lookup("rapid.checks").Value.String()
+	set("rapid.checks", naiveChecks)
+	defer set("rapid.checks", checks)
 	probe := &recorder{name: t.Name()}
 	done := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/target/health_test.go
@@ -0,0 +1,160 @@
+package target
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/rapidtest"
+)
+
+var start = time.Unix(1000, 0)
+
+func newGroup(names ...string) *HealthGroup {
+	g := NewHealthGroup(HealthConfig{})
+	g.SetTargets(names)
+	return g
+}
+
+func stateOf(g *HealthGroup, name string) State {
+	state, _ := g.State(name)
+	return state
+}
+
+func TestSignalsThatEject(t *testing.T) {
+	tests := map[string]struct {
+		signals []Signal
+		want    State
+	}{
+		"one connection that fails ejects":         {[]Signal{Unreachable}, Ejected},
+		"one refusal ejects":                       {[]Signal{Refused}, Ejected},
+		"two cut streams do not":                   {[]Signal{Cut, Cut}, Healthy},
+		"three failures in a row eject":            {[]Signal{Cut, TimedOut, Cut}, Ejected},
+		"an answer in between starts a new count":  {[]Signal{Cut, Cut, Answered, Cut, Cut}, Healthy},
+		"answers alone leave the target as it was": {[]Signal{Answered, Answered}, Healthy},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup("a", "b")
+			for _, signal := range test.signals {
+				g.Observe(start, "a", signal, 0)
+			}
+			qt.Assert(t, stateOf(g, "a"), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestATargetMuchSlowerThanItsPeersIsEjected(t *testing.T) {
+	g := newGroup("a", "b", "c")
+	for range 20 {
+		g.Observe(start, "a", Answered, 3*time.Second)
+		g.Observe(start, "b", Answered, 200*time.Millisecond)
+		g.Observe(start, "c", Answered, 300*time.Millisecond)
+	}
+	qt.Assert(t, stateOf(g, "a"), qt.Equals, Ejected)
+	qt.Assert(t, stateOf(g, "b"), qt.Equals, Healthy)
+}
+
+func TestAnEjectedTargetReturnsByAProbeAndASlowStart(t *testing.T) {
+	g := newGroup("a", "b")
+	g.Observe(start, "a", Unreachable, 0)
+	qt.Assert(t, g.Share(start, "a"), qt.Equals, 0.0)
+	qt.Assert(t, g.DueProbes(start), qt.HasLen, 0)
+	now := start.Add(time.Second)
+	qt.Assert(t, g.DueProbes(now), qt.DeepEquals, []string{"a"})
+	g.Probed(now, "a", false)
+	qt.Assert(t, g.DueProbes(now.Add(time.Second)), qt.HasLen, 0)
+	now = now.Add(2 * time.Second)
+	qt.Assert(t, g.DueProbes(now), qt.DeepEquals, []string{"a"})
+	g.Probed(now, "a", true)
+	qt.Assert(t, g.Share(now, "a"), qt.Equals, 0.1)
+	qt.Assert(t, g.Share(now.Add(5*time.Second), "a"), qt.Equals, 0.5)
+	g.Observe(now.Add(10*time.Second), "a", Answered, 0)
+	qt.Assert(t, stateOf(g, "a"), qt.Equals, Healthy)
+}
+
+func TestALeavingTargetTakesNothingWhateverItsHealth(t *testing.T) {
+	g := newGroup("a", "b")
+	g.SetLeaving("a", "listed")
+	qt.Assert(t, g.Share(start, "a"), qt.Equals, 0.0)
+	g.SetLeaving("a", "")
+	qt.Assert(t, g.Share(start, "a"), qt.Equals, 1.0)
+	qt.Assert(t, stateOf(g, "unknown"), qt.Equals, Leaving)
+}
+
+// ejectionFloor asserts that faults of any kind leave half of a group in use.
+func ejectionFloor(config HealthConfig) func(t *rapid.T) {
+	return func(t *rapid.T) {
+		g := NewHealthGroup(config)
+		size := rapid.IntRange(1, 9).Draw(t, "size")
+		var names []string
+		for i := range size {
+			names = append(names, fmt.Sprint(i))
+		}
+		g.SetTargets(names)
+		now := start
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			name := names[rapid.IntRange(0, size-1).Draw(t, "target")]
+			signal := Signal(rapid.IntRange(int(Answered), int(TimedOut)).Draw(t, "signal"))
+			g.Observe(now, name, signal, time.Duration(rapid.IntRange(0, 9000).Draw(t, "ms"))*time.Millisecond)
+			now = now.Add(100 * time.Millisecond)
+			for _, due := range g.DueProbes(now) {
+				g.Probed(now, due, rapid.Bool().Draw(t, "ok"))
+			}
+			inUse := 0
+			for _, n := range names {
+				if g.Share(now, n) > 0 {
+					inUse++
+				}
+			}
+			if 2*inUse < size {
+				t.Fatalf("only %d of %d targets are in use", inUse, size)
+			}
+		}
+	}
+}
+
+func TestEjectionLeavesHalfOfAGroupInUse(t *testing.T) {
+	rapid.Check(t, ejectionFloor(HealthConfig{}))
+	rapidtest.MustFail(t, ejectionFloor(HealthConfig{MaxEjected: 1}))
+}
+
+func TestThePacerCutsAboveTheHighRatioAndGrowsBelowTheLowOne(t *testing.T) {
+	p := NewPacer(PacerConfig{}, 10)
+	now := start
+	observe := func(n int, firstToken time.Duration) {
+		for range n {
+			now = now.Add(500 * time.Millisecond)
+			p.Observe(now, firstToken, 0)
+		}
+	}
+	observe(5, 100*time.Millisecond)
+	qt.Assert(t, p.Limit(), qt.Equals, 10)
+	observe(4, 400*time.Millisecond)
+	cut := p.Limit()
+	qt.Assert(t, cut < 8, qt.IsTrue, qt.Commentf("%d", cut))
+	observe(40, 100*time.Millisecond)
+	qt.Assert(t, p.Limit(), qt.Equals, 10)
+}
+
+func TestThePacerHoldsBetweenTheRatios(t *testing.T) {
+	p := NewPacer(PacerConfig{}, 10)
+	p.limit = 5
+	p.firstToken = ratio{present: 0.135, base: 0.1}
+	for i := range 10 {
+		p.Observe(start.Add(time.Duration(i)*time.Second), 135*time.Millisecond, 0)
+	}
+	qt.Assert(t, p.Limit(), qt.Equals, 5)
+}
+
+func TestALoadReportCountsOnlyWithoutFreshObservations(t *testing.T) {
+	p := NewPacer(PacerConfig{}, 10)
+	p.Observe(start, 100*time.Millisecond, 0)
+	p.Report(start.Add(time.Second), 3)
+	qt.Assert(t, p.Limit(), qt.Equals, 10)
+	p.Report(start.Add(6*time.Second), 3)
+	qt.Assert(t, p.Limit(), qt.Equals, 7)
+}
--- /dev/null
+++ b/target/ownership_test.go
@@ -0,0 +1,97 @@
+package target
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/member"
+)
+
+// plannedNodes and plannedTargets are the size that the design has to carry.
+const (
+	plannedNodes   = 360
+	plannedTargets = 830
+	plannedModels  = 4
+)
+
+func plannedMembers() []member.Member {
+	var members []member.Member
+	for i := range plannedNodes {
+		members = append(members, member.Member{
+			VM:               fmt.Sprint("vm-", i),
+			State:            member.Alive,
+			AvailabilityZone: fmt.Sprint("az-", i%8),
+			Region:           fmt.Sprint("r", i%2),
+		})
+	}
+	return members
+}
+
+func plannedOwned(members []member.Member) []Owned {
+	var targets []Owned
+	for i := range plannedTargets {
+		name := fmt.Sprint("t", i)
+		owner, _ := Owner(name, fmt.Sprint("az-", i%8), members)
+		// Models are spread over all zones.
+		targets = append(targets, Owned{Name: name, Serves: fmt.Sprint("m", i/8%plannedModels), Owner: owner})
+	}
+	return targets
+}
+
+func TestTheOwnerIsInTheTargetsZoneAndMovesOnlyWithItsVM(t *testing.T) {
+	members := plannedMembers()
+	before := plannedOwned(members)
+	gone := before[0].Owner.VM
+	members[0], members[1] = members[1], members[0]
+	for i := range members {
+		if members[i].VM == gone {
+			members[i].State = member.Dead
+		}
+	}
+	for i, after := range plannedOwned(members) {
+		qt.Assert(t, after.Owner.AvailabilityZone, qt.Equals, fmt.Sprint("az-", i%8))
+		if before[i].Owner.VM != gone {
+			qt.Assert(t, after.Owner.VM, qt.Equals, before[i].Owner.VM)
+		}
+	}
+}
+
+func TestASuspectKeepsItsTargetsAndALeavingVMDoesNot(t *testing.T) {
+	members := []member.Member{{VM: "a", State: member.Suspect, AvailabilityZone: "az-a"}}
+	_, ok := Owner("t", "az-a", members)
+	qt.Assert(t, ok, qt.IsTrue)
+	members[0].State = member.Leaving
+	_, ok = Owner("t", "az-a", members)
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+func TestAVMExchangesCreditsWithFewOwnersAtThePlannedSize(t *testing.T) {
+	members := plannedMembers()
+	targets := plannedOwned(members)
+	owners, chosen, local := 0, 0, 0
+	incoming := make(map[string]int)
+	for _, self := range members {
+		seen := make(map[string]bool)
+		for _, o := range Subset(self, targets, func(string) int { return 6 }) {
+			if !seen[o.Owner.VM] {
+				incoming[o.Owner.VM]++
+			}
+			seen[o.Owner.VM] = true
+			chosen++
+			if o.Owner.AvailabilityZone == self.AvailabilityZone {
+				local++
+			}
+		}
+		owners += len(seen)
+	}
+	most := 0
+	for _, n := range incoming {
+		most = max(most, n)
+	}
+	t.Logf("per VM: %.1f owners, %.1f targets, %.0f%% in its zone; the busiest owner answers %d VMs",
+		float64(owners)/plannedNodes, float64(chosen)/plannedNodes, 100*float64(local)/float64(chosen), most)
+	qt.Assert(t, owners <= 20*plannedNodes, qt.IsTrue)
+	qt.Assert(t, local, qt.Equals, chosen)
+}
