--- /dev/null
+++ b/member/suspicion.go
@@ -0,0 +1,102 @@
+package member
+
+import (
+	"math"
+	"time"
+)
+
+// suspicion counts down from a missed probe to death.
+type suspicion struct {
+	since    time.Time
+	shortest time.Duration
+	longest  time.Duration
+	// wanted is the number of further accusers that bring the time down to the shortest.
+	wanted   int
+	accusers map[string]struct{}
+	deadline time.Time
+}
+
+func (m *Machine) newSuspicion(now time.Time, accuser string) *suspicion {
+	n := m.size()
+	s := &suspicion{
+		since:    now,
+		shortest: m.cfg.ShortestSuspicion(n),
+		longest:  m.cfg.LongestSuspicion(n),
+		// Neither this VM nor the suspect can confirm.
+		wanted:   min(m.cfg.Confirmations, n-2),
+		accusers: map[string]struct{}{accuser: {}},
+	}
+	s.schedule()
+	return s
+}
+
+// confirm counts a further accuser. It reports whether the accuser was news that is worth spreading.
+func (s *suspicion) confirm(accuser string) bool {
+	if _, known := s.accusers[accuser]; known || len(s.accusers) > s.wanted {
+		return false
+	}
+	s.accusers[accuser] = struct{}{}
+	s.schedule()
+	return true
+}
+
+// schedule sets the deadline by the formula of Lifeguard: the time falls from the longest to the
+// shortest with the logarithm of the number of confirmations.
+func (s *suspicion) schedule() {
+	timeout := s.shortest
+	if s.wanted > 0 {
+		confirmations := float64(len(s.accusers) - 1)
+		progress := math.Log(confirmations+1) / math.Log(float64(s.wanted)+1)
+		timeout = s.longest - time.Duration(progress*float64(s.longest-s.shortest))
+	}
+	s.deadline = s.since.Add(max(timeout, s.shortest))
+}
+
+// delay moves the countdown by the length of a pause of this VM.
+func (s *suspicion) delay(by time.Duration) {
+	s.since = s.since.Add(by)
+	s.deadline = s.deadline.Add(by)
+}
+
+// suspect starts or confirms the suspicion of a member.
+func (m *Machine) suspect(now time.Time, e *entry, accuser string) {
+	switch {
+	case e.State == Dead:
+		return
+	case e.suspicion == nil:
+		e.suspicion = m.newSuspicion(now, accuser)
+	case !e.suspicion.confirm(accuser):
+		return
+	}
+	if e.State == Leaving {
+		// A leaving member stays so for all others; only this VM counts down.
+		return
+	}
+	if e.State == Alive {
+		e.State = Suspect
+		m.emit(Changed{})
+	}
+	m.spread(Update{VM: e.VM, Incarnation: e.Incarnation, State: Suspect, Accuser: accuser})
+}
+
+func (m *Machine) expireSuspicions(now time.Time) {
+	for _, e := range m.members {
+		if e.suspicion != nil && !now.Before(e.suspicion.deadline) {
+			m.die(now, e)
+			m.queue.add(Update{VM: e.VM, Incarnation: e.Incarnation, State: Dead})
+		}
+	}
+}
+
+// die marks a member as dead.
+func (m *Machine) die(now time.Time, e *entry) {
+	if e.State == Dead {
+		return
+	}
+	e.hasLeft = e.State == Leaving
+	e.State = Dead
+	e.suspicion = nil
+	e.diedAt = now
+	m.live--
+	m.emit(Changed{})
+}
--- a/member/types.go
+++ b/member/types.go
@@ -42,3 +42,18 @@
 	// Self returns this VM's own entry.
 	Self() Member
 }
+
+// String returns the state's name as operators see it.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	}
+	return "unknown"
+}
