--- /dev/null
+++ b/internal/callerapi/call.go
@@ -0,0 +1,170 @@
+package callerapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oklog/ulid/v2"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/rosemarydyke/rosemarydyke/idempotency"
+	"github.com/rosemarydyke/rosemarydyke/internal/admission"
+	"github.com/rosemarydyke/rosemarydyke/internal/clientctx"
+	"github.com/rosemarydyke/rosemarydyke/internal/requestlog"
+	"github.com/rosemarydyke/rosemarydyke/settings"
+	"github.com/rosemarydyke/rosemarydyke/verdict"
+)
+
+// bodyTimeout bounds the reading of a caller's body.
+const bodyTimeout = 30 * time.Second
+
+// call is one request of a caller on its way to a target.
+type call struct {
+	id       string
+	client   *settings.Client
+	snapshot *settings.Snapshot
+	record   *requestlog.Record
+	body     []byte
+
+	// model or service names what must run the call.
+	model   string
+	service string
+	// idempotent says that the call may be dispatched more than once.
+	idempotent bool
+	// idempotencyKey is the caller's key, if it sent one.
+	idempotencyKey string
+	// deadline is when the first byte of the answer is due.
+	deadline time.Time
+	// deadlineGiven says that the caller itself named the deadline.
+	deadlineGiven bool
+	prefixBlocks  []uint64
+}
+
+// newCall reads what all calls have in common.
+func (s *Server) newCall(w http.ResponseWriter, r *http.Request, snapshot *settings.Snapshot) (*call, error) {
+	client, ok := clientctx.From(r.Context())
+	if !ok {
+		return nil, notRun(verdict.CodeUnauthorized, "the request has no client")
+	}
+	c := &call{
+		id:             s.config.VM + "." + ulid.Make().String(),
+		client:         client,
+		snapshot:       snapshot,
+		idempotencyKey: r.Header.Get(headerIdempotencyKey),
+	}
+	w.Header().Set(headerRequestID, c.id)
+	c.record = s.config.Requests.Begin(c.id, "The request is in progress.")
+	c.record.Event(fmt.Sprintf("Admitted from client %s under settings revision %d: %s %s.", client.Name, snapshot.Revision, r.Method, r.URL.Path))
+	if !s.config.Settings.Fresh() {
+		e := notRun(verdict.CodeStaleSettings, "this entry cannot confirm its settings; ask another entry")
+		e.RetryAfter = time.Second
+		return c, e
+	}
+	if err := c.readDeadline(r); err != nil {
+		return c, err
+	}
+	return c, c.readBody(w, r, s.config.MaxBodyBytes)
+}
+
+func (c *call) readDeadline(r *http.Request) error {
+	wait := c.client.Deadline
+	if wait == 0 {
+		wait = defaultDeadline
+	}
+	if text := r.Header.Get(headerDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil {
+			return notRun(verdict.CodeInvalidRequest, headerDeadline+" must be a whole number of milliseconds, not "+strconv.Quote(text))
+		}
+		if ms <= 0 {
+			return notRun(verdict.CodeDeadlineExceeded, "the deadline is in the past")
+		}
+		wait = time.Duration(ms) * time.Millisecond
+		c.deadlineGiven = true
+	}
+	c.deadline = time.Now().Add(wait)
+	return nil
+}
+
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, limit int64) error {
+	// The read deadline frees the connection of a caller that stops sending. It must not stay in
+	// force, since it would then look like a caller that has gone.
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return notRun(verdict.CodeBodyTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
+	}
+	if err != nil {
+		e := notRun(verdict.CodeInvalidRequest, "the body could not be read")
+		e.Cause = err
+		return e
+	}
+	c.body = body
+	return nil
+}
+
+// readIdempotent sets whether the call may be repeated: as the caller marked it, else byDefault.
+func (c *call) readIdempotent(r *http.Request, byDefault bool) error {
+	c.idempotent = byDefault
+	text := r.Header.Get(headerIdempotent)
+	if text == "" {
+		return nil
+	}
+	marked, err := strconv.ParseBool(text)
+	if err != nil {
+		return notRun(verdict.CodeInvalidRequest, headerIdempotent+" must be true or false, not "+strconv.Quote(text))
+	}
+	c.idempotent = marked
+	return nil
+}
+
+// fingerprint identifies the content of the call towards quarantine.
+func (c *call) fingerprint() uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(c.client.Name)
+	_, _ = digest.WriteString("\x00" + c.model + "\x00")
+	_, _ = digest.Write(c.body)
+	return digest.Sum64()
+}
+
+// contentDigest identifies the content of the call towards its idempotency key.
+func (c *call) contentDigest(r *http.Request) idempotency.Fingerprint {
+	digest := sha256.New()
+	_, _ = io.WriteString(digest, r.Method+" "+r.URL.RequestURI()+"\n")
+	_, _ = digest.Write(c.body)
+	return idempotency.Fingerprint(digest.Sum(nil))
+}
+
+func (c *call) admissionRequest(tried []string) admission.Request {
+	return admission.Request{
+		ID:           c.id,
+		Client:       c.client.Name,
+		Model:        c.model,
+		Service:      c.service,
+		Deadline:     c.deadline,
+		Fingerprint:  c.fingerprint(),
+		PrefixBlocks: c.prefixBlocks,
+		Tried:        tried,
+	}
+}
+
+// traced returns the context of the caller's trace.
+func traced(r *http.Request) context.Context {
+	return otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+}
+
+// injectTrace adds the trace context to the headers of a request to a target.
+func injectTrace(ctx context.Context, header http.Header) {
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(header))
+}
--- /dev/null
+++ b/internal/callerapi/callerapi_test.go
@@ -0,0 +1,217 @@
+package callerapi_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/admission"
+	"github.com/rosemarydyke/rosemarydyke/internal/callerapi"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
+)
+
+const (
+	chat       = "/v1/chat/completions"
+	chatBody   = `{"model":"m","messages":[{"role":"user","content":"hi"}]}`
+	streamBody = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+)
+
+func TestBadInputGetsAClearError(t *testing.T) {
+	target := newCounted(answerJSON)
+	f := newFixture(t, "vm-1", memory.New(), func(c *callerapi.Config) { c.MaxBodyBytes = 1000 }, target)
+	tests := []struct {
+		name   string
+		method string
+		path   string
+		body   string
+		header http.Header
+		status int
+		code   string
+	}{
+		{"a wrong key", "POST", chat, chatBody, http.Header{"Authorization": {"Bearer wrong"}}, 401, "invalid_api_key"},
+		{"no key", "POST", chat, chatBody, http.Header{"Authorization": {""}}, 401, "invalid_api_key"},
+		{"malformed JSON", "POST", chat, `{"model":`, nil, 400, "invalid_request"},
+		{"a wrong type", "POST", chat, `{"model":1}`, nil, 400, "invalid_request"},
+		{"no model", "POST", chat, `{}`, nil, 400, "invalid_request"},
+		{"no messages", "POST", chat, `{"model":"m"}`, nil, 400, "invalid_request"},
+		{"an unknown model", "POST", chat, `{"model":"q","messages":[1]}`, nil, 404, "model_not_found"},
+		{"too many tokens", "POST", chat, `{"model":"m","max_tokens":101,"messages":[1]}`, nil, 400, "invalid_request"},
+		{"a body over the limit", "POST", chat, strings.Repeat(" ", 1001), nil, 413, "body_too_large"},
+		{"a deadline in the past", "POST", chat, chatBody, http.Header{"Rosemarydyke-Deadline-Ms": {"-5"}}, 504, "deadline_exceeded"},
+		{"a deadline that is no number", "POST", chat, chatBody, http.Header{"Rosemarydyke-Deadline-Ms": {"soon"}}, 400, "invalid_request"},
+		{"a wrong mark", "POST", chat, chatBody, http.Header{"Rosemarydyke-Idempotent": {"maybe"}}, 400, "invalid_request"},
+		{"an unknown service", "POST", "/services/none/x", "", nil, 404, "service_not_found"},
+		{"a service of other clients", "POST", "/services/private/x", "", nil, 403, "forbidden"},
+		{"an unknown path", "GET", "/v2/x", "", nil, 404, "not_found"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			got := f.send(t, test.method, test.path, test.body, test.header)
+			c.Assert(got.status, qt.Equals, test.status, qt.Commentf("%s", got.body))
+			c.Assert(got.code(), qt.Equals, test.code)
+			c.Assert(got.header.Get("Rosemarydyke-Verdict"), qt.Equals, "not-run")
+			c.Assert(got.header.Get("X-Should-Retry"), qt.Equals, "false")
+		})
+	}
+	qt.Assert(t, target.count.Load(), qt.Equals, int64(0))
+}
+
+func TestAWholeAnswerIsCompleted(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, "vm-1", memory.New(), nil, newCounted(answerJSON))
+	got := f.send(t, "POST", chat, chatBody, nil)
+	c.Assert(got.status, qt.Equals, 200)
+	c.Assert(got.header.Get("Rosemarydyke-Verdict"), qt.Equals, "completed")
+	c.Assert(got.header.Get("Rosemarydyke-Request-Id"), qt.Matches, `vm-1\.[0-9A-Z]{26}`)
+	c.Assert(f.admitter.ends(), qt.DeepEquals, []admission.End{admission.EndCompleted})
+}
+
+func TestAWholeStreamEndsWithItsMark(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, "vm-1", memory.New(), nil, newCounted(streamWhole))
+	got := f.send(t, "POST", chat, streamBody, nil)
+	c.Assert(got.body, qt.Equals, event+event+"data: [DONE]\n\n")
+	c.Assert(got.trailer.Get("Rosemarydyke-Verdict"), qt.Equals, "completed")
+}
+
+func TestACutStreamEndsWithAnErrorEvent(t *testing.T) {
+	c := qt.New(t)
+	second := newCounted(streamWhole)
+	f := newFixture(t, "vm-1", memory.New(), nil, newCounted(streamCut), second)
+	got := f.send(t, "POST", chat, streamBody, nil)
+	c.Assert(got.body, qt.Contains, "event: error\n")
+	c.Assert(strings.Contains(got.body, "[DONE]"), qt.IsFalse)
+	c.Assert(got.trailer.Get("Rosemarydyke-Verdict"), qt.Equals, "may-have-run")
+	c.Assert(second.count.Load(), qt.Equals, int64(0))
+}
+
+func TestRetriesFollowTheVerdict(t *testing.T) {
+	mark := http.Header{"Rosemarydyke-Idempotent": {"false"}}
+	tests := []struct {
+		name    string
+		first   http.HandlerFunc
+		second  http.HandlerFunc
+		header  http.Header
+		status  int
+		verdict string
+		retry   string
+		counts  [2]int64
+	}{
+		{"a refusal is tried elsewhere", refuse503, answerJSON, nil, 200, "completed", "false", [2]int64{1, 1}},
+		{"a refusal of a non-idempotent request is tried elsewhere", refuse503, answerJSON, mark, 200, "completed", "false", [2]int64{1, 1}},
+		{"a cut idempotent request is tried elsewhere", cutConnection, answerJSON, nil, 200, "completed", "false", [2]int64{1, 1}},
+		{"a cut non-idempotent request is final", cutConnection, answerJSON, mark, 502, "may-have-run", "false", [2]int64{1, 0}},
+		{"a cut and then a refusal may have run", cutConnection, refuse503, nil, 503, "may-have-run", "true", [2]int64{1, 1}},
+		{"two refusals are not run", refuse503, refuse503, mark, 503, "not-run", "true", [2]int64{1, 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			first, second := newCounted(test.first), newCounted(test.second)
+			f := newFixture(t, "vm-1", memory.New(), nil, first, second)
+			got := f.send(t, "POST", chat, chatBody, test.header)
+			c.Assert(got.status, qt.Equals, test.status, qt.Commentf("%s", got.body))
+			c.Assert(got.header.Get("Rosemarydyke-Verdict"), qt.Equals, test.verdict)
+			c.Assert(got.header.Get("X-Should-Retry"), qt.Equals, test.retry)
+			c.Assert([2]int64{first.count.Load(), second.count.Load()}, qt.Equals, test.counts)
+			if test.retry == "true" {
+				c.Assert(got.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			}
+		})
+	}
+}
+
+func TestAServicesRefusalOfANonIdempotentCallIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	first, second := newCounted(refuse503), newCounted(answerJSON)
+	f := newFixture(t, "vm-1", memory.New(), nil, first, second)
+	got := f.send(t, "POST", "/services/booking/slots", "{}", nil)
+	c.Assert(got.status, qt.Equals, 503)
+	c.Assert(second.count.Load(), qt.Equals, int64(0))
+	got = f.send(t, "GET", "/services/booking/slots", "", nil)
+	c.Assert(got.status, qt.Equals, 200)
+}
+
+func TestAServiceGetsPathQueryAndHeadersButNoKey(t *testing.T) {
+	c := qt.New(t)
+	var seen *http.Request
+	f := newFixture(t, "vm-1", memory.New(), nil, newCounted(func(w http.ResponseWriter, r *http.Request) {
+		seen = r
+		w.Header().Set("X-Room", "7")
+		w.WriteHeader(http.StatusCreated)
+	}))
+	got := f.send(t, "POST", "/services/booking/rooms/a%2Fb?x=1", "{}", http.Header{"X-Desk": {"1"}, "Connection": {"X-Secret"}, "X-Secret": {"s"}})
+	c.Assert(got.status, qt.Equals, 201)
+	c.Assert(got.header.Get("X-Room"), qt.Equals, "7")
+	c.Assert(seen.URL.RequestURI(), qt.Equals, "/rooms/a%2Fb?x=1")
+	c.Assert(seen.Header.Get("X-Desk"), qt.Equals, "1")
+	c.Assert(seen.Header.Get("X-Secret"), qt.Equals, "")
+	c.Assert(seen.Header.Get("Authorization"), qt.Equals, "")
+	c.Assert(seen.Header.Get("X-Request-Id"), qt.Equals, got.header.Get("Rosemarydyke-Request-Id"))
+}
+
+func TestStaleSettingsRefuseNewWork(t *testing.T) {
+	c := qt.New(t)
+	target := newCounted(answerJSON)
+	f := newFixture(t, "vm-1", memory.New(), nil, target)
+	f.source.stale.Store(true)
+	got := f.send(t, "POST", chat, chatBody, nil)
+	c.Assert(got.code(), qt.Equals, "stale_settings")
+	c.Assert(got.header.Get("Rosemarydyke-Verdict"), qt.Equals, "not-run")
+	c.Assert(target.count.Load(), qt.Equals, int64(0))
+}
+
+func TestACallerThatDisconnectsCancelsTheTargetsStream(t *testing.T) {
+	c := qt.New(t)
+	cancelled := make(chan struct{})
+	f := newFixture(t, "vm-1", memory.New(), nil, newCounted(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte(event))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		close(cancelled)
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, "POST", f.URL+chat, strings.NewReader(streamBody))
+	c.Assert(err, qt.IsNil)
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	response, err := f.Client().Do(request)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	_, err = response.Body.Read(make([]byte, 1))
+	c.Assert(err, qt.IsNil)
+	cancel()
+	select {
+	case <-cancelled:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the target's stream went on")
+	}
+}
+
+func TestEntriesAndModelsAreListed(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, "vm-1", memory.New(), nil)
+	got := f.send(t, "GET", "/v1/entries", "", nil)
+	c.Assert(got.body, qt.JSONEquals, json.RawMessage(`{"entries":[{"address":"127.0.0.1:8101","availability_zone":"az-a"}],"ttl_seconds":5}`))
+	got = f.send(t, "GET", "/v1/models", "", nil)
+	c.Assert(got.body, qt.JSONEquals, json.RawMessage(`{"object":"list","data":[{"id":"m","object":"model","created":0,"owned_by":"rosemarydyke"}]}`))
+}
+
+func TestALeavingEntryServesCachedCallersThenRefuses(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t, "vm-1", memory.New(), nil, newCounted(answerJSON))
+	f.server.Leave()
+	got := f.send(t, "GET", "/v1/entries", "", nil)
+	c.Assert(strings.Contains(got.body, "8101"), qt.IsFalse)
+	c.Assert(f.send(t, "POST", chat, chatBody, nil).status, qt.Equals, 200)
+	c.Assert(f.server.Drain(context.Background()), qt.IsNil)
+	got = f.send(t, "POST", chat, chatBody, nil)
+	c.Assert(got.code(), qt.Equals, "entry_leaving")
+	c.Assert(got.header.Get("Rosemarydyke-Verdict"), qt.Equals, "not-run")
+}
--- /dev/null
+++ b/internal/callerapi/completions.go
@@ -0,0 +1,146 @@
+package callerapi
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/admission"
+	"github.com/rosemarydyke/rosemarydyke/internal/engine"
+	"github.com/rosemarydyke/rosemarydyke/settings"
+	"github.com/rosemarydyke/rosemarydyke/verdict"
+)
+
+// completionRequest holds the fields of a completion that decide how it is served.
+type completionRequest struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+}
+
+// handleCompletion serves chat and text completions, streamed or not.
+func (s *Server) handleCompletion(w http.ResponseWriter, r *http.Request, snapshot *settings.Snapshot) {
+	s.serve(w, r, snapshot, func(ctx context.Context, c *call) error {
+		request, err := parseCompletion(c, r.URL.Path)
+		if err != nil {
+			return err
+		}
+		if err := c.readIdempotent(r, true); err != nil {
+			return err
+		}
+		a := &answerWriter{w: w}
+		if request.Stream {
+			return s.once(ctx, c, r, a, func(ctx context.Context) error { return s.stream(ctx, c, r, a) })
+		}
+		return s.once(ctx, c, r, a, func(ctx context.Context) error { return s.complete(ctx, c, r, a) })
+	})
+}
+
+func parseCompletion(c *call, path string) (*completionRequest, error) {
+	var request completionRequest
+	if err := json.Unmarshal(c.body, &request); err != nil {
+		return nil, notRun(verdict.CodeInvalidRequest, "the body is not a valid completion request: "+err.Error())
+	}
+	if request.Model == "" {
+		return nil, notRun(verdict.CodeInvalidRequest, "the body names no model")
+	}
+	model, ok := c.snapshot.Models[request.Model]
+	if !ok {
+		return nil, notRun(verdict.CodeModelNotFound, "there is no model "+request.Model)
+	}
+	prompt, field := request.Messages, "messages"
+	if path == "/v1/completions" {
+		prompt, field = request.Prompt, "prompt"
+	}
+	if len(prompt) == 0 || string(prompt) == "null" || string(prompt) == "[]" {
+		return nil, notRun(verdict.CodeInvalidRequest, "the body has no "+field)
+	}
+	if err := checkMaxTokens(&request, model); err != nil {
+		return nil, err
+	}
+	c.model = request.Model
+	c.prefixBlocks = prefixBlocks(prompt)
+	return &request, nil
+}
+
+func checkMaxTokens(request *completionRequest, model *settings.Model) error {
+	limit := model.MaxTokens
+	if limit == 0 {
+		limit = defaultMaxTokens
+	}
+	asked := max(request.MaxTokens, request.MaxCompletionTokens)
+	if asked > limit || request.MaxTokens < 0 || request.MaxCompletionTokens < 0 {
+		return notRun(verdict.CodeInvalidRequest, fmt.Sprintf("the number of tokens must be between 1 and %d", limit))
+	}
+	return nil
+}
+
+// engineRequest is the request as the engine gets it: the caller's body unchanged.
+func (c *call) engineRequest(ctx context.Context, r *http.Request, target *settings.Target) engine.Request {
+	header := http.Header{}
+	header.Set("Content-Type", "application/json")
+	header.Set(headerTargetRequest, c.id)
+	injectTrace(ctx, header)
+	return engine.Request{
+		Address: target.Address,
+		Method:  http.MethodPost,
+		Path:    r.URL.Path,
+		Header:  header,
+		Body:    c.body,
+	}
+}
+
+// complete serves a completion that is not streamed.
+func (s *Server) complete(ctx context.Context, c *call, r *http.Request, a *answerWriter) error {
+	return s.dispatch(ctx, c, func(ctx context.Context, target *settings.Target) (admission.Outcome, error) {
+		request := c.engineRequest(ctx, r, target)
+		request.FirstByteTimeout = s.config.AnswerTimeout
+		if c.deadlineGiven {
+			request.FirstByteTimeout = time.Until(c.deadline)
+		}
+		answer, err := s.config.Engine.Complete(ctx, request)
+		if err != nil {
+			return admission.Outcome{}, err
+		}
+		a.whole(answer)
+		return admission.Outcome{FirstToken: answer.FirstByte, Tokens: countTokens(answer.Body)}, nil
+	})
+}
+
+// countTokens returns the engine's count of generated tokens.
+func countTokens(body []byte) int {
+	var answer struct {
+		Usage struct {
+			CompletionTokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	_ = json.Unmarshal(body, &answer)
+	return answer.Usage.CompletionTokens
+}
+
+// stream serves a streamed completion. Tries are invisible to the caller until the first event.
+func (s *Server) stream(ctx context.Context, c *call, r *http.Request, a *answerWriter) error {
+	return s.dispatch(ctx, c, func(ctx context.Context, target *settings.Target) (admission.Outcome, error) {
+		request := c.engineRequest(ctx, r, target)
+		request.FirstByteTimeout = min(s.config.FirstTokenTimeout, time.Until(c.deadline))
+		result, err := s.config.Engine.Stream(ctx, request, func(event engine.Event) error { return a.event(event.Data) })
+		outcome := admission.Outcome{FirstToken: result.FirstEvent, Tokens: result.Tokens}
+		switch {
+		case err != nil && a.started:
+			return outcome, &answerStarted{err}
+		case err != nil:
+			return outcome, err
+		case result.Answer != nil:
+			a.whole(result.Answer)
+			return outcome, nil
+		}
+		s.metrics.firstToken.Update(result.FirstEvent.Seconds())
+		a.streamEnd()
+		return outcome, nil
+	})
+}
--- /dev/null
+++ b/internal/callerapi/gate.go
@@ -0,0 +1,84 @@
+package callerapi
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rosemarydyke/rosemarydyke/verdict"
+)
+
+// gate admits requests until it is closed, and counts those in progress.
+type gate struct {
+	mu       sync.Mutex
+	leaving  bool
+	closed   bool
+	running  int
+	drained  chan struct{}
+	isClosed bool
+}
+
+// enter admits one request. The returned function must be called when it has ended.
+func (g *gate) enter() (leave func(), err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return nil, notRun(verdict.CodeLeaving, "this entry is leaving; ask another entry")
+	}
+	g.running++
+	return g.exit, nil
+}
+
+func (g *gate) exit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	g.signal()
+}
+
+// signal closes drained once nothing runs behind a closed gate. The lock must be held.
+func (g *gate) signal() {
+	if g.closed && g.running == 0 && g.drained != nil && !g.isClosed {
+		g.isClosed = true
+		close(g.drained)
+	}
+}
+
+func (g *gate) setLeaving() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+}
+
+func (g *gate) isLeaving() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaving
+}
+
+// drain refuses new requests and waits for those in progress.
+func (g *gate) drain(ctx context.Context) error {
+	drained := g.close()
+	select {
+	case <-drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (g *gate) close() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	if g.drained == nil {
+		g.drained = make(chan struct{})
+	}
+	g.signal()
+	return g.drained
+}
+
+// Leave tells callers on open connections to go elsewhere. Requests are still served.
+func (s *Server) Leave() { s.gate.setLeaving() }
+
+// Drain refuses new requests and waits until those in progress have ended, or ctx has.
+func (s *Server) Drain(ctx context.Context) error { return s.gate.drain(ctx) }
--- /dev/null
+++ b/internal/callerapi/metrics.go
@@ -0,0 +1,29 @@
+package callerapi
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+type serverMetrics struct {
+	retries    *metrics.Counter
+	firstToken *metrics.Histogram
+	duration   *metrics.Histogram
+}
+
+func newServerMetrics() *serverMetrics {
+	return &serverMetrics{
+		retries:    metrics.GetOrCreateCounter("rosemarydyke_request_retries_total"),
+		firstToken: metrics.GetOrCreateHistogram("rosemarydyke_first_token_seconds"),
+		duration:   metrics.GetOrCreateHistogram("rosemarydyke_request_duration_seconds"),
+	}
+}
+
+// ended counts a request by its verdict and code.
+func (m *serverMetrics) ended(verdict, code string, start time.Time) {
+	name := fmt.Sprintf(`rosemarydyke_requests_total{verdict=%q,code=%q}`, verdict, code)
+	metrics.GetOrCreateCounter(name).Inc()
+	m.duration.UpdateDuration(start)
+}
