--- a/internal/callerapi/fixture_test.go
+++ b/internal/callerapi/fixture_test.go
@@ -125,7 +125,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.ledger = idempotency.New(idempotency.Config{VM: name, Table: table, ClaimTimeout: 300 * time.Millisecond})
-	f.ledger.Start(ctx)
+	go f.ledger.Run(ctx)
 	config := callerapi.Config{
 		VM:          name,
 		Settings:    f.source,
--- a/internal/idempotency/ledger.go
+++ b/internal/idempotency/ledger.go
@@ -72,16 +72,19 @@
 type Ledger struct {
 	config    Config
 	committer *committer
-	storing   sync.WaitGroup
 
 	mu      sync.Mutex
 	running map[string]bool
+	// storing counts the outcomes that are being stored; idle is signalled when there is none.
+	storing int
+	idle    *sync.Cond
 }
 
-// New returns a ledger. Start must be called before it is used.
+// New returns a ledger. It works while Run runs.
 func New(config Config) *Ledger {
 	config.setDefaults()
 	l := &Ledger{config: config, running: map[string]bool{}}
+	l.idle = sync.NewCond(&l.mu)
 	l.committer = &committer{
 		table:    config.Table,
 		queue:    make(chan *write, queueLength),
@@ -95,11 +98,39 @@
 	return l
 }
 
-// Start writes records until ctx ends.
-func (l *Ledger) Start(ctx context.Context) { go l.committer.run(ctx) }
+// Run writes records until ctx ends.
+func (l *Ledger) Run(ctx context.Context) { l.committer.run(ctx) }
 
 // Wait returns once all outcomes are stored or given up.
-func (l *Ledger) Wait() { l.storing.Wait() }
+func (l *Ledger) Wait() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.storing > 0 {
+		l.idle.Wait()
+	}
+}
+
+// inBackground runs store, which Wait waits for.
+func (l *Ledger) inBackground(store func(context.Context)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.storing++
+	go func() {
+		defer l.stored()
+		ctx, cancel := context.WithTimeout(context.Background(), l.config.StoreTimeout)
+		defer cancel()
+		store(ctx)
+	}()
+}
+
+func (l *Ledger) stored() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.storing--
+	if l.storing == 0 {
+		l.idle.Broadcast()
+	}
+}
 
 // Running reports whether this process has the request in progress.
 func (l *Ledger) Running(requestID string) bool {
@@ -230,9 +261,7 @@
 	if cause != platform.ErrOutcomeUnknown {
 		return
 	}
-	l.storing.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), l.config.StoreTimeout)
-		defer cancel()
+	l.inBackground(func(ctx context.Context) {
 		// Settling the claim first tells the version that the release must replace.
 		result := l.committer.submitUncertain(ctx, claim.key, claim.version, claim.record)
 		if result.err == nil && result.conflict == nil {
@@ -254,10 +283,8 @@
 
 func (c *Claim) store(record idempotency.Record) {
 	l := c.ledger
-	l.storing.Go(func() {
+	l.inBackground(func(ctx context.Context) {
 		defer l.setRunning(c.record.Owner.RequestID, false)
-		ctx, cancel := context.WithTimeout(context.Background(), l.config.StoreTimeout)
-		defer cancel()
 		l.committer.submit(ctx, c.key, c.version, record)
 	})
 }
