--- a/internal/callerapi/call.go
+++ b/internal/callerapi/call.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/oklog/ulid/v2"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
@@ -19,6 +18,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/internal/clientctx"
 	"github.com/rosemarydyke/rosemarydyke/internal/requestlog"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/settings"
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
@@ -129,15 +129,6 @@
 	return nil
 }
 
-// fingerprint identifies the content of the call towards quarantine.
-func (c *call) fingerprint() uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(c.client.Name)
-	_, _ = digest.WriteString("\x00" + c.model + "\x00")
-	_, _ = digest.Write(c.body)
-	return digest.Sum64()
-}
-
 // contentDigest identifies the content of the call towards its idempotency key.
 func (c *call) contentDigest(r *http.Request) idempotency.Fingerprint {
 	digest := sha256.New()
@@ -153,7 +144,7 @@
 		Model:        c.model,
 		Service:      c.service,
 		Deadline:     c.deadline,
-		Fingerprint:  c.fingerprint(),
+		Fingerprint:  quarantine.Fingerprint(c.client.Name, c.model, c.body),
 		PrefixBlocks: c.prefixBlocks,
 		Tried:        tried,
 	}
--- a/internal/callerapi/dispatch.go
+++ b/internal/callerapi/dispatch.go
@@ -39,6 +39,10 @@
 		if err == nil {
 			return nil
 		}
+		if engine.EndOf(err) == admission.EndCut {
+			// The caller may send the request again through another entry as soon as it has our answer.
+			s.config.Evidence.Publish(context.WithoutCancel(ctx))
+		}
 		tried = append(tried, grant.Target.Name)
 		err = combine(earlier, err)
 		if !s.mayTryAgain(ctx, c, len(tried), err) {
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -34,6 +34,8 @@
 	Idempotency *idempotency.Ledger
 	// Requests keeps the accounts of requests.
 	Requests *requestlog.Log
+	// Evidence tells other entries of requests that were cut off. Nil tells nobody.
+	Evidence Publisher
 	// Batch serves /v1/files and /v1/batches. Nil answers them with 404.
 	Batch http.Handler
 	// Log is the process's log.
@@ -67,6 +69,9 @@
 )
 
 func (c *Config) setDefaults() {
+	if c.Evidence == nil {
+		c.Evidence = noPublisher{}
+	}
 	if c.MaxBodyBytes == 0 {
 		c.MaxBodyBytes = defaultMaxBodyBytes
 	}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,289 @@
+// Package entry assembles the process that serves callers: membership, settings, admission, the
+// callers' interface, and the questions that other processes ask.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/admission/controller"
+	"github.com/rosemarydyke/rosemarydyke/internal/callerapi"
+	"github.com/rosemarydyke/rosemarydyke/internal/config"
+	"github.com/rosemarydyke/rosemarydyke/internal/engine"
+	"github.com/rosemarydyke/rosemarydyke/internal/evidence"
+	"github.com/rosemarydyke/rosemarydyke/internal/idempotency"
+	"github.com/rosemarydyke/rosemarydyke/internal/membership"
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/internal/requestlog"
+	"github.com/rosemarydyke/rosemarydyke/internal/settingstore"
+	"github.com/rosemarydyke/rosemarydyke/internal/settingsync"
+	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/settings"
+)
+
+// Platform is what an entry uses of the platform.
+type Platform interface {
+	Table() platform.Table
+	Objects() platform.Objects
+	VMs() platform.VMList
+}
+
+// BatchHandler makes the handler of files and batches.
+type BatchHandler func(platform Platform, source settings.Source, log zerolog.Logger) http.Handler
+
+// Config configures an Entry.
+type Config struct {
+	// Settings are the process's settings.
+	Settings *config.Entry
+	// Platform keeps what must last.
+	Platform Platform
+	// Batch makes the handler of files and batches. Nil leaves them out.
+	Batch BatchHandler
+	// Log is the process's log.
+	Log zerolog.Logger
+	// Ready is set while callers may be sent here.
+	Ready *atomic.Bool
+
+	// LeaveGrace is added to the time for which callers keep addresses, for the news of the leave to
+	// reach the entries that hand addresses out. Default 2s.
+	LeaveGrace time.Duration
+	// EntriesTTL is how long callers may keep addresses. Default 5s.
+	EntriesTTL time.Duration
+	// DrainTimeout bounds the wait for requests in progress. Default 15m, longer than any answer may take.
+	DrainTimeout time.Duration
+}
+
+const (
+	defaultLeaveGrace   = 2 * time.Second
+	defaultEntriesTTL   = 5 * time.Second
+	defaultDrainTimeout = 15 * time.Minute
+	// closeTimeout bounds the farewell to the other processes.
+	closeTimeout = 2 * time.Second
+	// headerTimeout bounds the reading of a caller's request headers.
+	headerTimeout = 10 * time.Second
+	// readyInterval is the time between two looks whether the entry is ready.
+	readyInterval = 100 * time.Millisecond
+)
+
+func (c *Config) setDefaults() {
+	if c.LeaveGrace == 0 {
+		c.LeaveGrace = defaultLeaveGrace
+	}
+	if c.EntriesTTL == 0 {
+		c.EntriesTTL = defaultEntriesTTL
+	}
+	if c.DrainTimeout == 0 {
+		c.DrainTimeout = defaultDrainTimeout
+	}
+}
+
+// Entry is one VM's entry process.
+type Entry struct {
+	config   Config
+	node     *peer.Node
+	members  *membership.Service
+	watcher  *settingsync.Watcher
+	slots    *controller.Controller
+	ledger   *idempotency.Ledger
+	evidence *evidence.Service
+	requests *requestlog.Log
+	api      *callerapi.Server
+	server   *http.Server
+	listener net.Listener
+}
+
+// New opens the sockets and connects the parts. Nothing runs before Run.
+func New(config Config) (*Entry, error) {
+	config.setDefaults()
+	node, err := peer.Listen(peer.Config{Address: config.Settings.Peers, TLS: config.Settings.TLS, Log: config.Log})
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", config.Settings.Callers)
+	if err != nil {
+		_ = node.Close(context.Background())
+		return nil, err
+	}
+	e := &Entry{config: config, node: node, listener: listener}
+	e.assemble()
+	e.register()
+	return e, nil
+}
+
+// Callers returns the address on which callers are served.
+func (e *Entry) Callers() netip.AddrPort { return e.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// Peers returns the address on which other processes reach this one.
+func (e *Entry) Peers() netip.AddrPort { return e.node.Address() }
+
+func (e *Entry) assemble() {
+	vm := e.config.Settings.VM
+	table, objects := e.config.Platform.Table(), e.config.Platform.Objects()
+	e.members = membership.New(membership.Config{
+		Self: e.self(),
+		Node: e.node,
+		VMs:  e.config.Platform.VMs(),
+		Log:  e.config.Log,
+	})
+	e.watcher = settingsync.New(settingsync.Config{
+		Store:    settingstore.New(table, objects),
+		Caller:   e.node,
+		Peers:    e.otherEntries,
+		Announce: e.members.AnnounceRevision,
+		Log:      e.config.Log,
+	})
+	e.members.OnRevision(func(revision uint64, from string) { e.watcher.Learn(revision, e.addressOf(from)) })
+	e.slots = controller.New(controller.Config{
+		VM:               vm.Name,
+		AvailabilityZone: vm.AvailabilityZone,
+		Members:          e.members,
+		Settings:         e.watcher,
+		Caller:           e.node,
+		VMs:              e.config.Platform.VMs(),
+		Log:              e.config.Log,
+	})
+	e.ledger = idempotency.New(idempotency.Config{VM: vm.Name, Table: table, Check: idempotency.PeerCheck(e.node, e.members)})
+	e.evidence = evidence.New(evidence.Config{Tracker: e.slots, Members: e.members, Caller: e.node, Table: table, Log: e.config.Log})
+	e.requests = requestlog.New(requestlog.Config{VM: vm.Name})
+	e.api = callerapi.New(e.callersConfig())
+	e.server = &http.Server{Handler: e.api, ReadHeaderTimeout: headerTimeout}
+}
+
+func (e *Entry) callersConfig() callerapi.Config {
+	cfg := callerapi.Config{
+		VM:          e.config.Settings.VM.Name,
+		Settings:    e.watcher,
+		Members:     e.members,
+		Admission:   e.slots,
+		Engine:      engine.New(engine.Config{}),
+		Idempotency: e.ledger,
+		Requests:    e.requests,
+		Evidence:    e.evidence,
+		Log:         e.config.Log,
+		EntriesTTL:  e.config.EntriesTTL,
+	}
+	if e.config.Batch != nil {
+		cfg.Batch = e.config.Batch(e.config.Platform, e.watcher, e.config.Log)
+	}
+	return cfg
+}
+
+// self describes this VM to the other members.
+func (e *Entry) self() member.Member {
+	s := e.config.Settings
+	return member.Member{
+		VM:               s.VM.Name,
+		AvailabilityZone: s.VM.AvailabilityZone,
+		Region:           s.VM.Region,
+		Callers:          e.Callers().String(),
+		EntryPeers:       e.Peers().String(),
+		BatchPeers:       s.BatchPeers,
+		OperatorPeers:    s.OperatorPeers,
+	}
+}
+
+func (e *Entry) register() {
+	e.watcher.Register(e.node)
+	e.slots.Register(e.node)
+	e.ledger.Register(e.node)
+	e.evidence.Register(e.node)
+	e.requests.Register(e.node)
+	e.registerQuestions()
+}
+
+// otherEntries returns the peer addresses of the other entries.
+func (e *Entry) otherEntries() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, m := range e.members.Members() {
+		if m.VM == e.config.Settings.VM.Name {
+			continue
+		}
+		if address, err := netip.ParseAddrPort(m.EntryPeers); err == nil {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// addressOf returns the peer address of a VM's entry, or the zero address.
+func (e *Entry) addressOf(vm string) netip.AddrPort {
+	for _, m := range e.members.Members() {
+		if m.VM == vm {
+			address, _ := netip.ParseAddrPort(m.EntryPeers)
+			return address
+		}
+	}
+	return netip.AddrPort{}
+}
+
+// Run serves until ctx ends, and then leaves without cutting off a request in progress.
+func (e *Entry) Run(ctx context.Context) error {
+	// The parts outlive ctx: they are needed until the last request has ended.
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer stop()
+	if err := e.node.Start(); err != nil {
+		return err
+	}
+	e.members.Start(running)
+	e.watcher.Start(running)
+	e.slots.Start(running)
+	tasks.Go(func() { e.ledger.Run(running) })
+	tasks.Go(func() { e.evidence.Run(running) })
+	serving := make(chan error, 1)
+	go func() { serving <- e.server.Serve(e.listener) }()
+	if err := e.watch(ctx, serving); err != nil {
+		return err
+	}
+	return e.leave()
+}
+
+// watch keeps Ready up to date until ctx ends or serving fails.
+func (e *Entry) watch(ctx context.Context, serving <-chan error) error {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for {
+		e.config.Ready.Store(e.watcher.Fresh())
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-serving:
+			return err
+		case <-ticker.C:
+		}
+	}
+}
+
+// leave ends the process in order. Callers that were given this address before the leave was known
+// are served until they ask again.
+func (e *Entry) leave() error {
+	e.config.Log.Info().Msg("leaving")
+	e.config.Ready.Store(false)
+	e.api.Leave()
+	e.members.Leave(context.Background())
+	time.Sleep(e.config.EntriesTTL + e.config.LeaveGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), e.config.DrainTimeout)
+	defer cancel()
+	drained := e.api.Drain(ctx)
+	e.slots.Drain()
+	stopped := e.server.Shutdown(ctx)
+	e.ledger.Wait()
+	farewell, end := context.WithTimeout(context.Background(), closeTimeout)
+	defer end()
+	e.members.Close(farewell)
+	closed := e.node.Close(farewell)
+	if errors.Is(closed, context.DeadlineExceeded) {
+		closed = nil
+	}
+	return errors.Join(drained, stopped, closed)
+}
