Suspect batch items run apart: one suspect on a target, online or batch

Cause: batch items that were cut off with a poison item and rerun beside it would be cut off twice and be quarantined with it; a VM that owns one target can only rerun them there. Change: Want.Suspects and Granted.Suspect; the ledger's suspect right covers batch; a second crash of one target counts once the first is over.

--- a/internal/admission/controller/batch.go
+++ b/internal/admission/controller/batch.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/dispatch"
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
 )
 
 // batchState is the entry's side of the batch slots.
@@ -21,13 +24,27 @@
 	session *batchSession
 	target  *targetState
 	model   string
+	// suspect is the fingerprint of the suspect item that the slot is for; zero for none.
+	suspect uint64
 }
 
 // batchSession is one connection of a batch process.
 type batchSession struct {
-	wants  map[string]int
-	held   map[string]int
-	outbox *outbox
+	wants map[string]batchslots.Want
+	// held counts the slots of each model that are not for suspects.
+	held map[string]int
+	// suspects are the fingerprints of the suspect items that have a slot.
+	suspects map[uint64]bool
+	outbox   *outbox
+}
+
+func newBatchSession() *batchSession {
+	return &batchSession{
+		wants:    make(map[string]batchslots.Want),
+		held:     make(map[string]int),
+		suspects: make(map[uint64]bool),
+		outbox:   newOutbox(),
+	}
 }
 
 func newBatchState() batchState {
@@ -39,7 +56,7 @@
 	if from.VM != c.config.VM {
 		return &peer.RemoteError{Code: "forbidden", Message: "batch slots are granted on the same VM only"}
 	}
-	session := &batchSession{wants: make(map[string]int), held: make(map[string]int), outbox: newOutbox()}
+	session := newBatchSession()
 	c.openBatch(session)
 	defer c.closeBatch(session)
 	stop := context.AfterFunc(ctx, session.outbox.close)
@@ -85,7 +102,7 @@
 	case message.Demand != nil:
 		clear(session.wants)
 		for _, want := range message.Demand.Wants {
-			session.wants[want.Model] = want.Slots
+			session.wants[want.Model] = want
 		}
 		c.fillBatch(now)
 	case message.Released != nil:
@@ -120,7 +137,11 @@
 // freeBatch gives a batch slot back and lets online requests have it first.
 func (c *Controller) freeBatch(id uint64, slot batchSlot, now time.Time) {
 	delete(c.batch.slots, id)
-	slot.session.held[slot.model]--
+	if slot.suspect != 0 {
+		delete(slot.session.suspects, slot.suspect)
+	} else {
+		slot.session.held[slot.model]--
+	}
 	t := slot.target
 	if t.ledger == nil || !t.ledger.ReleaseBatch(id) {
 		return
@@ -136,23 +157,66 @@
 	}
 	for session := range c.batch.sessions {
 		for _, model := range sortedNames(session.wants) {
-			c.fillModel(session, model, now)
+			c.fillSuspects(session, session.wants[model], now)
+			c.fillModel(session, session.wants[model], now)
 		}
 	}
 }
 
-func (c *Controller) fillModel(session *batchSession, model string, now time.Time) {
-	p := c.pools[servesModel(model)]
+func (c *Controller) fillModel(session *batchSession, want batchslots.Want, now time.Time) {
+	p := c.pools[servesModel(want.Model)]
 	if p == nil {
 		return
 	}
-	for session.held[model] < session.wants[model] {
+	for session.held[want.Model] < want.Slots {
 		t := c.roomiest(p, now)
 		if t == nil {
 			return
 		}
-		c.grantBatch(session, model, t)
+		id := c.grantBatch(batchSlot{session: session, target: t, model: want.Model})
+		t.ledger.GrantBatch(id)
+		session.held[want.Model]++
+	}
+}
+
+// fillSuspects grants slots for suspect items: one of all suspects on each target.
+func (c *Controller) fillSuspects(session *batchSession, want batchslots.Want, now time.Time) {
+	p := c.pools[servesModel(want.Model)]
+	if p == nil {
+		return
+	}
+	for _, fingerprint := range want.Suspects {
+		if session.suspects[fingerprint] || c.quarantine.Status(fingerprint) == quarantine.Quarantined {
+			continue
+		}
+		t := c.batchLane(p, fingerprint, now)
+		if t == nil {
+			continue
+		}
+		id := c.grantBatch(batchSlot{session: session, target: t, model: want.Model, suspect: fingerprint})
+		t.ledger.GrantSuspectBatch(id)
+		session.suspects[fingerprint] = true
+	}
+}
+
+// batchLane returns the owned target with the highest rank for a suspect item, or nil. One that it
+// has not crashed is preferred; a VM that owns no other has to use the same again.
+func (c *Controller) batchLane(p *pool, fingerprint uint64, now time.Time) *targetState {
+	crashed := c.quarantine.Targets(fingerprint)
+	var best *targetState
+	var bestRank uint64
+	bestCrashed := false
+	for _, t := range p.targets {
+		if t.batchRoom(now) == 0 || !t.ledger.SuspectFree() {
+			continue
+		}
+		again := slices.Contains(crashed, t.settings.Name)
+		rank := dispatch.BlockRank(fingerprint, t.settings.Name)
+		if best == nil || bestCrashed && !again || bestCrashed == again && rank > bestRank {
+			best, bestRank, bestCrashed = t, rank, again
+		}
 	}
+	return best
 }
 
 // roomiest returns the owned target with the most room for batch work, or nil.
@@ -175,19 +239,20 @@
 	return t.ledger.BatchRoom(now, int(share*float64(t.pacer.Limit())))
 }
 
-func (c *Controller) grantBatch(session *batchSession, model string, t *targetState) {
+// grantBatch hands a slot out and returns its id.
+func (c *Controller) grantBatch(slot batchSlot) uint64 {
 	c.batch.lastSlot++
 	id := c.batch.lastSlot
-	t.ledger.GrantBatch(id)
-	c.batch.slots[id] = batchSlot{session: session, target: t, model: model}
-	session.held[model]++
+	c.batch.slots[id] = slot
 	metricBatchGranted.Inc()
-	session.outbox.send(batchslots.ToBatch{Granted: &batchslots.Granted{
+	slot.session.outbox.send(batchslots.ToBatch{Granted: &batchslots.Granted{
 		Slot:    id,
-		Model:   model,
-		Target:  t.settings.Name,
-		Address: t.settings.Address,
+		Model:   slot.model,
+		Target:  slot.target.settings.Name,
+		Address: slot.target.settings.Address,
+		Suspect: slot.suspect,
 	}})
+	return id
 }
 
 // revoke asks the batch process to give slots up at once.
--- a/internal/batchslots/messages.go
+++ b/internal/batchslots/messages.go
@@ -22,7 +22,11 @@
 // Want is the demand for one model, running items included.
 type Want struct {
 	Model string `cbor:"1,keyasint"`
+	// Slots does not include suspects.
 	Slots int    `cbor:"2,keyasint"`
+	// Suspects are the fingerprints of waiting items that a target broke off once. Each of them runs
+	// only in a slot that was granted for it, so that two suspects never meet on a target.
+	Suspects []uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Released gives a slot back.
@@ -50,6 +54,8 @@
 	Target string `cbor:"3,keyasint"`
 	// Address is the target's HTTP address (IP:port).
 	Address string `cbor:"4,keyasint"`
+	// Suspect is the fingerprint of the one suspect item that the slot is for. Zero is for any item that is no suspect.
+	Suspect uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Revoked takes a slot back at once: the item's stream must be cancelled and Released sent.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -1,8 +1,8 @@
 // Package quarantine finds requests that crash the targets that run them.
 //
 // When a target breaks a connection, the requests that it was running become suspects. A suspect
-// that finishes elsewhere is cleared. A request that was cut off on two different targets is
-// quarantined: it is not sent to any target again. Fleet-wide, evidence is merged from all VMs.
+// that finishes elsewhere is cleared. A request that was cut off twice is quarantined: it is not sent
+// to any target again. Fleet-wide, evidence is merged from all VMs.
 //
 // The package is pure and not safe for concurrent use.
 package quarantine
@@ -42,7 +42,7 @@
 
 // Config configures a Tracker.
 type Config struct {
-	// Crashes is the number of different targets on which a request is cut off before it is quarantined. Default 2.
+	// Crashes is the number of times that a request is cut off before it is quarantined. Default 2.
 	Crashes int
 	// MaxSuspects bounds the suspects in memory; the oldest is forgotten first. Default 4096.
 	MaxSuspects int
@@ -55,7 +55,7 @@
 	// MassTargets is the number of different targets that cut requests off within MassWindow from which
 	// the cause is taken to be the network or a zone, and not a request. Default 3.
 	MassTargets int
-	// MassWindow is the time within which crashes count as one event. Default 2s.
+	// MassWindow is the time within which crashes count as one event, and so do those of one target. Default 2s.
 	MassWindow time.Duration
 	// PublishRate is the number of fingerprints published per second. Default 20.
 	PublishRate float64
@@ -80,7 +80,7 @@
 type Evidence struct {
 	// Fingerprint identifies the request's content.
 	Fingerprint uint64 `cbor:"1,keyasint"`
-	// Targets are the names of the targets on which it was cut off.
+	// Targets names the target of each crash in which it was cut off, in any order.
 	Targets []string `cbor:"2,keyasint"`
 	// Cleared says that it has finished on a target, so that no suspicion is left.
 	Cleared bool `cbor:"3,keyasint,omitempty"`
@@ -97,8 +97,21 @@
 }
 
 type record struct {
+	// targets names the target of each crash.
 	targets []string
 	since   time.Time
+	// last is when the last crash was seen on this VM.
+	last time.Time
+}
+
+func (r *record) count(target string) int {
+	n := 0
+	for _, name := range r.targets {
+		if name == target {
+			n++
+		}
+	}
+	return n
 }
 
 type crash struct {
@@ -152,7 +165,7 @@
 			return t.Status(fingerprint)
 		}
 	}
-	if t.add(now, fingerprint, target) {
+	if t.addOwn(now, fingerprint, target) {
 		t.publish(Evidence{Fingerprint: fingerprint, Targets: t.Targets(fingerprint)})
 	}
 	return t.Status(fingerprint)
@@ -179,27 +192,39 @@
 	}
 }
 
-// add adds a crash to a fingerprint's record and reports whether it was news.
-func (t *Tracker) add(now time.Time, fingerprint uint64, target string) bool {
+// addOwn adds a crash that this VM saw and reports whether it was news. Copies of one request that
+// were cut off together are one crash.
+func (t *Tracker) addOwn(now time.Time, fingerprint uint64, target string) bool {
 	if t.quarantined[fingerprint] != nil {
 		return false
 	}
+	r := t.suspect(now, fingerprint)
+	if r.count(target) > 0 && now.Sub(r.last) < t.config.MassWindow {
+		return false
+	}
+	r.last = now
+	t.add(now, fingerprint, r, target)
+	return true
+}
+
+func (t *Tracker) suspect(now time.Time, fingerprint uint64) *record {
 	r := t.suspects[fingerprint]
 	if r == nil {
 		r = &record{since: now}
 		t.suspects[fingerprint] = r
 		evictOldest(t.suspects, t.config.MaxSuspects)
 	}
-	if slices.Contains(r.targets, target) {
-		return false
-	}
+	return r
+}
+
+// add adds a crash to a record and quarantines its fingerprint when that is enough.
+func (t *Tracker) add(now time.Time, fingerprint uint64, r *record, target string) {
 	r.targets = append(r.targets, target)
 	if len(r.targets) >= t.config.Crashes {
 		delete(t.suspects, fingerprint)
 		t.quarantined[fingerprint] = &record{targets: r.targets, since: now}
 		evictOldest(t.quarantined, t.config.MaxQuarantined)
 	}
-	return true
 }
 
 func evictOldest(records map[uint64]*record, limit int) {
@@ -231,8 +256,16 @@
 		delete(t.suspects, evidence.Fingerprint)
 		return t.Status(evidence.Fingerprint)
 	}
+	if t.quarantined[evidence.Fingerprint] != nil || len(evidence.Targets) == 0 {
+		return t.Status(evidence.Fingerprint)
+	}
+	r := t.suspect(now, evidence.Fingerprint)
+	theirs := record{targets: evidence.Targets}
 	for _, target := range evidence.Targets {
-		t.add(now, evidence.Fingerprint, target)
+		// The same crash seen by two VMs, and a message that came twice, count once.
+		if r.count(target) < theirs.count(target) {
+			t.add(now, evidence.Fingerprint, r, target)
+		}
 	}
 	return t.Status(evidence.Fingerprint)
 }
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -19,6 +19,17 @@
 	qt.Assert(t, tracker.Status(7), qt.Equals, Quarantined)
 }
 
+func TestASecondCrashOfOneTargetCountsAfterAWhile(t *testing.T) {
+	tracker, other := NewTracker(Config{}), NewTracker(Config{})
+	tracker.Cut(start, 7, "a")
+	qt.Assert(t, tracker.Cut(start.Add(time.Second), 7, "a"), qt.Equals, Suspect)
+	qt.Assert(t, tracker.Cut(start.Add(time.Minute), 7, "a"), qt.Equals, Quarantined)
+	once := Evidence{Fingerprint: 7, Targets: []string{"a"}}
+	other.Merge(start, once)
+	qt.Assert(t, other.Merge(start, once), qt.Equals, Suspect)
+	qt.Assert(t, other.Merge(start, Evidence{Fingerprint: 7, Targets: []string{"a", "a"}}), qt.Equals, Quarantined)
+}
+
 func TestASuspectIsClearedByFinishing(t *testing.T) {
 	tracker, other := NewTracker(Config{}), NewTracker(Config{})
 	tracker.Cut(start, 7, "a")
--- a/target/ledger.go
+++ b/target/ledger.go
@@ -77,6 +77,8 @@
 	bursts  burstMeter
 	// suspectHolder is the VM that runs the target's one suspect request; empty for none.
 	suspectHolder string
+	// suspectBatch says that a batch item is the target's one suspect request.
+	suspectBatch bool
 }
 
 type grant struct {
@@ -92,6 +94,7 @@
 type batchSlot struct {
 	id      uint64
 	revoked bool
+	suspect bool
 }
 
 // NewLedger returns the ledger of a target that this VM has just come to own.
@@ -154,7 +157,7 @@
 	if fingerprint == 0 {
 		return
 	}
-	if l.suspectHolder == "" || l.suspectHolder == vm {
+	if l.SuspectFree() || l.suspectHolder == vm {
 		l.suspectHolder = vm
 		g.suspect = fingerprint
 	}
@@ -243,14 +246,29 @@
 	return min(bound, l.bursts.largest(now))
 }
 
+// SuspectFree reports whether no suspect request has the right to run on the target.
+func (l *Ledger) SuspectFree() bool { return l.suspectHolder == "" && !l.suspectBatch }
+
 // GrantBatch records a batch slot. The caller has checked BatchRoom; ids rise.
 func (l *Ledger) GrantBatch(id uint64) { l.batch[id] = &batchSlot{id: id} }
 
+// GrantSuspectBatch records a batch slot for a suspect item. The caller has checked BatchRoom and SuspectFree.
+func (l *Ledger) GrantSuspectBatch(id uint64) {
+	l.batch[id] = &batchSlot{id: id, suspect: true}
+	l.suspectBatch = true
+}
+
 // ReleaseBatch forgets a batch slot and reports whether there was one of that id.
 func (l *Ledger) ReleaseBatch(id uint64) bool {
-	_, ok := l.batch[id]
+	slot, ok := l.batch[id]
+	if !ok {
+		return false
+	}
+	if slot.suspect {
+		l.suspectBatch = false
+	}
 	delete(l.batch, id)
-	return ok
+	return true
 }
 
 // RevokeBatch marks and returns up to n batch slots that are not being revoked yet.
