--- a/internal/admission/controller/config.go
+++ b/internal/admission/controller/config.go
@@ -51,6 +51,11 @@
 	CallTimeout time.Duration
 	// AskWait is how long an owner holds an ask that it cannot meet yet. Default 250ms.
 	AskWait time.Duration
+	// AskRate is the number of asks per second, renewals aside, above which unused credits are kept
+	// for a while instead of being returned at once. Default 10.
+	AskRate float64
+	// AskBurst is the number of asks that may come at once before AskRate counts. Default 50.
+	AskBurst int
 	// MinTargets is the number of targets of each model or service that this VM exchanges credits for. Default 6.
 	MinTargets int
 	// PrefixEntries bounds the index of prompt prefixes. Default 65536.
@@ -70,6 +75,8 @@
 	c.VMListInterval = cmp.Or(c.VMListInterval, 2*time.Second)
 	c.CallTimeout = cmp.Or(c.CallTimeout, time.Second)
 	c.AskWait = cmp.Or(c.AskWait, 250*time.Millisecond)
+	c.AskRate = cmp.Or(c.AskRate, 10)
+	c.AskBurst = cmp.Or(c.AskBurst, 50)
 	c.MinTargets = cmp.Or(c.MinTargets, 6)
 	c.PrefixEntries = cmp.Or(c.PrefixEntries, 65536)
 	if c.Prober == nil {
--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/rosemarydyke/rosemarydyke/dispatch"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/explain"
@@ -35,6 +37,8 @@
 	quarantine *quarantine.Tracker
 	listed     map[string]bool
 	batch      batchState
+	// messages is the budget of asks between renewals.
+	messages *rate.Limiter
 }
 
 // pool is what serves one model or one plain service.
@@ -84,6 +88,7 @@
 		quarantine: quarantine.NewTracker(config.Quarantine),
 		listed:     make(map[string]bool),
 		batch:      newBatchState(),
+		messages:   rate.NewLimiter(rate.Limit(config.AskRate), config.AskBurst),
 	}
 }
 
--- a/internal/admission/controller/credits.go
+++ b/internal/admission/controller/credits.go
@@ -30,6 +30,8 @@
 
 // askRemote asks a target's owner for credits and goes on when the answer comes.
 func (c *Controller) askRemote(t *targetState, waiting int, now time.Time) {
+	t.holder.Immediate = c.hasSpareMessages(now)
+	c.messages.AllowN(now, 1)
 	ask := t.holder.Ask(now, waiting)
 	t.asked = waiting
 	message := CreditsAsk{Session: c.session, Targets: []TargetAsk{newTargetAsk(t.settings.Name, ask)}, Wait: waiting > 0}
@@ -107,6 +109,7 @@
 			if asks[owner] == nil {
 				asks[owner] = &CreditsAsk{Session: c.session}
 			}
+			t.holder.Immediate = c.hasSpareMessages(now)
 			asks[owner].Targets = append(asks[owner].Targets, newTargetAsk(name, t.holder.Ask(now, 0)))
 			asked[owner] = append(asked[owner], t)
 		}
@@ -116,7 +119,8 @@
 	}
 }
 
-// returnCredits gives credits back at once when others wait for them.
+// returnCredits gives unused credits back at once when others wait for them, or when the budget of
+// messages allows it. Otherwise the next renewal gives them back.
 func (c *Controller) returnCredits(t *targetState, now time.Time) {
 	if !t.owned || t.holder.Asking() || t.pool.queue.Len() > 0 {
 		return
@@ -126,11 +130,19 @@
 		t.notify()
 		return
 	}
-	if t.holder.Scarce && t.holder.Free(now) > 0 {
+	if t.holder.Free(now) == 0 {
+		return
+	}
+	if t.holder.Scarce || c.hasSpareMessages(now) {
 		c.askRemote(t, 0, now)
 	}
 }
 
+// hasSpareMessages reports whether the VM sends few enough asks to give up credits that it will soon need again.
+func (c *Controller) hasSpareMessages(now time.Time) bool {
+	return c.messages.TokensAt(now) > float64(c.messages.Burst())/2
+}
+
 // requestCredits asks owners for credits for the waiting requests of a pool: first where slots can
 // be had at once, and else where one is freed soonest.
 func (c *Controller) requestCredits(p *pool, now time.Time) {
@@ -265,6 +277,7 @@
 		if ask.Want <= ask.Held {
 			// Credits may have been returned that others wait for.
 			t.notify()
+			c.fillBatch(now)
 		}
 		answers[i] = newTargetAnswer(answer)
 		if isShort(ask, answer) {
--- a/target/holder.go
+++ b/target/holder.go
@@ -19,8 +19,8 @@
 	peak     int
 	oldPeak  int
 	peakAt   time.Time
-	// Immediate makes the holder return each credit as soon as it is unused. It suits a holder on
-	// the owner's VM, which needs no message to get it back.
+	// Immediate makes the holder return each credit as soon as it is unused, and keep none for a
+	// burst. It suits a holder that can get credits back at little cost.
 	Immediate bool
 	// Suspect is the fingerprint of the suspect request that runs or should run on the target; zero for none.
 	Suspect uint64
