--- /dev/null
+++ b/internal/evidence/evidence_test.go
@@ -0,0 +1,160 @@
+package evidence_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/evidence"
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform/faulty"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
+	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
+)
+
+// tracker guards a quarantine.Tracker, as the admission controller does.
+type tracker struct {
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+}
+
+func (t *tracker) TakeEvidence() []quarantine.Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tracker.Publications(time.Now())
+}
+
+func (t *tracker) MergeEvidence(evidence []quarantine.Evidence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range evidence {
+		t.tracker.Merge(time.Now(), e)
+	}
+}
+
+func (t *tracker) QuarantineStatus(fingerprint uint64) quarantine.Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tracker.Status(fingerprint)
+}
+
+func (t *tracker) cut(fingerprint uint64, target string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tracker.Cut(time.Now(), fingerprint, target)
+}
+
+// network carries calls between the services of one test.
+type network struct {
+	handlers map[string]peer.CallHandler
+}
+
+func (n *network) Call(ctx context.Context, to netip.AddrPort, _ peer.Method, request, _ any) error {
+	handler, ok := n.handlers[to.String()]
+	if !ok {
+		return errors.New("unreachable")
+	}
+	time.Sleep(time.Millisecond)
+	_, err := handler(ctx, peer.Identity{}, func(out any) error { return copyMessage(request, out) })
+	return err
+}
+
+func (n *network) OpenStream(context.Context, netip.AddrPort, peer.Method) (peer.Stream, error) {
+	return nil, errors.New("no streams")
+}
+
+// registrar registers the handler of one service.
+type registrar struct {
+	network *network
+	address string
+}
+
+func (r registrar) HandleCall(_ peer.Method, handler peer.CallHandler) {
+	r.network.handlers[r.address] = handler
+}
+
+func (r registrar) HandleStream(peer.Method, peer.StreamHandler) {}
+
+type view struct {
+	self    string
+	members []member.Member
+}
+
+func (v view) Members() []member.Member { return v.members }
+func (v view) Self() member.Member      { return member.Member{VM: v.self} }
+
+// fleet is three services with one table.
+type fleet struct {
+	trackers []*tracker
+	services []*evidence.Service
+	table    *faulty.Table
+}
+
+func newFleet() *fleet {
+	net := &network{handlers: map[string]peer.CallHandler{}}
+	f := &fleet{table: faulty.New(memory.New())}
+	members := []member.Member{
+		{VM: "vm-1", State: member.Alive, EntryPeers: "127.0.0.1:1"},
+		{VM: "vm-2", State: member.Alive, EntryPeers: "127.0.0.1:2"},
+		{VM: "vm-3", State: member.Alive, EntryPeers: "127.0.0.1:3"},
+	}
+	for _, m := range members {
+		t := &tracker{tracker: quarantine.NewTracker(quarantine.Config{})}
+		s := evidence.New(evidence.Config{Tracker: t, Members: view{m.VM, members}, Caller: net, Table: f.table, Log: zerolog.Nop()})
+		s.Register(registrar{net, m.EntryPeers})
+		f.trackers = append(f.trackers, t)
+		f.services = append(f.services, s)
+	}
+	return f
+}
+
+func TestEvidenceIsWithAllEntriesWhenPublishReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet()
+		f.trackers[0].cut(7, "engine-a")
+		f.services[0].Publish(context.Background())
+		c.Assert(f.trackers[1].QuarantineStatus(7), qt.Equals, quarantine.Suspect)
+		f.trackers[1].cut(7, "engine-b")
+		f.services[1].Publish(context.Background())
+		for _, tracker := range f.trackers {
+			c.Assert(tracker.QuarantineStatus(7), qt.Equals, quarantine.Quarantined)
+		}
+	})
+}
+
+func TestAVMThatWasAwayReadsQuarantinesFromTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet()
+		f.table.Inject(faulty.ReplyLost, faulty.Unavailable, faulty.RequestLost)
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { f.services[0].Run(ctx) })
+		f.trackers[0].cut(7, "engine-a")
+		f.trackers[0].cut(7, "engine-b")
+		time.Sleep(time.Minute)
+		cancel()
+		running.Wait()
+		rows, err := f.table.Scan(context.Background(), "quarantine/", "", 10)
+		c.Assert(err, qt.IsNil)
+		c.Assert(rows, qt.HasLen, 1)
+
+		lateTracker := &tracker{tracker: quarantine.NewTracker(quarantine.Config{})}
+		s := evidence.New(evidence.Config{Tracker: lateTracker, Members: view{"vm-4", nil}, Caller: &network{}, Table: f.table, Log: zerolog.Nop()})
+		ctx, cancel = context.WithCancel(context.Background())
+		running.Go(func() { s.Run(ctx) })
+		synctest.Wait()
+		c.Assert(lateTracker.QuarantineStatus(7), qt.Equals, quarantine.Quarantined)
+		cancel()
+		running.Wait()
+	})
+}
