Credits: fair shares between entries, patience with silent owners, refusals told to the owner

Cause: an entry with a queue kept all its credits; a silent owner held a request for a whole call timeout; only the entry that a leaving target had refused knew of it. Change: max-min fair shares while credits are scarce; after 25 ms other owners are asked too; a first-hand refusal reaches the owner with the next ask and the other entries with its answers; widening is bounded. Tests of leaving, drain, fairness, suspects through several entries and suspect batch items.

--- a/internal/admission/controller/acquire.go
+++ b/internal/admission/controller/acquire.go
@@ -163,8 +163,8 @@
 // capacity counts the slots that this VM uses or could have at once.
 func (p *pool) capacity(now time.Time) dispatch.Capacity {
 	var capacity dispatch.Capacity
-	for _, t := range p.targets {
-		if !t.chosen || p.health.Share(now, t.settings.Name) == 0 {
+	for _, t := range p.active {
+		if p.health.Share(now, t.settings.Name) == 0 {
 			continue
 		}
 		capacity.InUse += t.holder.InUse()
@@ -287,10 +287,10 @@
 	return max(0, allowed-t.holder.InUse())
 }
 
-// candidates describes the targets of a pool, in the order of pool.targets.
+// candidates describes the active targets of a pool, in their order.
 func (c *Controller) candidates(p *pool, now time.Time) []dispatch.Candidate {
-	candidates := make([]dispatch.Candidate, len(p.targets))
-	for i, t := range p.targets {
+	candidates := make([]dispatch.Candidate, len(p.active))
+	for i, t := range p.active {
 		candidates[i] = c.candidate(t, now)
 	}
 	return candidates
@@ -315,7 +315,7 @@
 	if !ok {
 		return nil
 	}
-	return w.pool.targets[i]
+	return w.pool.active[i]
 }
 
 func (c *Controller) grant(w *waiter, t *targetState, now time.Time) {
@@ -376,6 +376,8 @@
 		if t.pacer != nil {
 			t.pacer.Observe(now, outcome.FirstToken, perToken(outcome))
 		}
+	case admission.EndRefused:
+		t.refused = t.ledger == nil
 	case admission.EndCut:
 		c.cut(t, fingerprint, now)
 	}
--- a/internal/admission/controller/config.go
+++ b/internal/admission/controller/config.go
@@ -51,6 +51,8 @@
 	CallTimeout time.Duration
 	// AskWait is how long an owner holds an ask that it cannot meet yet. Default 250ms.
 	AskWait time.Duration
+	// AskPatience is how long a waiting request relies on one owner before others are asked too. Default 25ms.
+	AskPatience time.Duration
 	// AskRate is the number of asks per second, renewals aside, above which unused credits are kept
 	// for a while instead of being returned at once. Default 10.
 	AskRate float64
@@ -75,6 +77,7 @@
 	c.VMListInterval = cmp.Or(c.VMListInterval, 2*time.Second)
 	c.CallTimeout = cmp.Or(c.CallTimeout, time.Second)
 	c.AskWait = cmp.Or(c.AskWait, 250*time.Millisecond)
+	c.AskPatience = cmp.Or(c.AskPatience, 25*time.Millisecond)
 	c.AskRate = cmp.Or(c.AskRate, 10)
 	c.AskBurst = cmp.Or(c.AskBurst, 50)
 	c.MinTargets = cmp.Or(c.MinTargets, 6)
--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -48,6 +48,8 @@
 	estimator dispatch.Estimator
 	health    *target.HealthGroup
 	targets   []*targetState
+	// active are the targets that this VM exchanges credits for.
+	active []*targetState
 	// minTargets is the number of targets to exchange credits for; it doubles while none has a free slot.
 	minTargets int
 	widenedAt  time.Time
@@ -62,7 +64,12 @@
 	// chosen says that this VM exchanges credits for the target.
 	chosen bool
 	holder *target.Holder
-	asked  int
+	// asked is the number of credits that the pending ask is for, and askedAt when it was sent.
+	asked   int
+	askedAt time.Time
+	// refused says that the target refused a request of this VM and the owner has not heard of it yet.
+	// What was heard from the owner is not told again, or two VMs would keep a target ejected for ever.
+	refused bool
 	// ledger and pacer are set on the owner only.
 	ledger *target.Ledger
 	pacer  *target.Pacer
--- a/internal/admission/controller/credits.go
+++ b/internal/admission/controller/credits.go
@@ -33,11 +33,28 @@
 	t.holder.Immediate = c.hasSpareMessages(now)
 	c.messages.AllowN(now, 1)
 	ask := t.holder.Ask(now, waiting)
-	t.asked = waiting
-	message := CreditsAsk{Session: c.session, Targets: []TargetAsk{newTargetAsk(t.settings.Name, ask)}, Wait: waiting > 0}
+	t.asked, t.askedAt = waiting, now
+	if waiting > 0 {
+		time.AfterFunc(c.config.AskPatience, func() { c.askElsewhere(t.pool) })
+	}
+	message := CreditsAsk{Session: c.session, Targets: []TargetAsk{t.newAsk(ask)}, Wait: waiting > 0}
 	go c.call(t.owner.Owner.EntryPeers, message, []*targetState{t})
 }
 
+// newAsk puts an ask into a message, with the news that the target has refused a request of this VM.
+func (t *targetState) newAsk(ask target.Ask) TargetAsk {
+	return newTargetAsk(t.settings.Name, t.refused, ask)
+}
+
+// askElsewhere asks other owners when one has not answered for a while: it may be gone, or have no slot.
+func (c *Controller) askElsewhere(p *pool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p.queue.Len() > 0 {
+		c.pump(p, time.Now())
+	}
+}
+
 // call sends asks to an owner and applies its answers.
 func (c *Controller) call(owner string, message CreditsAsk, targets []*targetState) {
 	answer, err := c.callOwner(owner, message)
@@ -53,6 +70,9 @@
 	}
 	for i, t := range targets {
 		t.apply(message.Targets[i].Sequence, err, answer.Targets, i)
+		if err == nil && answer.Targets[i].Refuses {
+			t.pool.health.Observe(now, t.settings.Name, target.Refused, 0)
+		}
 	}
 	if err != nil {
 		// The next tick asks again; asking here would loop while the owner is away.
@@ -60,6 +80,9 @@
 	}
 	for _, t := range targets {
 		c.pump(t.pool, now)
+		if t.pool.queue.Len() == 0 {
+			c.returnCredits(t, now)
+		}
 	}
 }
 
@@ -73,6 +96,7 @@
 	}
 	if latest {
 		t.asked = 0
+		t.refused = t.refused && err != nil
 	}
 }
 
@@ -103,14 +127,14 @@
 		switch {
 		case !t.owned || t.holder.Asking():
 		case t.ledger != nil:
-			c.askLocal(t, t.pool.queue.Len(), now)
+			c.askLocal(t, t.pool.waitingEach(), now)
 		case t.chosen || t.holder.Limit() > 0 || t.holder.Suspect != 0:
 			owner := t.owner.Owner.EntryPeers
 			if asks[owner] == nil {
 				asks[owner] = &CreditsAsk{Session: c.session}
 			}
 			t.holder.Immediate = c.hasSpareMessages(now)
-			asks[owner].Targets = append(asks[owner].Targets, newTargetAsk(name, t.holder.Ask(now, 0)))
+			asks[owner].Targets = append(asks[owner].Targets, t.newAsk(t.holder.Ask(now, t.pool.waitingEach())))
 			asked[owner] = append(asked[owner], t)
 		}
 	}
@@ -122,22 +146,27 @@
 // returnCredits gives unused credits back at once when others wait for them, or when the budget of
 // messages allows it. Otherwise the next renewal gives them back.
 func (c *Controller) returnCredits(t *targetState, now time.Time) {
-	if !t.owned || t.holder.Asking() || t.pool.queue.Len() > 0 {
-		return
-	}
-	if t.ledger != nil {
-		c.askLocal(t, 0, now)
+	waiting := t.pool.waitingEach()
+	switch {
+	case !t.owned || t.holder.Asking():
+	case t.ledger != nil:
+		c.askLocal(t, waiting, now)
 		t.notify()
-		return
-	}
-	if t.holder.Free(now) == 0 {
-		return
-	}
-	if t.holder.Scarce || c.hasSpareMessages(now) {
+	case t.holder.Excess() > 0:
+		c.askRemote(t, waiting, now)
+	case waiting == 0 && t.holder.Free(now) > 0 && (t.holder.Scarce || c.hasSpareMessages(now)):
 		c.askRemote(t, 0, now)
 	}
 }
 
+// waitingEach is the number of waiting requests for each target, rounded up.
+func (p *pool) waitingEach() int {
+	if len(p.active) == 0 {
+		return p.queue.Len()
+	}
+	return (p.queue.Len() + len(p.active) - 1) / len(p.active)
+}
+
 // hasSpareMessages reports whether the VM sends few enough asks to give up credits that it will soon need again.
 func (c *Controller) hasSpareMessages(now time.Time) bool {
 	return c.messages.TokensAt(now) > float64(c.messages.Burst())/2
@@ -147,14 +176,14 @@
 // be had at once, and else where one is freed soonest.
 func (c *Controller) requestCredits(p *pool, now time.Time) {
 	c.askForLanes(p, now)
-	missing := min(p.queue.Len(), maxPlanned) - p.pendingAsks()
+	missing := min(p.queue.Len(), maxPlanned) - p.pendingAsks(now.Add(-c.config.AskPatience))
 	if missing <= 0 {
 		return
 	}
 	plan, unmet := c.planAsks(p, missing, now)
 	for i, count := range plan {
 		if count > 0 {
-			c.askFor(p.targets[i], count, now)
+			c.askFor(p.active[i], count, now)
 		}
 	}
 	if unmet > 0 {
@@ -171,10 +200,13 @@
 	}
 }
 
-func (p *pool) pendingAsks() int {
+// pendingAsks is the number of credits asked for since a moment.
+func (p *pool) pendingAsks(since time.Time) int {
 	total := 0
-	for _, t := range p.targets {
-		total += t.asked
+	for _, t := range p.active {
+		if t.isWaiting() && t.askedAt.After(since) {
+			total += t.asked
+		}
 	}
 	return total
 }
@@ -182,9 +214,9 @@
 // planAsks distributes missing credits over the targets whose owners can grant some.
 func (c *Controller) planAsks(p *pool, missing int, now time.Time) (plan []int, unmet int) {
 	candidates := c.candidates(p, now)
-	for i, t := range p.targets {
+	for i, t := range p.active {
 		candidates[i].Free = 0
-		if t.chosen && t.owned && !t.isWaiting() {
+		if !t.isWaiting() {
 			candidates[i].Free = min(t.obtainable(now), t.shareLeft(candidates[i].Share))
 		}
 	}
@@ -216,14 +248,14 @@
 func (c *Controller) waitForCredits(p *pool, unmet int, now time.Time) {
 	c.widen(p, now)
 	queued := 0
-	for _, t := range p.targets {
-		if t.asked > 0 {
+	for _, t := range p.active {
+		if t.isWaiting() {
 			queued++
 		}
 	}
-	for _, i := range rand.Perm(len(p.targets)) {
-		t := p.targets[i]
-		if !t.chosen || !t.owned || t.isWaiting() || p.health.Share(now, t.settings.Name) == 0 {
+	for _, i := range rand.Perm(len(p.active)) {
+		t := p.active[i]
+		if t.isWaiting() || p.health.Share(now, t.settings.Name) == 0 {
 			continue
 		}
 		if t.ledger != nil {
@@ -274,12 +306,15 @@
 		}
 		answer, revoke := t.ledger.Request(now, ask.ask(holder, message.Session))
 		c.revoke(revoke)
+		if ask.Refused {
+			t.pool.health.Observe(now, ask.Target, target.Refused, 0)
+		}
 		if ask.Want <= ask.Held {
 			// Credits may have been returned that others wait for.
 			t.notify()
 			c.fillBatch(now)
 		}
-		answers[i] = newTargetAnswer(answer)
+		answers[i] = newTargetAnswer(t.pool.health.Refuses(ask.Target), answer)
 		if isShort(ask, answer) {
 			changed, short = t.changed, true
 		}
--- /dev/null
+++ b/internal/admission/controller/failure_test.go
@@ -0,0 +1,255 @@
+package controller
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/admission"
+	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
+	"github.com/rosemarydyke/rosemarydyke/settings"
+	"github.com/rosemarydyke/rosemarydyke/verdict"
+)
+
+// leaveWithin is the time in which a leaving target has to stop getting work.
+const leaveWithin = 3 * time.Second
+
+// engines returns one engine in each of three availability zones.
+func engines(n, slots int) []*settings.Target {
+	var list []*settings.Target
+	for i := range n {
+		list = append(list, engine(fmt.Sprint("t", i), fmt.Sprintf("az-%c", 'a'+i%3), slots))
+	}
+	return list
+}
+
+func TestAnOwnerThatStopsAnsweringDelaysNobodyWhileOthersHaveSlots(t *testing.T) {
+	runFleet(t, 3, engines(3, 8), func(f *fleet) {
+		// The members do not know yet that the VM is gone.
+		f.mu.Lock()
+		f.cut["vm-1"] = true
+		f.mu.Unlock()
+		for range 10 {
+			start := time.Now()
+			_, err := f.nodes["vm-2"].acquire("a", time.Second)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, time.Since(start) <= 50*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(start)))
+		}
+	})
+}
+
+func TestAnEntryWithALongQueueLeavesSlotsToTheOthers(t *testing.T) {
+	runFleet(t, 2, engines(1, 8), func(f *fleet) {
+		var served [2]atomic.Int64
+		var clients sync.WaitGroup
+		offer := func(vm, n int) {
+			for range n {
+				clients.Go(func() {
+					for f.ctx.Err() == nil {
+						grant, err := f.nodes[fmt.Sprint("vm-", vm+1)].acquire("a", time.Hour)
+						if err != nil {
+							return
+						}
+						time.Sleep(200 * time.Millisecond)
+						grant.Release(admission.Outcome{End: admission.EndCompleted})
+						served[vm].Add(1)
+					}
+				})
+			}
+		}
+		offer(0, 60)
+		time.Sleep(5 * time.Second)
+		offer(1, 20)
+		time.Sleep(2 * time.Second)
+		before := [2]int64{served[0].Load(), served[1].Load()}
+		time.Sleep(10 * time.Second)
+		first, second := served[0].Load()-before[0], served[1].Load()-before[1]
+		qt.Assert(t, second >= 2*first/3, qt.IsTrue, qt.Commentf("%d and %d", first, second))
+		qt.Assert(t, first >= 2*second/3, qt.IsTrue, qt.Commentf("%d and %d", first, second))
+		qt.Assert(t, first+second >= 360, qt.IsTrue, qt.Commentf("%d of 400 possible", first+second))
+	})
+}
+
+func TestALeavingTargetGetsNoNewWork(t *testing.T) {
+	gone := []*settings.Target{engine("t1", "az-b", 8)}
+	signs := map[string]func(f *fleet){
+		"when the settings no longer have it": func(f *fleet) { f.setTargets(gone...) },
+		"when the platform lists it as leaving": func(f *fleet) {
+			f.list("127.0.0.1:9000")
+		},
+		"when it refuses work": func(f *fleet) {
+			f.nodes["vm-1"].refuseUntilEjected("t0")
+		},
+	}
+	for name, sign := range signs {
+		t.Run(name, func(t *testing.T) {
+			targets := engines(2, 8)
+			targets[0].Address = "127.0.0.1:9000"
+			runFleet(t, 3, targets, func(f *fleet) {
+				f.probes = false
+				time.Sleep(4 * time.Second)
+				workers := []*batchWorker{f.ownerOf("t0").startBatch(4)}
+				sign(f)
+				time.Sleep(leaveWithin)
+				granted := workers[0].grantedOn("t0")
+				for i := range 12 {
+					grant, err := f.nodes[fmt.Sprint("vm-", i%3+1)].acquire("a", time.Second)
+					if err != nil {
+						break
+					}
+					qt.Assert(t, grant.Target.Name, qt.Equals, "t1")
+				}
+				time.Sleep(2 * time.Second)
+				qt.Assert(t, workers[0].grantedOn("t0"), qt.Equals, granted)
+			})
+		})
+	}
+}
+
+func TestDrainRefusesNewRequestsAndTakesBatchSlotsBack(t *testing.T) {
+	runFleet(t, 1, engines(1, 4), func(f *fleet) {
+		time.Sleep(4 * time.Second)
+		n := f.nodes["vm-1"]
+		batch := n.startBatch(10)
+		grant, err := n.acquire("a", time.Second)
+		qt.Assert(t, err, qt.IsNil)
+		n.Drain()
+		time.Sleep(time.Second)
+		qt.Assert(t, batch.running(), qt.Equals, 0)
+		_, err = n.acquire("a", time.Second)
+		qt.Assert(t, contains(err, "entry_leaving (not-run)"), qt.IsTrue)
+		grant.Release(completed)
+	})
+}
+
+func TestSlotsOfABatchProcessThatIsGoneAreFree(t *testing.T) {
+	runFleet(t, 1, engines(1, 4), func(f *fleet) {
+		time.Sleep(4 * time.Second)
+		n := f.nodes["vm-1"]
+		first := n.startBatch(10)
+		time.Sleep(time.Second)
+		qt.Assert(t, first.running(), qt.Equals, 4)
+		first.stop()
+		second := n.startBatch(10)
+		time.Sleep(time.Second)
+		qt.Assert(t, second.running(), qt.Equals, 4)
+	})
+}
+
+func TestWaitingRequestsOfClientsShareSlotsByWeight(t *testing.T) {
+	runFleet(t, 1, engines(1, 2), func(f *fleet) {
+		f.setClient(&settings.Client{Name: "heavy", Weight: 3})
+		f.setClient(&settings.Client{Name: "light", Weight: 1})
+		time.Sleep(time.Second)
+		n := f.nodes["vm-1"]
+		var served sync.Map
+		count := func(client string) *atomic.Int64 {
+			counter, _ := served.LoadOrStore(client, new(atomic.Int64))
+			return counter.(*atomic.Int64)
+		}
+		for _, client := range []string{"light", "heavy"} {
+			for range 40 {
+				go func() {
+					if grant, err := n.acquire(client, time.Hour); err == nil {
+						time.Sleep(100 * time.Millisecond)
+						grant.Release(admission.Outcome{End: admission.EndCompleted})
+						count(client).Add(1)
+					}
+				}()
+			}
+		}
+		time.Sleep(2050 * time.Millisecond)
+		heavy, light := count("heavy").Load(), count("light").Load()
+		qt.Assert(t, heavy >= 28 && light >= 9 && heavy+light >= 39, qt.IsTrue, qt.Commentf("%d and %d", heavy, light))
+	})
+}
+
+func TestSuspectsRunApartAndTheSecondCrashQuarantines(t *testing.T) {
+	runFleet(t, 3, engines(4, 8), func(f *fleet) {
+		// Four requests run together, one of them crashes the target.
+		n := f.nodes["vm-1"]
+		for fingerprint := uint64(1); fingerprint <= 4; fingerprint++ {
+			grant, err := n.acquireAs(fingerprint, nil)
+			qt.Assert(t, err, qt.IsNil)
+			grant.Release(admission.Outcome{End: admission.EndCut})
+			f.spread(n)
+		}
+		for _, n := range f.nodes {
+			qt.Assert(t, n.QuarantineStatus(1), qt.Equals, quarantine.Suspect)
+		}
+		// Their retries come through all entries and never meet on a target.
+		var mu sync.Mutex
+		running := make(map[string]int)
+		var retries sync.WaitGroup
+		for fingerprint := uint64(1); fingerprint <= 4; fingerprint++ {
+			retries.Go(func() {
+				entry := f.nodes[fmt.Sprint("vm-", fingerprint%3+1)]
+				grant, err := entry.acquireAs(fingerprint, nil)
+				if err != nil {
+					t.Errorf("suspect %d is refused: %v", fingerprint, err)
+					return
+				}
+				mu.Lock()
+				running[grant.Target.Name]++
+				if running[grant.Target.Name] > 1 {
+					t.Errorf("two suspects run on %s", grant.Target.Name)
+				}
+				mu.Unlock()
+				time.Sleep(time.Second)
+				mu.Lock()
+				running[grant.Target.Name]--
+				mu.Unlock()
+				if fingerprint == 1 {
+					grant.Release(admission.Outcome{End: admission.EndCut})
+				} else {
+					grant.Release(completed)
+				}
+				f.spread(entry)
+			})
+		}
+		retries.Wait()
+		for _, n := range f.nodes {
+			_, err := n.acquireAs(1, nil)
+			qt.Assert(t, contains(err, "request_quarantined (not-run)"), qt.IsTrue, qt.Commentf("%v", err))
+			for fingerprint := uint64(2); fingerprint <= 4; fingerprint++ {
+				qt.Assert(t, n.QuarantineStatus(fingerprint), qt.Equals, quarantine.Clear)
+			}
+		}
+	})
+}
+
+func TestSuspectBatchItemsGetSlotsOfTheirOwnOneOnATarget(t *testing.T) {
+	runFleet(t, 1, engines(2, 8), func(f *fleet) {
+		time.Sleep(4 * time.Second)
+		batch := f.nodes["vm-1"].startBatch(0)
+		batch.demand(batchslots.Want{Model: "m", Slots: 4, Suspects: []uint64{11, 12, 13}})
+		time.Sleep(time.Second)
+		alone := batch.suspects()
+		qt.Assert(t, len(alone) <= 2 && len(alone) > 0, qt.IsTrue)
+		for _, slot := range alone {
+			batch.release(slot, admission.Outcome{End: admission.EndCompleted})
+		}
+		time.Sleep(time.Second)
+		qt.Assert(t, len(batch.suspects()) > 0, qt.IsTrue)
+		qt.Assert(t, batch.running()-len(batch.suspects()), qt.Equals, 4)
+	})
+}
+
+func TestStaleSettingsAndPastDeadlinesAreRefusedAsNotRun(t *testing.T) {
+	runFleet(t, 1, engines(1, 1), func(f *fleet) {
+		n := f.nodes["vm-1"]
+		_, err := n.acquire("a", time.Second)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = n.acquire("a", 100*time.Millisecond)
+		qt.Assert(t, contains(err, "deadline_exceeded (not-run)"), qt.IsTrue, qt.Commentf("%v", err))
+		qt.Assert(t, verdict.Of(err), qt.Equals, verdict.NotRun)
+		f.fresh = false
+		_, err = n.acquire("a", time.Second)
+		qt.Assert(t, contains(err, "stale_settings (not-run)"), qt.IsTrue, qt.Commentf("%v", err))
+	})
+}
--- a/internal/admission/controller/fleet_test.go
+++ b/internal/admission/controller/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -18,6 +19,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/settings"
 )
@@ -36,6 +38,9 @@
 	nodes    map[string]*node
 	// cut are the VMs that no call reaches.
 	cut map[string]bool
+	// probes says whether probes of targets succeed.
+	probes bool
+	listed []platform.VM
 }
 
 type node struct {
@@ -52,7 +57,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		f := &fleet{t: t, ctx: ctx, fresh: true, nodes: make(map[string]*node), cut: make(map[string]bool)}
+		f := &fleet{t: t, ctx: ctx, fresh: true, probes: true, nodes: make(map[string]*node), cut: make(map[string]bool)}
 		f.snapshot = &settings.Snapshot{Revision: 1, Clients: map[string]*settings.Client{}}
 		f.setTargets(targets...)
 		for i := range vms {
@@ -101,6 +106,7 @@
 		Settings:         f,
 		Caller:           n,
 		Prober:           n,
+		VMs:              f,
 	})
 	n.Register(n)
 	f.nodes[m.VM] = n
@@ -121,6 +127,40 @@
 	f.members = slices.DeleteFunc(slices.Clone(f.members), func(m member.Member) bool { return m.VM == vm })
 }
 
+// list makes the platform announce the target at an address as leaving.
+func (f *fleet) list(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = []platform.VM{{Name: "x", Address: address, Role: platform.RoleTarget, State: platform.VMLeaving}}
+}
+
+// setClient adds a client to the settings.
+func (f *fleet) setClient(client *settings.Client) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := *f.snapshot
+	next.Clients = maps.Clone(f.snapshot.Clients)
+	next.Clients[client.Name] = client
+	f.snapshot = &next
+}
+
+// spread sends a node's evidence to the others, as the entry process does.
+func (f *fleet) spread(from *node) {
+	evidence := from.TakeEvidence()
+	for _, n := range f.nodes {
+		if n != from {
+			n.MergeEvidence(evidence)
+		}
+	}
+}
+
+// List implements platform.VMList.
+func (f *fleet) List(context.Context) ([]platform.VM, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed, nil
+}
+
 func (f *fleet) Current() *settings.Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -144,7 +184,12 @@
 	return member.Member{VM: n.vm}
 }
 
-func (n *node) Probe(context.Context, *settings.Target) error { return nil }
+func (n *node) Probe(context.Context, *settings.Target) error {
+	if !n.fleet.probes {
+		return errors.New("no answer")
+	}
+	return nil
+}
 
 func (n *node) HandleCall(method peer.Method, handler peer.CallHandler) { n.calls[method] = handler }
 
@@ -199,6 +244,33 @@
 	})
 }
 
+// acquireAs asks for a slot for a request of a fingerprint.
+func (n *node) acquireAs(fingerprint uint64, tried []string) (*admission.Grant, error) {
+	return n.Acquire(n.fleet.ctx, admission.Request{
+		ID:          fmt.Sprint(n.vm, ".", fingerprint),
+		Client:      "a",
+		Model:       "m",
+		Fingerprint: fingerprint,
+		Tried:       tried,
+		Deadline:    time.Now().Add(time.Minute),
+	})
+}
+
+// refuseUntilEjected lets a target refuse requests until the entry sends it none.
+func (n *node) refuseUntilEjected(target string) {
+	for range 20 {
+		grant, err := n.acquire("a", time.Second)
+		if err != nil {
+			n.fleet.t.Fatal(err)
+		}
+		outcome := completed
+		if grant.Target.Name == target {
+			outcome = admission.Outcome{End: admission.EndRefused}
+		}
+		grant.Release(outcome)
+	}
+}
+
 // batchWorker is a batch process that holds every slot it is granted until it is revoked.
 type batchWorker struct {
 	mu       sync.Mutex
@@ -207,6 +279,8 @@
 	revoked  int
 	incoming chan batchslots.ToEntry
 	ctx      context.Context
+	stop     context.CancelFunc
+	on       map[string]int
 	// quarantined are the fingerprints that the entry announced.
 	quarantined []uint64
 }
@@ -218,8 +292,10 @@
 	w := &batchWorker{
 		held:     make(map[uint64]batchslots.Granted),
 		incoming: make(chan batchslots.ToEntry, 4096),
-		ctx:      n.fleet.ctx,
+		on:       make(map[string]int),
 	}
+	w.ctx, w.stop = context.WithCancel(n.fleet.ctx)
+	context.AfterFunc(w.ctx, w.stop)
 	go func() { _ = n.streams[batchslots.Method](w.ctx, peer.Identity{VM: n.vm}, w) }()
 	w.demand(batchslots.Want{Model: "m", Slots: wants})
 	return w
@@ -236,6 +312,7 @@
 	switch {
 	case m.Granted != nil:
 		w.granted++
+		w.on[m.Granted.Target]++
 		w.held[m.Granted.Slot] = *m.Granted
 	case m.Revoked != nil:
 		w.revoked++
@@ -262,6 +339,26 @@
 	w.incoming <- batchslots.ToEntry{Released: &batchslots.Released{Slot: slot, Outcome: outcome, Fingerprint: fingerprint}}
 }
 
+// grantedOn counts the slots that were ever granted on a target.
+func (w *batchWorker) grantedOn(target string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.on[target]
+}
+
+// suspects returns the slots that are for suspect items.
+func (w *batchWorker) suspects() []uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var slots []uint64
+	for id, held := range w.held {
+		if held.Suspect != 0 {
+			slots = append(slots, id)
+		}
+	}
+	return slots
+}
+
 // runningOn counts the items on one target.
 func (w *batchWorker) runningOn(target string) int {
 	w.mu.Lock()
--- a/internal/admission/controller/layout.go
+++ b/internal/admission/controller/layout.go
@@ -13,8 +13,15 @@
 	"github.com/rosemarydyke/rosemarydyke/target"
 )
 
-// widenedFor is how long a VM keeps exchanging credits for more targets than usual after a shortage.
-const widenedFor = 30 * time.Second
+const (
+	// widenedFor is how long a VM keeps exchanging credits for more targets than usual after a shortage.
+	widenedFor = 30 * time.Second
+	// widenInterval is the least time between two widenings. An overload of the whole fleet is not
+	// mended by more messages.
+	widenInterval = 5 * time.Second
+	// maxWiden bounds the targets after widening, as a multiple of Config.MinTargets.
+	maxWiden = 4
+)
 
 // layout is what the division of targets among VMs was last computed from.
 type layout struct {
@@ -151,7 +158,15 @@
 	want := func(serves string) int { return c.pools[serves].minTargets }
 	chosen := target.Subset(c.config.Members.Self(), owned, want)
 	for _, t := range c.targets {
-		t.chosen = slices.ContainsFunc(chosen, func(o target.Owned) bool { return o.Name == t.settings.Name })
+		t.chosen = false
+	}
+	for _, p := range c.pools {
+		p.active = nil
+	}
+	for _, o := range chosen {
+		t := c.targets[o.Name]
+		t.chosen = true
+		t.pool.active = append(t.pool.active, t)
 	}
 }
 
@@ -192,8 +207,11 @@
 
 // widen exchanges credits for twice as many targets, after those at hand had no free slot.
 func (c *Controller) widen(p *pool, now time.Time) {
+	if len(p.active) == len(p.targets) || now.Sub(p.widenedAt) < widenInterval {
+		return
+	}
 	p.widenedAt = now
-	if p.minTargets >= len(p.targets) {
+	if p.minTargets >= maxWiden*c.config.MinTargets {
 		return
 	}
 	p.minTargets *= 2
--- a/internal/admission/controller/messages.go
+++ b/internal/admission/controller/messages.go
@@ -27,9 +27,11 @@
 	InUse    int    `cbor:"4,keyasint,omitempty"`
 	Want     int    `cbor:"5,keyasint,omitempty"`
 	Suspect  uint64 `cbor:"6,keyasint,omitempty"`
+	// Refused says that the target has refused a request of the holder.
+	Refused bool `cbor:"7,keyasint,omitempty"`
 }
 
-func newTargetAsk(name string, ask target.Ask) TargetAsk {
+func newTargetAsk(name string, refused bool, ask target.Ask) TargetAsk {
 	return TargetAsk{
 		Target:   name,
 		Sequence: ask.Sequence,
@@ -37,6 +39,7 @@
 		InUse:    ask.InUse,
 		Want:     ask.Want,
 		Suspect:  ask.Suspect,
+		Refused:  refused,
 	}
 }
 
@@ -67,9 +70,12 @@
 	Scarce     bool          `cbor:"5,keyasint,omitempty"`
 	Suspect    uint64        `cbor:"6,keyasint,omitempty"`
 	Stale      bool          `cbor:"7,keyasint,omitempty"`
+	Share      int           `cbor:"8,keyasint,omitempty"`
+	// Refuses says that the target refuses work, by what the owner has seen or heard.
+	Refuses bool `cbor:"9,keyasint,omitempty"`
 }
 
-func newTargetAnswer(answer target.Answer) TargetAnswer {
+func newTargetAnswer(refuses bool, answer target.Answer) TargetAnswer {
 	return TargetAnswer{
 		Granted:    answer.Granted,
 		TTL:        answer.TTL,
@@ -77,6 +83,8 @@
 		Scarce:     answer.Scarce,
 		Suspect:    answer.Suspect,
 		Stale:      answer.Stale,
+		Share:      answer.Share,
+		Refuses:    refuses,
 	}
 }
 
@@ -88,5 +96,6 @@
 		Scarce:     a.Scarce,
 		Suspect:    a.Suspect,
 		Stale:      a.Stale,
+		Share:      a.Share,
 	}
 }
--- a/target/health.go
+++ b/target/health.go
@@ -141,6 +141,16 @@
 	}
 }
 
+// reasonRefuses is the reason of a target that was ejected because it refused a request.
+const reasonRefuses = "refuses work"
+
+// Refuses reports whether a target is ejected because it refused a request. That is a sign of its
+// leaving which other VMs should know of.
+func (g *HealthGroup) Refuses(name string) bool {
+	h := g.targets[name]
+	return h != nil && (h.state == Ejected || h.state == Probing) && h.reason == reasonRefuses
+}
+
 // Share returns the share of its normal load that a target may take now: 0 when it may take no new work.
 func (g *HealthGroup) Share(now time.Time, name string) float64 {
 	state, _ := g.State(name)
@@ -167,7 +177,7 @@
 	case Unreachable:
 		g.eject(now, h, "cannot be reached")
 	case Refused:
-		g.eject(now, h, "refuses work")
+		g.eject(now, h, reasonRefuses)
 	case Cut:
 		g.failed(now, h, "cuts connections")
 	case TimedOut:
--- a/target/holder.go
+++ b/target/holder.go
@@ -28,6 +28,7 @@
 	// Obtainable and Scarce are those of the owner's last answer. Obtainable is -1 before the first one.
 	Obtainable int
 	Scarce     bool
+	share      int
 }
 
 // NewHolder returns a holder without credits.
@@ -38,9 +39,12 @@
 	if !now.Before(h.expires) {
 		return 0
 	}
-	return max(0, h.limit-h.inUse)
+	return max(0, min(h.limit, h.share)-h.inUse)
 }
 
+// Excess returns the number of unused credits above the holder's share, which others wait for.
+func (h *Holder) Excess() int { return max(0, h.limit-max(h.inUse, h.share)) }
+
 // InUse returns the number of running requests.
 func (h *Holder) InUse() int { return h.inUse }
 
@@ -81,12 +85,12 @@
 func (h *Holder) Ask(now time.Time, waiting int) Ask {
 	h.notePeak(now)
 	keep := max(h.peak, h.oldPeak)
-	if h.Scarce || h.Immediate {
+	if h.Immediate || h.Scarce && waiting == 0 {
 		keep = h.inUse
 	}
 	held := h.inUse
 	if now.Before(h.expires) {
-		held = max(h.inUse, min(h.limit, keep))
+		held = max(h.inUse, min(h.limit, h.share, keep))
 	}
 	// What is returned may not be used from here on: the owner can grant it to another at once.
 	h.limit = held
@@ -115,6 +119,7 @@
 	h.expires = h.sentAt.Add(answer.TTL)
 	h.Obtainable = answer.Obtainable
 	h.Scarce = answer.Scarce
+	h.share = answer.Share
 	h.allowed = answer.Suspect
 	return true
 }
--- a/target/ledger.go
+++ b/target/ledger.go
@@ -58,6 +58,8 @@
 	Obtainable int
 	// Scarce says that others wait for credits, so that unused ones should be returned at once.
 	Scarce bool
+	// Share is the number of credits that the holder should use at most while credits are scarce.
+	Share int
 	// Suspect is the fingerprint of the one suspect request that the holder may run; zero for none.
 	Suspect uint64
 	// Stale says that the owner has seen a later ask of this holder; the answer changes nothing.
@@ -124,7 +126,8 @@
 	// A holder that comes from another owner may hold more than this ledger would grant: the fact is recorded.
 	g.credits = max(ask.Held, ask.InUse)
 	g.expires = now.Add(l.config.TTL)
-	g.credits += max(0, min(g.want-g.credits, l.free()))
+	share := l.share(ask.Holder)
+	g.credits += max(0, min(min(g.want, share)-g.credits, l.free()))
 	l.bursts.observe(now, l.credits())
 	revoke := l.reclaim()
 	return Answer{
@@ -132,6 +135,7 @@
 		TTL:        l.config.TTL,
 		Obtainable: max(0, l.free()) + len(l.batch),
 		Scarce:     l.shortage() > 0,
+		Share:      share,
 		Suspect:    g.suspect,
 	}, revoke
 }
@@ -163,6 +167,26 @@
 	}
 }
 
+// share is the number of slots that a holder should have at most, so that a holder with a long
+// queue leaves some to the others.
+func (l *Ledger) share(vm string) int {
+	total := 0
+	for _, g := range l.holders {
+		total += g.demand()
+	}
+	if total <= l.slots {
+		return l.slots
+	}
+	demands := make([]demand, 0, len(l.holders))
+	for name, g := range l.holders {
+		demands = append(demands, demand{name, g.demand()})
+	}
+	return fairShares(l.slots, demands)[vm]
+}
+
+// demand is the number of slots that a holder uses or could use.
+func (g *grant) demand() int { return max(g.want, g.inUse) }
+
 // free is the number of slots that nobody has. It is negative while slots are over-committed.
 func (l *Ledger) free() int { return l.slots - l.credits() - len(l.batch) }
 
