--- a/internal/operatorapi/questions.go
+++ b/internal/operatorapi/questions.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/kataras/iris/v12"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/explain"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
@@ -19,6 +20,9 @@
 // listLimit bounds the jobs of one answer.
 const listLimit = 200
 
+// maxParallelQuestions bounds the processes that one request asks at once.
+const maxParallelQuestions = 32
+
 func (s *Server) listJobs(ctx iris.Context) {
 	var jobs []Job
 	for name := range s.config.Follower.Current().Clients {
@@ -186,25 +190,42 @@
 	_ = ctx.JSON(answer)
 }
 
-// itemEvents asks the batch processes of all VMs. One that does not answer is left out.
+// itemEvents asks the batch processes of all VMs at once. One that does not answer is left out.
 func (s *Server) itemEvents(ctx iris.Context, job, customID string) []explain.Event {
 	vms, err := s.vms(ctx)
 	if err != nil {
 		return nil
 	}
-	var events []explain.Event
-	for _, vm := range vms {
+	answers := make([]explain.Explanation, len(vms))
+	var group errgroup.Group
+	group.SetLimit(maxParallelQuestions)
+	for i, vm := range vms {
 		address, err := netip.ParseAddrPort(vm.BatchPeers)
 		if err != nil {
 			continue
 		}
-		var answer explain.Explanation
-		question := explain.ItemQuestion{Job: job, CustomID: customID}
-		if err := s.ask(ctx, address, explain.MethodItem, question, &answer); err != nil {
-			s.config.Log.Debug().Err(err).Str("asked_vm", vm.VM).Msg("a batch process did not answer")
-			continue
+		group.Go(func() error {
+			question := explain.ItemQuestion{Job: job, CustomID: customID}
+			if err := s.ask(ctx, address, explain.MethodItem, question, &answers[i]); err != nil {
+				s.config.Log.Debug().Err(err).Str("asked_vm", vm.VM).Msg("a batch process did not answer")
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	var events []explain.Event
+	for i, answer := range answers {
+		events = append(events, withVM(answer.Events, vms[i].VM)...)
+	}
+	return events
+}
+
+// withVM names the VM in events that do not name one.
+func withVM(events []explain.Event, vm string) []explain.Event {
+	for i := range events {
+		if events[i].VM == "" {
+			events[i].VM = vm
 		}
-		events = append(events, answer.Events...)
 	}
 	return events
 }
