--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/rosemarydyke/rosemarydyke/dispatch"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/explain"
@@ -35,6 +37,8 @@
 	quarantine *quarantine.Tracker
 	listed     map[string]bool
 	batch      batchState
+	// messages is the budget of asks between renewals.
+	messages *rate.Limiter
 }
 
 // pool is what serves one model or one plain service.
@@ -44,6 +48,8 @@
 	estimator dispatch.Estimator
 	health    *target.HealthGroup
 	targets   []*targetState
+	// active are the targets that this VM exchanges credits for.
+	active []*targetState
 	// minTargets is the number of targets to exchange credits for; it doubles while none has a free slot.
 	minTargets int
 	widenedAt  time.Time
@@ -58,7 +64,12 @@
 	// chosen says that this VM exchanges credits for the target.
 	chosen bool
 	holder *target.Holder
-	asked  int
+	// asked is the number of credits that the pending ask is for, and askedAt when it was sent.
+	asked   int
+	askedAt time.Time
+	// refused says that the target refused a request of this VM and the owner has not heard of it yet.
+	// What was heard from the owner is not told again, or two VMs would keep a target ejected for ever.
+	refused bool
 	// ledger and pacer are set on the owner only.
 	ledger *target.Ledger
 	pacer  *target.Pacer
@@ -84,6 +95,7 @@
 		quarantine: quarantine.NewTracker(config.Quarantine),
 		listed:     make(map[string]bool),
 		batch:      newBatchState(),
+		messages:   rate.NewLimiter(rate.Limit(config.AskRate), config.AskBurst),
 	}
 }
 
--- a/internal/admission/controller/fleet_test.go
+++ b/internal/admission/controller/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -18,6 +19,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/settings"
 )
@@ -36,6 +38,9 @@
 	nodes    map[string]*node
 	// cut are the VMs that no call reaches.
 	cut map[string]bool
+	// probes says whether probes of targets succeed.
+	probes bool
+	listed []platform.VM
 }
 
 type node struct {
@@ -52,7 +57,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
-		f := &fleet{t: t, ctx: ctx, fresh: true, nodes: make(map[string]*node), cut: make(map[string]bool)}
+		f := &fleet{t: t, ctx: ctx, fresh: true, probes: true, nodes: make(map[string]*node), cut: make(map[string]bool)}
 		f.snapshot = &settings.Snapshot{Revision: 1, Clients: map[string]*settings.Client{}}
 		f.setTargets(targets...)
 		for i := range vms {
@@ -69,6 +74,8 @@
 		}
 		test(f)
 		stop()
+		// Calls that are under way end within their timeout.
+		time.Sleep(2 * time.Second)
 		synctest.Wait()
 	})
 }
@@ -99,6 +106,7 @@
 		Settings:         f,
 		Caller:           n,
 		Prober:           n,
+		VMs:              f,
 	})
 	n.Register(n)
 	f.nodes[m.VM] = n
@@ -119,6 +127,40 @@
 	f.members = slices.DeleteFunc(slices.Clone(f.members), func(m member.Member) bool { return m.VM == vm })
 }
 
+// list makes the platform announce the target at an address as leaving.
+func (f *fleet) list(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = []platform.VM{{Name: "x", Address: address, Role: platform.RoleTarget, State: platform.VMLeaving}}
+}
+
+// setClient adds a client to the settings.
+func (f *fleet) setClient(client *settings.Client) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := *f.snapshot
+	next.Clients = maps.Clone(f.snapshot.Clients)
+	next.Clients[client.Name] = client
+	f.snapshot = &next
+}
+
+// spread sends a node's evidence to the others, as the entry process does.
+func (f *fleet) spread(from *node) {
+	evidence := from.TakeEvidence()
+	for _, n := range f.nodes {
+		if n != from {
+			n.MergeEvidence(evidence)
+		}
+	}
+}
+
+// List implements platform.VMList.
+func (f *fleet) List(context.Context) ([]platform.VM, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed, nil
+}
+
 func (f *fleet) Current() *settings.Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -142,7 +184,12 @@
 	return member.Member{VM: n.vm}
 }
 
-func (n *node) Probe(context.Context, *settings.Target) error { return nil }
+func (n *node) Probe(context.Context, *settings.Target) error {
+	if !n.fleet.probes {
+		return errors.New("no answer")
+	}
+	return nil
+}
 
 func (n *node) HandleCall(method peer.Method, handler peer.CallHandler) { n.calls[method] = handler }
 
@@ -197,6 +244,33 @@
 	})
 }
 
+// acquireAs asks for a slot for a request of a fingerprint.
+func (n *node) acquireAs(fingerprint uint64, tried []string) (*admission.Grant, error) {
+	return n.Acquire(n.fleet.ctx, admission.Request{
+		ID:          fmt.Sprint(n.vm, ".", fingerprint),
+		Client:      "a",
+		Model:       "m",
+		Fingerprint: fingerprint,
+		Tried:       tried,
+		Deadline:    time.Now().Add(time.Minute),
+	})
+}
+
+// refuseUntilEjected lets a target refuse requests until the entry sends it none.
+func (n *node) refuseUntilEjected(target string) {
+	for range 20 {
+		grant, err := n.acquire("a", time.Second)
+		if err != nil {
+			n.fleet.t.Fatal(err)
+		}
+		outcome := completed
+		if grant.Target.Name == target {
+			outcome = admission.Outcome{End: admission.EndRefused}
+		}
+		grant.Release(outcome)
+	}
+}
+
 // batchWorker is a batch process that holds every slot it is granted until it is revoked.
 type batchWorker struct {
 	mu       sync.Mutex
@@ -204,21 +278,33 @@
 	granted  int
 	revoked  int
 	incoming chan batchslots.ToEntry
+	ctx      context.Context
+	stop     context.CancelFunc
+	on       map[string]int
+	// quarantined are the fingerprints that the entry announced.
+	quarantined []uint64
 }
 
+// cancelTime is how long a batch process takes to cancel a stream.
+const cancelTime = 2 * time.Millisecond
+
 func (n *node) startBatch(wants int) *batchWorker {
-	w := &batchWorker{held: make(map[uint64]batchslots.Granted), incoming: make(chan batchslots.ToEntry, 1024)}
-	ctx, cancel := context.WithCancel(n.fleet.ctx)
-	stop := context.AfterFunc(ctx, func() { close(w.incoming) })
-	_ = stop
-	go func() {
-		defer cancel()
-		_ = n.streams[batchslots.Method](ctx, peer.Identity{VM: n.vm}, w)
-	}()
-	w.incoming <- batchslots.ToEntry{Demand: &batchslots.Demand{Wants: []batchslots.Want{{Model: "m", Slots: wants}}}}
+	w := &batchWorker{
+		held:     make(map[uint64]batchslots.Granted),
+		incoming: make(chan batchslots.ToEntry, 4096),
+		on:       make(map[string]int),
+	}
+	w.ctx, w.stop = context.WithCancel(n.fleet.ctx)
+	context.AfterFunc(w.ctx, w.stop)
+	go func() { _ = n.streams[batchslots.Method](w.ctx, peer.Identity{VM: n.vm}, w) }()
+	w.demand(batchslots.Want{Model: "m", Slots: wants})
 	return w
 }
 
+func (w *batchWorker) demand(want batchslots.Want) {
+	w.incoming <- batchslots.ToEntry{Demand: &batchslots.Demand{Wants: []batchslots.Want{want}}}
+}
+
 func (w *batchWorker) Send(message any) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -226,22 +312,74 @@
 	switch {
 	case m.Granted != nil:
 		w.granted++
+		w.on[m.Granted.Target]++
 		w.held[m.Granted.Slot] = *m.Granted
 	case m.Revoked != nil:
 		w.revoked++
-		delete(w.held, m.Revoked.Slot)
-		w.incoming <- batchslots.ToEntry{Released: &batchslots.Released{Slot: m.Revoked.Slot}}
+		time.AfterFunc(cancelTime, func() { w.release(m.Revoked.Slot, admission.Outcome{}) })
+	case m.Quarantined != nil:
+		w.quarantined = append(w.quarantined, m.Quarantined.Fingerprints...)
 	}
 	return nil
 }
 
+// release ends the item in a slot. Its fingerprint is the slot's suspect, or else the slot's number.
+func (w *batchWorker) release(slot uint64, outcome admission.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	held, ok := w.held[slot]
+	if !ok || w.ctx.Err() != nil {
+		return
+	}
+	delete(w.held, slot)
+	fingerprint := held.Suspect
+	if fingerprint == 0 {
+		fingerprint = slot
+	}
+	w.incoming <- batchslots.ToEntry{Released: &batchslots.Released{Slot: slot, Outcome: outcome, Fingerprint: fingerprint}}
+}
+
+// grantedOn counts the slots that were ever granted on a target.
+func (w *batchWorker) grantedOn(target string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.on[target]
+}
+
+// suspects returns the slots that are for suspect items.
+func (w *batchWorker) suspects() []uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var slots []uint64
+	for id, held := range w.held {
+		if held.Suspect != 0 {
+			slots = append(slots, id)
+		}
+	}
+	return slots
+}
+
+// runningOn counts the items on one target.
+func (w *batchWorker) runningOn(target string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, held := range w.held {
+		if held.Target == target {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *batchWorker) Receive(into any) error {
-	message, ok := <-w.incoming
-	if !ok {
+	select {
+	case message := <-w.incoming:
+		*into.(*batchslots.ToEntry) = message
+		return nil
+	case <-w.ctx.Done():
 		return io.EOF
 	}
-	*into.(*batchslots.ToEntry) = message
-	return nil
 }
 
 func (w *batchWorker) Close() error { return nil }
--- a/target/holder.go
+++ b/target/holder.go
@@ -19,8 +19,8 @@
 	peak     int
 	oldPeak  int
 	peakAt   time.Time
-	// Immediate makes the holder return each credit as soon as it is unused. It suits a holder on
-	// the owner's VM, which needs no message to get it back.
+	// Immediate makes the holder return each credit as soon as it is unused, and keep none for a
+	// burst. It suits a holder that can get credits back at little cost.
 	Immediate bool
 	// Suspect is the fingerprint of the suspect request that runs or should run on the target; zero for none.
 	Suspect uint64
@@ -28,6 +28,7 @@
 	// Obtainable and Scarce are those of the owner's last answer. Obtainable is -1 before the first one.
 	Obtainable int
 	Scarce     bool
+	share      int
 }
 
 // NewHolder returns a holder without credits.
@@ -38,9 +39,12 @@
 	if !now.Before(h.expires) {
 		return 0
 	}
-	return max(0, h.limit-h.inUse)
+	return max(0, min(h.limit, h.share)-h.inUse)
 }
 
+// Excess returns the number of unused credits above the holder's share, which others wait for.
+func (h *Holder) Excess() int { return max(0, h.limit-max(h.inUse, h.share)) }
+
 // InUse returns the number of running requests.
 func (h *Holder) InUse() int { return h.inUse }
 
@@ -81,12 +85,12 @@
 func (h *Holder) Ask(now time.Time, waiting int) Ask {
 	h.notePeak(now)
 	keep := max(h.peak, h.oldPeak)
-	if h.Scarce || h.Immediate {
+	if h.Immediate || h.Scarce && waiting == 0 {
 		keep = h.inUse
 	}
 	held := h.inUse
 	if now.Before(h.expires) {
-		held = max(h.inUse, min(h.limit, keep))
+		held = max(h.inUse, min(h.limit, h.share, keep))
 	}
 	// What is returned may not be used from here on: the owner can grant it to another at once.
 	h.limit = held
@@ -115,6 +119,7 @@
 	h.expires = h.sentAt.Add(answer.TTL)
 	h.Obtainable = answer.Obtainable
 	h.Scarce = answer.Scarce
+	h.share = answer.Share
 	h.allowed = answer.Suspect
 	return true
 }
