--- a/internal/idempotency/ledger.go
+++ b/internal/idempotency/ledger.go
@@ -27,7 +27,7 @@
 	Table platform.Table
 	// Check asks other VMs about their requests.
 	Check OwnerCheck
-	// CommitInterval is the least time between two commits of this VM. Default 10ms.
+	// CommitInterval is the least time between two commits of this VM. Default 25ms.
 	CommitInterval time.Duration
 	// ClaimTimeout bounds the claim of a key before dispatch. Default 2s.
 	ClaimTimeout time.Duration
@@ -38,7 +38,7 @@
 }
 
 const (
-	defaultCommitInterval  = 10 * time.Millisecond
+	defaultCommitInterval  = 25 * time.Millisecond
 	defaultClaimTimeout    = 2 * time.Second
 	defaultStoreTimeout    = time.Minute
 	defaultMaxOutcomeBytes = 64 << 10
