A cut stream of an idempotent chat goes on at another engine

Cause: a bystander of a crashing target whose stream had begun got an error, although engines can resume. Change: the delivered text is appended as the assistant's partial message, the token limit is reduced, and the events keep the id and the counts of one answer. Conclusion: the caller gets one whole answer, or an error.

--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -35,8 +35,11 @@
 // whole sets an answer that is complete.
 func (a *answerWriter) whole(answer *engine.Answer) { a.answer = answer }
 
-// event sends one event of a stream.
+// event sends one event of a stream. No data sends nothing.
 func (a *answerWriter) event(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
 	if !a.started {
 		a.startStream()
 	}
--- a/internal/callerapi/completions.go
+++ b/internal/callerapi/completions.go
@@ -123,18 +123,33 @@
 	return answer.Usage.CompletionTokens
 }
 
-// stream serves a streamed completion. Tries are invisible to the caller until the first event.
+// stream serves a streamed completion. Tries are invisible to the caller until the first event; from then
+// on another engine can only go on with the text, where the stream allows it.
 func (s *Server) stream(ctx context.Context, c *call, r *http.Request, a *answerWriter) error {
+	progress := newResumption(c, r.URL.Path)
 	return s.dispatch(ctx, c, func(ctx context.Context, target *settings.Target) (admission.Outcome, error) {
 		request := c.engineRequest(ctx, r, target)
 		request.FirstByteTimeout = min(s.config.FirstTokenTimeout, time.Until(c.deadline))
-		result, err := s.config.Engine.Stream(ctx, request, func(event engine.Event) error { return a.event(event.Data) })
+		if a.started {
+			body, ok := progress.resume()
+			if !ok {
+				return admission.Outcome{}, &answerStarted{errNothingLeft}
+			}
+			request.Body = body
+			s.metrics.resumed.Inc()
+		}
+		result, err := s.config.Engine.Stream(ctx, request, func(event engine.Event) error { return a.event(progress.observe(event.Data)) })
 		outcome := admission.Outcome{FirstToken: result.FirstEvent, Tokens: result.Tokens}
 		switch {
+		case err != nil && a.started && progress.canResume(engine.EndOf(err)):
+			c.deadline = time.Now().Add(s.config.FirstTokenTimeout)
+			return outcome, err
 		case err != nil && a.started:
 			return outcome, &answerStarted{err}
 		case err != nil:
 			return outcome, err
+		case result.Answer != nil && a.started:
+			return outcome, &answerStarted{errNotAStream}
 		case result.Answer != nil:
 			a.whole(result.Answer)
 			return outcome, nil
@@ -144,3 +159,9 @@
 		return outcome, nil
 	})
 }
+
+// Failures of a stream that was to go on at another engine.
+var (
+	errNothingLeft = &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeStreamCut, Message: "the stream broke off before its end mark"}
+	errNotAStream  = &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeStreamCut, Message: "another engine would not go on with the stream"}
+)
--- a/internal/callerapi/metrics.go
+++ b/internal/callerapi/metrics.go
@@ -9,6 +9,7 @@
 
 type serverMetrics struct {
 	retries    *metrics.Counter
+	resumed    *metrics.Counter
 	firstToken *metrics.Histogram
 	duration   *metrics.Histogram
 }
@@ -16,6 +17,7 @@
 func newServerMetrics() *serverMetrics {
 	return &serverMetrics{
 		retries:    metrics.GetOrCreateCounter("rosemarydyke_request_retries_total"),
+		resumed:    metrics.GetOrCreateCounter("rosemarydyke_streams_resumed_total"),
 		firstToken: metrics.GetOrCreateHistogram("rosemarydyke_first_token_seconds"),
 		duration:   metrics.GetOrCreateHistogram("rosemarydyke_request_duration_seconds"),
 	}
