--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -53,17 +53,26 @@
 // newFleet starts one entry in each of three availability zones before the targets, which serve
 // model "m" and service "booking".
 func newFleet(tb testing.TB, slots int, targets ...http.Handler) *fleet {
+	var addresses []string
+	for _, handler := range targets {
+		server := httptest.NewServer(handler)
+		tb.Cleanup(server.Close)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	return newFleetOf(tb, slots, addresses)
+}
+
+// newFleetOf is newFleet for targets that run already.
+func newFleetOf(tb testing.TB, slots int, addresses []string) *fleet {
 	f := &fleet{tb: tb, platform: memoryPlatform{memory.New()}}
 	keys := tb.TempDir()
 	names := []string{"vm-1", "vm-2", "vm-3"}
 	qt.Assert(tb, devkeys.Generate(keys, names), qt.IsNil)
 	documents := baseDocuments()
-	for i, handler := range targets {
-		server := httptest.NewServer(handler)
-		tb.Cleanup(server.Close)
-		addTarget(documents, i, strings.TrimPrefix(server.URL, "http://"), slots)
+	for i, address := range addresses {
+		addTarget(documents, i, address, slots)
 	}
-	f.targets = 2 * len(targets)
+	f.targets = 2 * len(addresses)
 	f.commit(documents)
 	var listed []platform.VM
 	for i, name := range names {
