Experiment: count the whole time for which online requests occupy a slot

Cause: the idle capacity left out the time until the first token. Change: occupancy from the sending of a request to its last token.

--- a/internal/experiment/online.go
+++ b/internal/experiment/online.go
@@ -18,7 +18,8 @@
 	// firstToken is the time from the caller's sending to the first token it received; zero if none came.
 	firstToken time.Duration
 	gaps       []time.Duration
-	tokens     int
+	// occupied is the time for which the request had a slot or waited inside the engine.
+	occupied time.Duration
 	refused    bool
 	// refusedAfter is the time from sending to the refusal.
 	refusedAfter time.Duration
@@ -93,7 +94,7 @@
 	}
 	result.firstToken = j.firstAt.Add(delay + r.profile.ClientDelay).Sub(sent)
 	result.gaps = j.gaps
-	result.tokens = j.tokens
+	result.occupied = j.lastAt.Sub(began)
 	return nil
 }
 
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -40,7 +40,7 @@
 	Failed  int `json:"failed"`
 	// RefusedAfter is the time from sending to the refusal.
 	RefusedAfter Quantiles `json:"refused_after"`
-	// OnlineShare is the part of all slot time that online requests used.
+	// OnlineShare is the part of all slot time that online requests occupied.
 	OnlineShare float64     `json:"online_slot_share"`
 	Batch       BatchCounts `json:"batch"`
 	// BatchTokensPerSecond is the rate of generated batch tokens.
@@ -102,7 +102,10 @@
 			result.Failed++
 		default:
 			record(first, a.firstToken)
-			slotTime += recordGaps(gaps, a.gaps)
+			for _, gap := range a.gaps {
+				record(gaps, gap)
+			}
+			slotTime += a.occupied
 			if a.firstToken > o.Profile.Deadline {
 				result.Late++
 			}
@@ -118,12 +121,3 @@
 	result.BatchItemsPerSecond = float64(counts.Items) / measured.Seconds()
 	return result
 }
-
-// recordGaps records the times between the tokens of an answer and returns their sum.
-func recordGaps(h *hdrhistogram.Histogram, gaps []time.Duration) (sum time.Duration) {
-	for _, gap := range gaps {
-		record(h, gap)
-		sum += gap
-	}
-	return sum
-}
