--- a/internal/experiment/online.go
+++ b/internal/experiment/online.go
@@ -20,7 +20,7 @@
 	gaps       []time.Duration
 	// occupied is the time for which the request had a slot or waited inside the engine.
 	occupied time.Duration
-	refused    bool
+	refused  bool
 	// refusedAfter is the time from sending to the refusal.
 	refusedAfter time.Duration
 	failed       bool
