Bounds of the callers' interface, and load reports to admission

Cause: nothing bounded requests in progress, a caller that stops reading, the length of a key, or a try on a frozen target other than by ten minutes; admission got no load reports; the whole duration of a plain answer was reported as its time to first token. Change: a limit on requests in progress (refused at once, not run), write deadlines, a bound by the tokens asked for, load reports read by each engine's owner. Conclusion: a frozen target costs a plain request seconds and the caller nothing where it may be tried elsewhere.

--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/idempotency"
 	"github.com/rosemarydyke/rosemarydyke/internal/engine"
@@ -15,6 +16,8 @@
 const (
 	contentTypeStream = "text/event-stream"
 	streamEndMark     = "data: [DONE]\n\n"
+	// callerWriteTimeout bounds each write to a caller.
+	callerWriteTimeout = 20 * time.Second
 )
 
 // answerWriter writes the answer of one call, and keeps a copy where it must be stored.
@@ -57,9 +60,12 @@
 }
 
 func (a *answerWriter) write(text string) error {
+	controller := http.NewResponseController(a.w)
+	// A caller that stops reading must not keep a slot.
+	_ = controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	_, err := a.w.Write([]byte(text))
 	if err == nil {
-		err = http.NewResponseController(a.w).Flush()
+		err = controller.Flush()
 	}
 	if a.keep > 0 {
 		// The stream is kept for a caller that comes back, so it goes on without this one.
@@ -113,6 +119,7 @@
 	if len(a.answer.Body) > 0 {
 		header.Set("Content-Length", strconv.Itoa(len(a.answer.Body)))
 	}
+	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	a.w.WriteHeader(a.answer.Status)
 	_, _ = a.w.Write(a.answer.Body)
 }
--- a/internal/callerapi/call.go
+++ b/internal/callerapi/call.go
@@ -26,6 +26,9 @@
 // bodyTimeout bounds the reading of a caller's body.
 const bodyTimeout = 30 * time.Second
 
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 255
+
 // call is one request of a caller on its way to a target.
 type call struct {
 	id       string
@@ -68,6 +71,9 @@
 		e.RetryAfter = time.Second
 		return c, e
 	}
+	if len(c.idempotencyKey) > maxKeyBytes {
+		return c, notRun(verdict.CodeInvalidRequest, fmt.Sprintf("%s is longer than %d bytes", headerIdempotencyKey, maxKeyBytes))
+	}
 	if err := c.readDeadline(r); err != nil {
 		return c, err
 	}
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -45,6 +46,7 @@
 		{"a body over the limit", "POST", chat, strings.Repeat(" ", 1001), nil, 413, "body_too_large"},
 		{"a deadline in the past", "POST", chat, chatBody, http.Header{"Rosemarydyke-Deadline-Ms": {"-5"}}, 504, "deadline_exceeded"},
 		{"a deadline that is no number", "POST", chat, chatBody, http.Header{"Rosemarydyke-Deadline-Ms": {"soon"}}, 400, "invalid_request"},
+		{"a key that is too long", "POST", chat, chatBody, http.Header{"Idempotency-Key": {strings.Repeat("k", 256)}}, 400, "invalid_request"},
 		{"a wrong mark", "POST", chat, chatBody, http.Header{"Rosemarydyke-Idempotent": {"maybe"}}, 400, "invalid_request"},
 		{"an unknown service", "POST", "/services/none/x", "", nil, 404, "service_not_found"},
 		{"a service of other clients", "POST", "/services/private/x", "", nil, 403, "forbidden"},
@@ -272,3 +274,38 @@
 	c.Assert(got.code(), qt.Equals, "entry_leaving")
 	c.Assert(got.header.Get("Rosemarydyke-Verdict"), qt.Equals, "not-run")
 }
+
+func TestAFullEntryRefusesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	arrived, release := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, "vm-1", memory.New(), func(c *callerapi.Config) { c.MaxInProgress = 1 },
+		newCounted(func(w http.ResponseWriter, r *http.Request) {
+			close(arrived)
+			<-release
+			answerJSON(w, r)
+		}))
+	var first sync.WaitGroup
+	first.Go(func() { f.send(t, "POST", chat, chatBody, nil) })
+	<-arrived
+	got := f.send(t, "POST", chat, chatBody, nil)
+	c.Assert(got.code(), qt.Equals, "overloaded")
+	c.Assert(got.header.Get("Rosemarydyke-Verdict"), qt.Equals, "not-run")
+	c.Assert(got.header.Get("X-Should-Retry"), qt.Equals, "true")
+	close(release)
+	first.Wait()
+}
+
+func TestAFrozenTargetIsGivenUpByTheTokensAskedFor(t *testing.T) {
+	c := qt.New(t)
+	frozen := make(chan struct{})
+	defer close(frozen)
+	first := newCounted(func(http.ResponseWriter, *http.Request) { <-frozen })
+	second := newCounted(answerJSON)
+	f := newFixture(t, "vm-1", memory.New(), func(c *callerapi.Config) {
+		c.FirstTokenTimeout = 100 * time.Millisecond
+		c.TokenTimeout = time.Millisecond
+	}, first, second)
+	got := f.send(t, "POST", chat, chatBody, nil)
+	c.Assert(got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
+	c.Assert(f.admitter.ends(), qt.DeepEquals, []admission.End{admission.EndTimeout, admission.EndCompleted})
+}
--- a/internal/callerapi/completions.go
+++ b/internal/callerapi/completions.go
@@ -37,7 +37,7 @@
 		if request.Stream {
 			return s.once(ctx, c, r, a, func(ctx context.Context) error { return s.stream(ctx, c, r, a) })
 		}
-		return s.once(ctx, c, r, a, func(ctx context.Context) error { return s.complete(ctx, c, r, a) })
+		return s.once(ctx, c, r, a, func(ctx context.Context) error { return s.complete(ctx, c, r, a, s.answerTimeout(c, request)) })
 	})
 }
 
@@ -68,11 +68,16 @@
 	return &request, nil
 }
 
-func checkMaxTokens(request *completionRequest, model *settings.Model) error {
-	limit := model.MaxTokens
-	if limit == 0 {
-		limit = defaultMaxTokens
+// tokenLimit returns the largest completion of a model, in tokens.
+func tokenLimit(model *settings.Model) int {
+	if model.MaxTokens == 0 {
+		return defaultMaxTokens
 	}
+	return model.MaxTokens
+}
+
+func checkMaxTokens(request *completionRequest, model *settings.Model) error {
+	limit := tokenLimit(model)
 	asked := max(request.MaxTokens, request.MaxCompletionTokens)
 	if asked > limit || request.MaxTokens < 0 || request.MaxCompletionTokens < 0 {
 		return notRun(verdict.CodeInvalidRequest, fmt.Sprintf("the number of tokens must be between 1 and %d", limit))
@@ -95,20 +100,31 @@
 	}
 }
 
+// answerTimeout bounds one try for an answer that is not streamed, by the tokens that were asked for. It
+// tells a frozen target from one that generates a long answer.
+func (s *Server) answerTimeout(c *call, request *completionRequest) time.Duration {
+	tokens := max(request.MaxTokens, request.MaxCompletionTokens)
+	if tokens == 0 {
+		tokens = tokenLimit(c.snapshot.Models[c.model])
+	}
+	return min(s.config.AnswerTimeout, s.config.FirstTokenTimeout+time.Duration(tokens)*s.config.TokenTimeout)
+}
+
 // complete serves a completion that is not streamed.
-func (s *Server) complete(ctx context.Context, c *call, r *http.Request, a *answerWriter) error {
+func (s *Server) complete(ctx context.Context, c *call, r *http.Request, a *answerWriter, timeout time.Duration) error {
 	return s.dispatch(ctx, c, func(ctx context.Context, target *settings.Target) (admission.Outcome, error) {
 		request := c.engineRequest(ctx, r, target)
-		request.FirstByteTimeout = s.config.AnswerTimeout
+		request.FirstByteTimeout = timeout
 		if c.deadlineGiven {
-			request.FirstByteTimeout = time.Until(c.deadline)
+			request.FirstByteTimeout = min(timeout, time.Until(c.deadline))
 		}
 		answer, err := s.config.Engine.Complete(ctx, request)
 		if err != nil {
 			return admission.Outcome{}, err
 		}
 		a.whole(answer)
-		return admission.Outcome{FirstToken: answer.FirstByte, Tokens: countTokens(answer.Body)}, nil
+		// The time of the first token does not show in an answer that comes as a whole.
+		return admission.Outcome{Tokens: countTokens(answer.Body)}, nil
 	})
 }
 
--- a/internal/callerapi/gate.go
+++ b/internal/callerapi/gate.go
@@ -3,12 +3,19 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
 
-// gate admits requests until it is closed, and counts those in progress.
+// fullRetryAfter is what callers are told while an entry is full.
+const fullRetryAfter = time.Second
+
+// gate admits requests until it is closed or full, and counts those in progress.
 type gate struct {
+	// limit bounds the requests in progress.
+	limit int
+
 	mu       sync.Mutex
 	leaving  bool
 	closed   bool
@@ -24,6 +31,11 @@
 	if g.closed {
 		return nil, notRun(verdict.CodeLeaving, "this entry is leaving; ask another entry")
 	}
+	if g.running >= g.limit {
+		e := notRun(verdict.CodeOverloaded, "this entry has as many requests in progress as it can hold")
+		e.RetryAfter = fullRetryAfter
+		return nil, e
+	}
 	g.running++
 	return g.exit, nil
 }
@@ -35,6 +47,12 @@
 	g.signal()
 }
 
+func (g *gate) inProgress() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return float64(g.running)
+}
+
 // signal closes drained once nothing runs behind a closed gate. The lock must be held.
 func (g *gate) signal() {
 	if g.closed && g.running == 0 && g.drained != nil && !g.isClosed {
--- a/internal/callerapi/serve.go
+++ b/internal/callerapi/serve.go
@@ -89,7 +89,15 @@
 	}
 	a.keep = storedStreamBytes
 	// The caller may come back for the outcome by its key, so the call goes on without it.
+	ended := false
+	defer func() {
+		if !ended {
+			// A panic leaves it open whether the request has run.
+			claim.Lose()
+		}
+	}()
 	err = run(context.WithoutCancel(ctx))
+	ended = true
 	switch {
 	case err == nil:
 		claim.Finish(a.outcome())
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
@@ -43,12 +44,17 @@
 
 	// MaxBodyBytes bounds the body of an online request. Default 4 MiB.
 	MaxBodyBytes int64
+	// MaxInProgress bounds the requests in progress. Default 2000.
+	MaxInProgress int
 	// EntriesTTL is how long callers may keep the answer to /v1/entries. Default 5s.
 	EntriesTTL time.Duration
 	// MaxTries bounds the targets that one request is sent to. Default 3.
 	MaxTries int
 	// FirstTokenTimeout bounds the wait of one try for the first token of a stream. Default 10s.
 	FirstTokenTimeout time.Duration
+	// TokenTimeout is the time that a try for an answer that is not streamed has for each token, in
+	// addition to FirstTokenTimeout. Default 250ms.
+	TokenTimeout time.Duration
 	// AnswerTimeout bounds the wait of one try for an answer that is not streamed. Default 10m.
 	AnswerTimeout time.Duration
 }
@@ -56,9 +62,11 @@
 // Defaults of Config.
 const (
 	defaultMaxBodyBytes      = 4 << 20
+	defaultMaxInProgress     = 2000
 	defaultEntriesTTL        = 5 * time.Second
 	defaultMaxTries          = 3
 	defaultFirstTokenTimeout = 10 * time.Second
+	defaultTokenTimeout      = 250 * time.Millisecond
 	defaultAnswerTimeout     = 10 * time.Minute
 	// defaultDeadline bounds the wait for the first token when neither caller nor client settings name one.
 	defaultDeadline = 30 * time.Second
@@ -75,6 +83,12 @@
 	if c.MaxBodyBytes == 0 {
 		c.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if c.MaxInProgress == 0 {
+		c.MaxInProgress = defaultMaxInProgress
+	}
+	if c.TokenTimeout == 0 {
+		c.TokenTimeout = defaultTokenTimeout
+	}
 	if c.EntriesTTL == 0 {
 		c.EntriesTTL = defaultEntriesTTL
 	}
@@ -108,6 +122,8 @@
 		tracer:  otel.Tracer("rosemarydyke/callerapi"),
 		metrics: newServerMetrics(),
 	}
+	s.gate.limit = config.MaxInProgress
+	metrics.GetOrCreateGauge("rosemarydyke_requests_in_progress", s.gate.inProgress)
 	s.routes()
 	return s
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,8 @@
 	closeTimeout = 2 * time.Second
 	// headerTimeout bounds the reading of a caller's request headers.
 	headerTimeout = 10 * time.Second
+	// idleTimeout closes a caller's connection that carries no request.
+	idleTimeout = 2 * time.Minute
 	// readyInterval is the time between two looks whether the entry is ready.
 	readyInterval = 100 * time.Millisecond
 )
@@ -95,6 +97,7 @@
 	slots    *controller.Controller
 	ledger   *idempotency.Ledger
 	evidence *evidence.Service
+	engine   *engine.Client
 	requests *requestlog.Log
 	api      *callerapi.Server
 	server   *http.Server
@@ -153,9 +156,10 @@
 	})
 	e.ledger = idempotency.New(idempotency.Config{VM: vm.Name, Table: table, Check: idempotency.PeerCheck(e.node, e.members)})
 	e.evidence = evidence.New(evidence.Config{Tracker: e.slots, Members: e.members, Caller: e.node, Table: table, Log: e.config.Log})
+	e.engine = engine.New(engine.Config{})
 	e.requests = requestlog.New(requestlog.Config{VM: vm.Name})
 	e.api = callerapi.New(e.callersConfig())
-	e.server = &http.Server{Handler: e.api, ReadHeaderTimeout: headerTimeout}
+	e.server = &http.Server{Handler: e.api, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
 func (e *Entry) callersConfig() callerapi.Config {
@@ -164,7 +168,7 @@
 		Settings:    e.watcher,
 		Members:     e.members,
 		Admission:   e.slots,
-		Engine:      engine.New(engine.Config{}),
+		Engine:      e.engine,
 		Idempotency: e.ledger,
 		Requests:    e.requests,
 		Evidence:    e.evidence,
@@ -240,6 +244,7 @@
 	e.slots.Start(running)
 	tasks.Go(func() { e.ledger.Run(running) })
 	tasks.Go(func() { e.evidence.Run(running) })
+	tasks.Go(func() { e.readLoads(running) })
 	serving := make(chan error, 1)
 	go func() { serving <- e.server.Serve(e.listener) }()
 	if err := e.watch(ctx, serving); err != nil {
