Asks for credits follow the prefix affinity of the waiting requests

Cause: credits were asked for without regard to the requests that wait for them. Change: the first waiting requests of each client choose the targets to ask for.

--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -18,8 +18,6 @@
 	InUse int
 	// Slots is the number of requests that the target runs at once.
 	Slots int
-	// Suspects is the number of suspect requests that run on it.
-	Suspects int
 }
 
 // Query is what the choice needs to know of a request.
@@ -28,8 +26,6 @@
 	Tried []string
 	// PrefixBlocks are hashes of the prompt's leading blocks, the longest prefix last.
 	PrefixBlocks []uint64
-	// Suspect says that the request was running on a target when that crashed.
-	Suspect bool
 }
 
 // Filter rules candidates out.
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -56,7 +56,7 @@
 type fairShare struct {
 	virtual float64
 	// finish is the highest finish tag of a request served.
-	finish float64
+	finish  float64
 	flows   map[string]*flow
 	backlog []*flow
 }
@@ -205,6 +205,31 @@
 	}
 }
 
+// Head returns up to n requests from near the front: of each client in turn, those with the earliest deadlines.
+func (q *Queue) Head(n int) []*Item {
+	var head []*Item
+	for i := range q.shares {
+		head = q.shares[i].head(head, n)
+	}
+	return head
+}
+
+func (s *fairShare) head(head []*Item, n int) []*Item {
+	slices.SortFunc(s.backlog, compareFlows)
+	for depth := 0; len(head) < n; depth++ {
+		before := len(head)
+		for _, f := range s.backlog {
+			if depth < len(f.waiting) && len(head) < n {
+				head = append(head, f.waiting[depth])
+			}
+		}
+		if len(head) == before {
+			break
+		}
+	}
+	return head
+}
+
 // Remove takes a request out and reports whether it was waiting.
 func (q *Queue) Remove(item *Item) bool {
 	s := &q.shares[item.Class]
--- a/dispatch/queue_test.go
+++ b/dispatch/queue_test.go
@@ -221,6 +221,22 @@
 	})
 }
 
+func TestTheHeadHoldsEachClientsFirstRequest(t *testing.T) {
+	q := NewQueue()
+	for n := range 12 {
+		q.Push(&Item{ID: fmt.Sprint(n), Client: fmt.Sprint(n % 3), Weight: 1, Class: Online})
+	}
+	head := q.Head(5)
+	qt.Assert(t, head, qt.HasLen, 5)
+	clients := make(map[string]bool)
+	for _, item := range head[:3] {
+		clients[item.Client] = true
+	}
+	qt.Assert(t, clients, qt.HasLen, 3)
+	qt.Assert(t, q.Head(100), qt.HasLen, 12)
+	qt.Assert(t, q.Len(), qt.Equals, 12)
+}
+
 func TestAnIdleClientIsForgotten(t *testing.T) {
 	q := NewQueue()
 	for n := range 10000 {
--- a/internal/admission/controller/acquire.go
+++ b/internal/admission/controller/acquire.go
@@ -310,14 +310,18 @@
 	if c.quarantine.Status(w.request.Fingerprint) == quarantine.Suspect {
 		return c.placeSuspect(w, now)
 	}
-	query := dispatch.Query{Tried: w.request.Tried, PrefixBlocks: w.request.PrefixBlocks}
-	i, ok := c.chooser.Pick(query, candidates, rand.IntN)
+	i, ok := c.chooser.Pick(w.query(), candidates, rand.IntN)
 	if !ok {
 		return nil
 	}
 	return w.pool.active[i]
 }
 
+// query is what the choice of a target needs to know.
+func (w *waiter) query() dispatch.Query {
+	return dispatch.Query{Tried: w.request.Tried, PrefixBlocks: w.request.PrefixBlocks}
+}
+
 func (c *Controller) grant(w *waiter, t *targetState, now time.Time) {
 	t.holder.Take(now)
 	suspect := w.lane == t
--- a/internal/admission/controller/credits.go
+++ b/internal/admission/controller/credits.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/rosemarydyke/rosemarydyke/dispatch"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/target"
 )
@@ -219,7 +218,7 @@
 	return total
 }
 
-// planAsks distributes missing credits over the targets whose owners can grant some.
+// planAsks chooses a target whose owner can grant a credit for each of the first waiting requests.
 func (c *Controller) planAsks(p *pool, missing int, now time.Time) (plan []int, unmet int) {
 	candidates := c.candidates(p, now)
 	for i, t := range p.active {
@@ -229,16 +228,17 @@
 		}
 	}
 	plan = make([]int, len(candidates))
-	for n := range missing {
-		i, ok := c.chooser.Pick(dispatch.Query{}, candidates, rand.IntN)
+	for _, item := range p.queue.Head(missing) {
+		i, ok := c.chooser.Pick(item.Value.(*waiter).query(), candidates, rand.IntN)
 		if !ok {
-			return plan, missing - n
+			unmet++
+			continue
 		}
 		plan[i]++
 		candidates[i].Free--
 		candidates[i].InUse++
 	}
-	return plan, 0
+	return plan, unmet
 }
 
 // askFor asks a target's owner for credits unless an ask is under way.
