Each online request takes one batch slot, and asks go where most is free

Cause: bursts asked for the same credits several times over, stale hints sent asks to full targets, and an owner held an ask although nothing was coming. Change: asks to the own ledger count as pending only while batch is giving slots up; an owner with nothing coming answers at once unless asked to hold; a scorer prefers targets with more free slots.

--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -12,7 +12,7 @@
 	Healthy bool
 	// Share is the part of its normal load that the target may take, from 0 to 1. It is less than 1 in slow start.
 	Share float64
-	// Free is the number of requests that this VM may start on it now.
+	// Free is the number of requests that this VM may start on it now, or that it could have slots for at once.
 	Free int
 	// InUse is the number of requests that this VM runs on it.
 	InUse int
@@ -61,6 +61,7 @@
 		Scorers: []Weighted{
 			{Scorer: PrefixAffinity{Index: index, Bound: DefaultLoadBound}, Weight: 2},
 			{Scorer: LowLoad{}, Weight: 1},
+			{Scorer: MostFree{}, Weight: 1},
 			{Scorer: SameZone{}, Weight: 0.25},
 		},
 	}
--- a/dispatch/choice_test.go
+++ b/dispatch/choice_test.go
@@ -43,6 +43,13 @@
 	qt.Assert(t, i, qt.Equals, 1)
 }
 
+func TestTheTargetWithMoreFreeSlotsIsPicked(t *testing.T) {
+	tight, roomy := candidate("a"), candidate("b")
+	roomy.Free = 5
+	i, _ := NewChooser(nil).Pick(Query{}, []Candidate{tight, roomy}, first)
+	qt.Assert(t, i, qt.Equals, 1)
+}
+
 func TestATargetInTheSameZoneIsPickedAmongEquals(t *testing.T) {
 	far, near := candidate("a"), candidate("b")
 	near.Local = true
--- a/dispatch/scorers.go
+++ b/dispatch/scorers.go
@@ -27,6 +27,19 @@
 	return float64(c.InUse) / capacity
 }
 
+// MostFree prefers targets with the larger part of their slots free for this VM. What is known of that is
+// a little old, so the larger part is also the safer choice.
+type MostFree struct{}
+
+// Score implements Scorer.
+func (MostFree) Score(_ Query, candidates []Candidate) []float64 {
+	scores := make([]float64, len(candidates))
+	for i, c := range candidates {
+		scores[i] = min(1, float64(c.Free)/float64(max(c.Slots, 1)))
+	}
+	return scores
+}
+
 // SameZone prefers targets in this VM's availability zone.
 type SameZone struct{}
 
--- a/internal/admission/controller/acquire.go
+++ b/internal/admission/controller/acquire.go
@@ -240,8 +240,12 @@
 // pump places as many waiting requests as credits allow, and asks for credits for the rest.
 func (c *Controller) pump(p *pool, now time.Time) {
 	c.refuseWaitingQuarantined(p)
+	if p.queue.Len() > 0 {
+		c.collect(p, now)
+	}
 	c.placeWaiting(p, now)
 	if p.queue.Len() == 0 {
+		c.dropWants(p, now)
 		return
 	}
 	c.requestCredits(p, now)
--- a/internal/admission/controller/credits.go
+++ b/internal/admission/controller/credits.go
@@ -27,15 +27,44 @@
 	c.revoke(revoke)
 }
 
+// unmet is the number of credits that waiting requests of this VM want from its own ledger.
+func (c *Controller) unmet(t *targetState) int {
+	if t.ledger == nil {
+		return 0
+	}
+	return t.ledger.Unmet(c.config.VM)
+}
+
+// collect takes the credits that have become free for earlier asks to this VM's own ledgers.
+func (c *Controller) collect(p *pool, now time.Time) {
+	for _, t := range p.active {
+		if unmet := c.unmet(t); unmet > 0 {
+			c.askLocal(t, unmet, now)
+		}
+	}
+}
+
+// dropWants takes back what nobody waits for any more, so that batch work can have the slots.
+func (c *Controller) dropWants(p *pool, now time.Time) {
+	for _, t := range p.active {
+		if c.unmet(t) > 0 {
+			c.askLocal(t, 0, now)
+			t.notify()
+		}
+	}
+}
+
 // askRemote asks a target's owner for credits and goes on when the answer comes.
-func (c *Controller) askRemote(t *targetState, waiting int, now time.Time) {
+//
+// With hold, an owner that can grant nothing keeps the ask for a while, until a credit becomes free.
+func (c *Controller) askRemote(t *targetState, waiting int, hold bool, now time.Time) {
 	t.holder.Immediate = c.hasSpareExchanges(now)
 	ask := t.holder.Ask(now, waiting)
 	t.asked, t.askedAt = waiting, now
 	if waiting > 0 {
 		time.AfterFunc(c.config.AskPatience, func() { c.askElsewhere(t.pool) })
 	}
-	message := CreditsAsk{Session: c.session, Targets: []TargetAsk{t.newAsk(ask)}, Wait: waiting > 0}
+	message := CreditsAsk{Session: c.session, Targets: []TargetAsk{t.newAsk(ask)}, Hold: hold}
 	go c.call(t.owner.Owner.EntryPeers, message, []*targetState{t})
 }
 
@@ -160,9 +189,9 @@
 		c.askLocal(t, waiting, now)
 		t.notify()
 	case t.holder.Excess() > 0:
-		c.askRemote(t, waiting, now)
+		c.askRemote(t, waiting, false, now)
 	case waiting == 0 && t.holder.Free(now) > 0 && (t.holder.Scarce || c.hasSpareExchanges(now)):
-		c.askRemote(t, 0, now)
+		c.askRemote(t, 0, false, now)
 	}
 }
 
@@ -183,14 +212,14 @@
 // be had at once, and else where one is freed soonest.
 func (c *Controller) requestCredits(p *pool, now time.Time) {
 	c.askForLanes(p, now)
-	missing := min(p.queue.Len(), maxPlanned) - p.pendingAsks(now.Add(-c.config.AskPatience))
+	missing := min(p.queue.Len(), maxPlanned) - c.pendingAsks(p, now.Add(-c.config.AskPatience))
 	if missing <= 0 {
 		return
 	}
 	plan, unmet := c.planAsks(p, missing, now)
 	for i, count := range plan {
 		if count > 0 {
-			c.askFor(p.active[i], count, now)
+			c.askFor(p.active[i], c.unmet(p.active[i])+count, now)
 		}
 	}
 	if unmet > 0 {
@@ -207,10 +236,13 @@
 	}
 }
 
-// pendingAsks is the number of credits asked for since a moment.
-func (p *pool) pendingAsks(since time.Time) int {
+// pendingAsks is the number of credits asked for of other VMs since a moment, and of this VM.
+func (c *Controller) pendingAsks(p *pool, since time.Time) int {
 	total := 0
 	for _, t := range p.active {
+		if t.ledger != nil {
+			total += t.ledger.Coming(c.config.VM)
+		}
 		if t.isWaiting() && t.askedAt.After(since) {
 			total += t.asked
 		}
@@ -248,7 +280,7 @@
 	case t.ledger != nil:
 		c.askLocal(t, count, now)
 	default:
-		c.askRemote(t, count, now)
+		c.askRemote(t, count, false, now)
 	}
 }
 
@@ -267,11 +299,11 @@
 			continue
 		}
 		if t.ledger != nil {
-			c.askLocal(t, unmet, now)
+			c.askLocal(t, max(unmet, c.unmet(t)), now)
 			continue
 		}
 		if queued < maxQueuedAsks {
-			c.askRemote(t, unmet, now)
+			c.askRemote(t, unmet, true, now)
 			queued++
 		}
 	}
@@ -288,8 +320,8 @@
 	deadline := time.NewTimer(c.config.AskWait)
 	defer deadline.Stop()
 	for {
-		changed, short := c.answerAsks(from.VM, message, answer.Targets)
-		if !short || !message.Wait {
+		changed := c.answerAsks(from.VM, message, answer.Targets)
+		if changed == nil {
 			return answer, nil
 		}
 		select {
@@ -302,8 +334,9 @@
 	}
 }
 
-// answerAsks fills in the answers. It reports whether an ask got nothing of what it wants, and when to look again.
-func (c *Controller) answerAsks(holder string, message CreditsAsk, answers []TargetAnswer) (changed <-chan struct{}, short bool) {
+// answerAsks fills in the answers. When it is better to look again before sending them, it returns
+// a channel that is closed at the next change.
+func (c *Controller) answerAsks(holder string, message CreditsAsk, answers []TargetAnswer) (changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -324,11 +357,11 @@
 			c.fillBatch(now)
 		}
 		answers[i] = newTargetAnswer(t.pool.health.Refuses(ask.Target), answer)
-		if isShort(ask, answer) {
-			changed, short = t.changed, true
+		if isShort(ask, answer) && (message.Hold || t.ledger.Coming(holder) > 0) {
+			changed = t.changed
 		}
 	}
-	return changed, short
+	return changed
 }
 
 // isShort reports whether an ask got nothing of what it wants.
--- a/internal/admission/controller/messages.go
+++ b/internal/admission/controller/messages.go
@@ -15,8 +15,9 @@
 	// Session identifies the asking process.
 	Session uint64      `cbor:"1,keyasint"`
 	Targets []TargetAsk `cbor:"2,keyasint"`
-	// Wait lets the owner hold the answer back for a moment until it can grant more.
-	Wait bool `cbor:"3,keyasint,omitempty"`
+	// Hold lets the owner keep the answer back until it can grant something, for Config.AskWait at most. Without
+	// it the owner does so only while batch work is giving up slots for the holder.
+	Hold bool `cbor:"3,keyasint,omitempty"`
 }
 
 // TargetAsk is target.Ask on the wire.
--- a/internal/admission/controller/shared_load_test.go
+++ b/internal/admission/controller/shared_load_test.go
@@ -42,8 +42,9 @@
 	longest  time.Duration
 	overload string
 	// left counts the samples of slots that online requests did not use, filled those that batch work used.
-	left   int
-	filled int
+	left     int
+	filled   int
+	requests int
 }
 
 // offerLoad sends bursts of online requests to a fleet that batch work has filled.
@@ -81,11 +82,13 @@
 }
 
 func (r *loadReport) enter(s scheduler, target string, waited time.Duration) {
-	batch := s.batchOn(target)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.longest = max(r.longest, waited)
+	r.requests++
 	r.running[target]++
+	// Read after the count: what made room for the running requests has happened by now.
+	batch := s.batchOn(target)
 	if total := r.running[target] + batch; total > sharedSlots {
 		r.overload = fmt.Sprintf("%d requests run on %s", total, target)
 	}
@@ -157,6 +160,17 @@
 	return n
 }
 
+// revoked is the number of batch slots that were taken back.
+func (s *shared) revoked() float64 {
+	n := 0
+	for _, w := range s.workers {
+		w.mu.Lock()
+		n += w.revoked
+		w.mu.Unlock()
+	}
+	return float64(n)
+}
+
 func sharedEngines() []*settings.Target {
 	var engines []*settings.Target
 	for i := range sharedTargets {
@@ -249,7 +263,8 @@
 				if violation := report.violation(); violation != "" {
 					t.Error(violation)
 				}
-				t.Logf("longest wait %s; batch work filled %.3f of what online requests left", report.longest, float64(report.filled)/float64(report.left))
+				t.Logf("longest wait %s; batch work filled %.3f of what online requests left; %.2f slots revoked for each",
+					report.longest, float64(report.filled)/float64(report.left), s.revoked()/float64(report.requests))
 			})
 		})
 	}
--- a/target/ledger.go
+++ b/target/ledger.go
@@ -53,8 +53,8 @@
 	Granted int
 	// TTL is the life of the grant, counted by the holder from before it sent the ask.
 	TTL time.Duration
-	// Obtainable is the number of further credits that the owner could grant: free slots and
-	// slots that batch work would give up.
+	// Obtainable is the number of credits, beyond those granted and wanted, that the owner could grant: free
+	// slots and slots that batch work would give up, less what others wait for.
 	Obtainable int
 	// Scarce says that others wait for credits, so that unused ones should be returned at once.
 	Scarce bool
@@ -133,7 +133,7 @@
 	return Answer{
 		Granted:    g.credits,
 		TTL:        l.config.TTL,
-		Obtainable: max(0, l.free()) + len(l.batch),
+		Obtainable: max(0, l.slots-l.credits()-l.shortage()),
 		Scarce:     l.shortage() > 0,
 		Share:      share,
 		Suspect:    g.suspect,
@@ -184,6 +184,26 @@
 	return fairShares(l.slots, demands)[vm]
 }
 
+// Unmet returns the number of credits that a holder wants and does not have.
+func (l *Ledger) Unmet(vm string) int {
+	g := l.holders[vm]
+	if g == nil {
+		return 0
+	}
+	return max(0, g.want-g.credits)
+}
+
+// Coming returns how many of a holder's unmet credits batch work is about to give up.
+func (l *Ledger) Coming(vm string) int {
+	revoked := 0
+	for _, slot := range l.batch {
+		if slot.revoked {
+			revoked++
+		}
+	}
+	return min(l.Unmet(vm), revoked)
+}
+
 // demand is the number of slots that a holder uses or could use.
 func (g *grant) demand() int { return max(g.want, g.inUse) }
 
