--- a/internal/batchslots/messages.go
+++ b/internal/batchslots/messages.go
@@ -23,7 +23,7 @@
 type Want struct {
 	Model string `cbor:"1,keyasint"`
 	// Slots does not include suspects.
-	Slots int    `cbor:"2,keyasint"`
+	Slots int `cbor:"2,keyasint"`
 	// Suspects are the fingerprints of waiting items that a target broke off once. Each of them runs
 	// only in a slot that was granted for it, so that two suspects never meet on a target.
 	Suspects []uint64 `cbor:"3,keyasint,omitempty"`
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -36,6 +36,14 @@
 	mu      sync.Mutex
 	members []member.Member
 	byPeer  map[netip.AddrPort]*vm
+	traffic Traffic
+}
+
+// Traffic counts the calls between entries.
+type Traffic struct {
+	Calls int `json:"calls"`
+	// Bytes counts the encoded questions and answers, without the transport's headers.
+	Bytes int `json:"bytes"`
 }
 
 // vm is one entry VM. It implements the interfaces through which a controller meets the others.
@@ -179,9 +187,19 @@
 		return err
 	}
 	time.Sleep(delay)
+	v.fleet.count(request, answer)
 	return recode(answer, response)
 }
 
+func (f *fleet) count(request, answer any) {
+	question, _ := cbor.Marshal(request)
+	reply, _ := cbor.Marshal(answer)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.traffic.Calls++
+	f.traffic.Bytes += len(question) + len(reply)
+}
+
 func (f *fleet) delay(a, b string) time.Duration {
 	if a == b {
 		return f.profile.LocalDelay
@@ -193,6 +211,12 @@
 	return f.delay(v.self.AvailabilityZone, f.snapshot.Targets[e.name].AvailabilityZone)
 }
 
+func (f *fleet) snapshotTraffic() Traffic {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.traffic
+}
+
 // recode passes a message through its encoding.
 func recode(from, into any) error {
 	content, err := cbor.Marshal(from)
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -46,6 +46,8 @@
 	// BatchTokensPerSecond is the rate of generated batch tokens.
 	BatchTokensPerSecond float64 `json:"batch_tokens_per_second"`
 	BatchItemsPerSecond  float64 `json:"batch_items_per_second"`
+	// Traffic counts the calls between entries over the whole run.
+	Traffic Traffic `json:"traffic"`
 	// FirstTokenCurve holds the percentiles from 0 to 99.9 in steps, for the plot.
 	FirstTokenCurve []Point `json:"first_token_curve"`
 }
@@ -111,6 +113,7 @@
 			}
 		}
 	}
+	result.Traffic = r.fleet.snapshotTraffic()
 	measured := o.Length - o.Warmup
 	result.FirstToken = quantiles(first)
 	result.FirstTokenCurve = curve(first)
--- a/internal/settingstore/store_test.go
+++ b/internal/settingstore/store_test.go
@@ -23,7 +23,7 @@
 const exampleRuns = 300
 
 // commitTimeout lets a commit settle about three lost replies.
-const commitTimeout = 3*time.Second / 20
+const commitTimeout = 3 * time.Second / 20
 
 func TestMain(m *testing.M) {
 	flag.Parse()
