--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BINARIES := rosemary rosemary-entry rosemary-batch rosemary-operator rosemary-standin rosemary-load
 
-.PHONY: build test lint unit
+.PHONY: build test lint unit bench capacity
 
 build:
 	mkdir -p bin
@@ -17,3 +17,13 @@
 
 unit:
 	GO="$(GO)" ./scripts/unit.sh
+
+# Long runs of all policies: table, JSON report and plots under docs/bench.
+bench:
+	mkdir -p docs/bench
+	ROSEMARYDYKE_REPORT=$(CURDIR)/docs/bench $(GO) test -count=1 -run TestWriteReport ./internal/experiment
+	$(GO) run ./cmd/rosemary-load report docs/bench/report.json --plots docs/bench
+
+# Measurements at several sizes, from which docs/CAPACITY.md is worked out.
+capacity:
+	ROSEMARYDYKE_CAPACITY=$(CURDIR)/docs/capacity $(GO) test -count=1 -p 1 -run 'TestWrite.*Cost' ./...
