--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,6 +96,7 @@
 	watcher  *settingsync.Watcher
 	slots    *controller.Controller
 	ledger   *idempotency.Ledger
+	sweeper  *idempotency.Sweeper
 	evidence *evidence.Service
 	engine   *engine.Client
 	requests *requestlog.Log
@@ -155,6 +156,7 @@
 		Log:              e.config.Log,
 	})
 	e.ledger = idempotency.New(idempotency.Config{VM: vm.Name, Table: table, Check: idempotency.PeerCheck(e.node, e.members)})
+	e.sweeper = idempotency.NewSweeper(idempotency.SweeperConfig{Table: table, Turn: e.isSweeper, Log: e.config.Log})
 	e.evidence = evidence.New(evidence.Config{Tracker: e.slots, Members: e.members, Caller: e.node, Table: table, Log: e.config.Log})
 	e.engine = engine.New(engine.Config{})
 	e.requests = requestlog.New(requestlog.Config{VM: vm.Name})
@@ -229,6 +231,16 @@
 	return netip.AddrPort{}
 }
 
+// isSweeper reports whether this VM is the first of the live members, which removes old records for all.
+func (e *Entry) isSweeper() bool {
+	for _, m := range e.members.Members() {
+		if m.State == member.Alive {
+			return m.VM == e.config.Settings.VM.Name
+		}
+	}
+	return false
+}
+
 // Run serves until ctx ends, and then leaves without cutting off a request in progress.
 func (e *Entry) Run(ctx context.Context) error {
 	// The parts outlive ctx: they are needed until the last request has ended.
@@ -243,6 +255,7 @@
 	e.watcher.Start(running)
 	e.slots.Start(running)
 	tasks.Go(func() { e.ledger.Run(running) })
+	tasks.Go(func() { e.sweeper.Run(running) })
 	tasks.Go(func() { e.evidence.Run(running) })
 	tasks.Go(func() { e.readLoads(running) })
 	serving := make(chan error, 1)
--- a/internal/idempotency/ledger.go
+++ b/internal/idempotency/ledger.go
@@ -171,10 +171,13 @@
 	return claim, nil, nil
 }
 
+// rowPrefix starts the keys of all records.
+const rowPrefix = "idempotency/"
+
 // rowKey names the row of a client's key. The digest bounds its length and spreads the rows.
 func rowKey(client, key string) string {
 	digest := sha256.Sum256([]byte(client + "\x00" + key))
-	return "idempotency/" + hex.EncodeToString(digest[:16])
+	return rowPrefix + hex.EncodeToString(digest[:16])
 }
 
 func (l *Ledger) claim(ctx context.Context, claim *Claim) (*idempotency.Outcome, error) {
