A failed try's error tells more than the lack of another target

Cause: a cut request without another target was answered as no_target_available. Change: the try's error is kept, with the later time to come back; a quarantine still replaces it. Partial answers of engines and services are tested at the callers' interface. Conclusion: the caller sees why, and the verdict stays may-have-run.

--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -309,3 +309,38 @@
 	c.Assert(got.status, qt.Equals, 200, qt.Commentf("%s", got.body))
 	c.Assert(f.admitter.ends(), qt.DeepEquals, []admission.End{admission.EndTimeout, admission.EndCompleted})
 }
+
+func TestAPartOfAnAnswerIsNeverPassedOn(t *testing.T) {
+	short := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, `{"id":"x"}`)
+	}
+	chunked := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"id":"x"}`)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	tests := []struct {
+		name   string
+		target http.HandlerFunc
+		method string
+		path   string
+		body   string
+	}{
+		{"an engine's answer shorter than its length", short, "POST", chat, chatBody},
+		{"an engine's answer without its last chunk", chunked, "POST", chat, chatBody},
+		{"a service's answer shorter than its length", short, "GET", "/services/booking/x", ""},
+		{"a service's answer without its last chunk", chunked, "POST", "/services/booking/x", "{}"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture(t, "vm-1", memory.New(), nil, newCounted(test.target))
+			got := f.send(t, test.method, test.path, test.body, nil)
+			c.Assert(got.status, qt.Equals, 502)
+			c.Assert(got.header.Get("Rosemarydyke-Verdict"), qt.Equals, "may-have-run")
+			c.Assert(got.code(), qt.Equals, "target_failed")
+		})
+	}
+}
--- a/internal/callerapi/dispatch.go
+++ b/internal/callerapi/dispatch.go
@@ -33,7 +33,7 @@
 	for {
 		grant, err := s.acquire(ctx, c, tried)
 		if err != nil {
-			return combine(earlier, err)
+			return notTriedAgain(earlier, err)
 		}
 		err = s.attempt(ctx, c, grant, attempt)
 		if err == nil {
@@ -62,6 +62,17 @@
 	return &e
 }
 
+// notTriedAgain returns the error of a call that got no target. After a failed try that try's error tells
+// more than the lack of another target, but not more than a quarantine that the try has caused.
+func notTriedAgain(earlier, refusal error) error {
+	if earlier == nil || asVerdict(refusal).Code == verdict.CodeQuarantined {
+		return combine(earlier, refusal)
+	}
+	e := *asVerdict(earlier)
+	e.RetryAfter = max(e.RetryAfter, asVerdict(refusal).RetryAfter)
+	return &e
+}
+
 func (s *Server) acquire(ctx context.Context, c *call, tried []string) (*admission.Grant, error) {
 	ctx, span := s.tracer.Start(ctx, "admission")
 	defer span.End()
