--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -40,12 +40,14 @@
 	Failed  int `json:"failed"`
 	// RefusedAfter is the time from sending to the refusal.
 	RefusedAfter Quantiles `json:"refused_after"`
-	// OnlineShare is the part of all slot time that online requests used.
+	// OnlineShare is the part of all slot time that online requests occupied.
 	OnlineShare float64     `json:"online_slot_share"`
 	Batch       BatchCounts `json:"batch"`
 	// BatchTokensPerSecond is the rate of generated batch tokens.
 	BatchTokensPerSecond float64 `json:"batch_tokens_per_second"`
 	BatchItemsPerSecond  float64 `json:"batch_items_per_second"`
+	// Traffic counts the calls between entries over the whole run.
+	Traffic Traffic `json:"traffic"`
 	// FirstTokenCurve holds the percentiles from 0 to 99.9 in steps, for the plot.
 	FirstTokenCurve []Point `json:"first_token_curve"`
 }
@@ -102,12 +104,16 @@
 			result.Failed++
 		default:
 			record(first, a.firstToken)
-			slotTime += recordGaps(gaps, a.gaps)
+			for _, gap := range a.gaps {
+				record(gaps, gap)
+			}
+			slotTime += a.occupied
 			if a.firstToken > o.Profile.Deadline {
 				result.Late++
 			}
 		}
 	}
+	result.Traffic = r.fleet.snapshotTraffic()
 	measured := o.Length - o.Warmup
 	result.FirstToken = quantiles(first)
 	result.FirstTokenCurve = curve(first)
@@ -118,12 +124,3 @@
 	result.BatchItemsPerSecond = float64(counts.Items) / measured.Seconds()
 	return result
 }
-
-// recordGaps records the times between the tokens of an answer and returns their sum.
-func recordGaps(h *hdrhistogram.Histogram, gaps []time.Duration) (sum time.Duration) {
-	for _, gap := range gaps {
-		record(h, gap)
-		sum += gap
-	}
-	return sum
-}
