Refusals rest on fresh word from the owners; faults strand no request and lose no slot

Cause: a test with faults found that a VM refused a burst because of what owners could grant two seconds ago; waiting suspects made their entry ask for credits that they could not use, and a target without owner was asked in a loop. Change: a request is judged at once when the owners' word is younger than 250 ms, otherwise 25 ms later, after they were asked; suspects ask on their own target only; 250 ms between asks to an owner that fails or does not own the target. Files by concern.

--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -230,14 +230,19 @@
 	return head
 }
 
+// Contains reports whether a request waits.
+func (q *Queue) Contains(item *Item) bool {
+	f := q.shares[item.Class].flows[item.Client]
+	return f != nil && slices.Contains(f.waiting, item)
+}
+
 // Remove takes a request out and reports whether it was waiting.
 func (q *Queue) Remove(item *Item) bool {
-	s := &q.shares[item.Class]
-	f := s.flows[item.Client]
-	if f == nil || !slices.Contains(f.waiting, item) {
+	if !q.Contains(item) {
 		return false
 	}
-	s.drop(f, item)
+	s := &q.shares[item.Class]
+	s.drop(s.flows[item.Client], item)
 	q.size--
 	return true
 }
--- a/internal/admission/controller/acquire.go
+++ b/internal/admission/controller/acquire.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/dispatch"
@@ -64,10 +64,15 @@
 	w := c.newWaiter(p, request, now)
 	p.queue.Push(w.item)
 	c.pump(p, now)
-	if len(w.granted) == 0 {
-		refusal = c.refuseLate(w, now)
+	if len(w.granted) > 0 {
+		return w, nil
 	}
-	return w, refusal
+	if p.hasFreshHints(now) {
+		return w, c.judge(w, now)
+	}
+	// What the owners can grant is learned by the asks that have just gone out.
+	time.AfterFunc(c.config.AskPatience, func() { c.judgeLater(w) })
+	return w, nil
 }
 
 func (c *Controller) check(request admission.Request) (*pool, *verdict.Error) {
@@ -141,12 +146,30 @@
 	return w
 }
 
-// refuseLate takes a request out of the queue again when it cannot meet its deadline.
-func (c *Controller) refuseLate(w *waiter, now time.Time) *verdict.Error {
+// hasFreshHints reports whether what the owners can grant is known well enough to refuse a request for it.
+func (p *pool) hasFreshHints(now time.Time) bool {
+	return !slices.ContainsFunc(p.active, func(t *targetState) bool { return !t.hasFreshHint(now) })
+}
+
+// judgeLater refuses a request that still waits and cannot meet its deadline.
+func (c *Controller) judgeLater(w *waiter) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !w.pool.queue.Contains(w.item) {
+		return
+	}
+	if refusal := c.judge(w, time.Now()); refusal != nil {
+		w.granted <- admitted{err: refusal}
+	}
+}
+
+// judge takes a waiting request out of the queue when it cannot meet its deadline.
+func (c *Controller) judge(w *waiter, now time.Time) *verdict.Error {
 	if w.request.Deadline.IsZero() {
 		return nil
 	}
-	wait, known := w.pool.estimator.Wait(w.position, w.pool.capacity(now))
+	ahead := min(w.position, w.pool.queue.Len()-1)
+	wait, known := w.pool.estimator.Wait(ahead, w.pool.capacity(now))
 	if !known {
 		return nil
 	}
@@ -156,7 +179,7 @@
 	}
 	c.abandon(w)
 	message := fmt.Sprintf("%d requests wait ahead and a slot is expected in %s, after the deadline",
-		w.position, wait.Round(time.Millisecond))
+		ahead, wait.Round(time.Millisecond))
 	return notRun(verdict.CodeOverloaded, message, dispatch.RetryAfter(wait, patience, rand.Float64()))
 }
 
@@ -169,16 +192,38 @@
 		}
 		capacity.InUse += t.holder.InUse()
 		capacity.Obtainable += t.obtainable(now)
+		if t.ledger != nil {
+			capacity.Obtainable += t.ledger.Coming(t.owner.Owner.VM)
+		}
 	}
 	return capacity
 }
 
+// hintLife is how long an owner's word on what it can grant is relied on.
+const hintLife = 250 * time.Millisecond
+
+func (t *targetState) hasFreshHint(now time.Time) bool {
+	return t.ledger != nil || t.holder.HintAge(now) <= hintLife
+}
+
 // obtainable is the number of slots that a target could give soon, as far as is known.
 func (t *targetState) obtainable(now time.Time) int {
-	if t.holder.Obtainable < 0 {
+	switch {
+	case t.ledger != nil:
+		return t.holder.Free(now) + t.ledger.Obtainable()
+	case t.holder.Obtainable < 0:
 		return t.settings.Slots
+	default:
+		return t.holder.Free(now) + t.holder.Obtainable
 	}
-	return t.holder.Free(now) + t.holder.Obtainable
+}
+
+// worthAsking is the number of credits to plan an ask for. An owner that could grant none a while ago is tried with one.
+func (t *targetState) worthAsking(now time.Time) int {
+	if t.hasFreshHint(now) {
+		return t.obtainable(now)
+	}
+	return max(1, t.obtainable(now))
 }
 
 // await waits for the grant, the deadline or the end of the context.
@@ -236,173 +281,3 @@
 	wait, _ := w.pool.estimator.Wait(w.pool.queue.Len(), w.pool.capacity(now))
 	return dispatch.RetryAfter(wait, 0, rand.Float64())
 }
-
-// pump places as many waiting requests as credits allow, and asks for credits for the rest.
-func (c *Controller) pump(p *pool, now time.Time) {
-	c.refuseWaitingQuarantined(p)
-	if p.queue.Len() > 0 {
-		c.collect(p, now)
-	}
-	c.placeWaiting(p, now)
-	if p.queue.Len() == 0 {
-		c.dropWants(p, now)
-		return
-	}
-	c.requestCredits(p, now)
-	// Asks to this VM's own ledgers are answered at once.
-	c.placeWaiting(p, now)
-}
-
-func (c *Controller) placeWaiting(p *pool, now time.Time) {
-	for p.queue.Len() > 0 {
-		candidates := c.candidates(p, now)
-		if !anyFree(candidates) {
-			return
-		}
-		var chosen *targetState
-		item := p.queue.Next(func(item *dispatch.Item) bool {
-			chosen = c.place(item.Value.(*waiter), candidates, now)
-			return chosen != nil
-		})
-		if item == nil {
-			return
-		}
-		c.grant(item.Value.(*waiter), chosen, now)
-	}
-}
-
-// candidate is a target as the choice sees it.
-func (c *Controller) candidate(t *targetState, now time.Time) dispatch.Candidate {
-	share := t.pool.health.Share(now, t.settings.Name)
-	return dispatch.Candidate{
-		Name:    t.settings.Name,
-		Local:   t.settings.AvailabilityZone == c.config.AvailabilityZone,
-		Healthy: share > 0,
-		Share:   share,
-		Free:    min(t.holder.Free(now), t.shareLeft(share)),
-		InUse:   t.holder.InUse(),
-		Slots:   t.settings.Slots,
-	}
-}
-
-// shareLeft is the number of further requests that the target's share allows, at least one in all.
-func (t *targetState) shareLeft(share float64) int {
-	allowed := max(1, int(share*float64(t.settings.Slots)))
-	return max(0, allowed-t.holder.InUse())
-}
-
-// candidates describes the active targets of a pool, in their order.
-func (c *Controller) candidates(p *pool, now time.Time) []dispatch.Candidate {
-	candidates := make([]dispatch.Candidate, len(p.active))
-	for i, t := range p.active {
-		candidates[i] = c.candidate(t, now)
-	}
-	return candidates
-}
-
-func anyFree(candidates []dispatch.Candidate) bool {
-	for _, candidate := range candidates {
-		if candidate.Healthy && candidate.Free > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// place returns the target that a request can be sent to now, or nil.
-func (c *Controller) place(w *waiter, candidates []dispatch.Candidate, now time.Time) *targetState {
-	if c.quarantine.Status(w.request.Fingerprint) == quarantine.Suspect {
-		return c.placeSuspect(w, now)
-	}
-	i, ok := c.chooser.Pick(w.query(), candidates, rand.IntN)
-	if !ok {
-		return nil
-	}
-	return w.pool.active[i]
-}
-
-// query is what the choice of a target needs to know.
-func (w *waiter) query() dispatch.Query {
-	return dispatch.Query{Tried: w.request.Tried, PrefixBlocks: w.request.PrefixBlocks}
-}
-
-func (c *Controller) grant(w *waiter, t *targetState, now time.Time) {
-	t.holder.Take(now)
-	suspect := w.lane == t
-	if suspect {
-		t.suspectRunning = true
-	}
-	c.prefixes.Store(t.settings.Name, w.request.PrefixBlocks...)
-	waited := max(0, now.Sub(w.item.Enqueued))
-	var once sync.Once
-	grant := &admission.Grant{Target: t.settings, Waited: waited, Reason: w.reason(t, waited)}
-	grant.Release = func(outcome admission.Outcome) {
-		once.Do(func() { c.release(w, t, suspect, outcome) })
-	}
-	w.granted <- admitted{grant: grant}
-}
-
-func (w *waiter) reason(t *targetState, waited time.Duration) string {
-	text := "a slot was free at once"
-	if waited > 0 {
-		text = fmt.Sprintf("waited %s for a slot behind %d requests", waited.Round(time.Microsecond), w.position)
-	}
-	if w.lane == t {
-		return text + fmt.Sprintf("; runs on %s apart from other suspects, because a target broke off while running it", t.settings.Name)
-	}
-	return text + fmt.Sprintf("; %s was the best of the targets with a free slot by cached prefix, load and availability zone", t.settings.Name)
-}
-
-// release takes a slot back and records how the attempt went.
-func (c *Controller) release(w *waiter, t *targetState, suspect bool, outcome admission.Outcome) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	t.holder.Put(now)
-	c.observe(t, w.request.Fingerprint, outcome, now)
-	if suspect {
-		t.suspectRunning = false
-		c.leaveLane(w)
-		c.askFor(t, 0, now)
-	}
-	c.returnCredits(t, now)
-	c.pump(t.pool, now)
-	if t.ledger != nil {
-		c.fillBatch(now)
-	}
-}
-
-// observe feeds the end of an attempt to all that learns from it.
-func (c *Controller) observe(t *targetState, fingerprint uint64, outcome admission.Outcome, now time.Time) {
-	if signal, ok := signals[outcome.End]; ok {
-		t.pool.health.Observe(now, t.settings.Name, signal, outcome.FirstToken)
-	}
-	switch outcome.End {
-	case admission.EndCompleted:
-		t.pool.estimator.Observe(now, outcome.FirstToken, outcome.Duration)
-		c.quarantine.Finished(fingerprint)
-		if t.pacer != nil {
-			t.pacer.Observe(now, outcome.FirstToken, perToken(outcome))
-		}
-	case admission.EndRefused:
-		c.tellRefused(t, now)
-	case admission.EndCut:
-		c.cut(t, fingerprint, now)
-	}
-}
-
-var signals = map[admission.End]target.Signal{
-	admission.EndCompleted:   target.Answered,
-	admission.EndUnreachable: target.Unreachable,
-	admission.EndRefused:     target.Refused,
-	admission.EndCut:         target.Cut,
-	admission.EndTimeout:     target.TimedOut,
-}
-
-// perToken returns the mean time between tokens.
-func perToken(o admission.Outcome) time.Duration {
-	if o.Tokens < 2 {
-		return 0
-	}
-	return (o.Duration - o.FirstToken) / time.Duration(o.Tokens-1)
-}
--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -67,6 +67,8 @@
 	// asked is the number of credits that the pending ask is for, and askedAt when it was sent.
 	asked   int
 	askedAt time.Time
+	// retryAt is when its owner may be asked again after a failure.
+	retryAt time.Time
 	// refused says that the target refused a request of this VM and the owner has not heard of it yet.
 	// What was heard from the owner is not told again, or two VMs would keep a target ejected for ever.
 	refused bool
--- a/internal/admission/controller/credits.go
+++ b/internal/admission/controller/credits.go
@@ -3,21 +3,12 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/netip"
 	"time"
 
-	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/target"
 )
 
-const (
-	// maxPlanned bounds the waiting requests for which one pass asks for credits.
-	maxPlanned = 64
-	// maxQueuedAsks bounds the asks of one pool that owners without a free slot hold.
-	maxQueuedAsks = 3
-)
-
 // askLocal renews the credits of a target that this VM owns, with no message.
 func (c *Controller) askLocal(t *targetState, waiting int, now time.Time) {
 	ask := t.holder.Ask(now, waiting)
@@ -77,7 +68,7 @@
 func (c *Controller) tellRefused(t *targetState, now time.Time) {
 	t.refused = t.ledger == nil
 	if t.refused && !t.holder.Asking() {
-		c.askFor(t, 0, now)
+		c.askFor(t, 0, false, now)
 	}
 }
 
@@ -127,6 +118,7 @@
 	latest := false
 	if err != nil || answers[i].NotOwner {
 		latest = t.holder.Failed(sequence)
+		t.retryAt = time.Now().Add(askPause)
 	} else {
 		latest = t.holder.Answered(sequence, answers[i].answer())
 	}
@@ -207,167 +199,3 @@
 func (c *Controller) hasSpareExchanges(now time.Time) bool {
 	return c.exchanges.TokensAt(now) > float64(c.exchanges.Burst())/2
 }
-
-// requestCredits asks owners for credits for the waiting requests of a pool: first where slots can
-// be had at once, and else where one is freed soonest.
-func (c *Controller) requestCredits(p *pool, now time.Time) {
-	c.askForLanes(p, now)
-	missing := min(p.queue.Len(), maxPlanned) - c.pendingAsks(p, now.Add(-c.config.AskPatience))
-	if missing <= 0 {
-		return
-	}
-	plan, unmet := c.planAsks(p, missing, now)
-	for i, count := range plan {
-		if count > 0 {
-			c.askFor(p.active[i], c.unmet(p.active[i])+count, now)
-		}
-	}
-	if unmet > 0 {
-		c.waitForCredits(p, unmet, now)
-	}
-}
-
-// askForLanes asks for a credit on each target where a suspect waits to run.
-func (c *Controller) askForLanes(p *pool, now time.Time) {
-	for _, t := range p.targets {
-		if t.holder.Suspect != 0 && !t.suspectRunning && t.holder.Free(now) == 0 {
-			c.askFor(t, 1, now)
-		}
-	}
-}
-
-// pendingAsks is the number of credits asked for of other VMs since a moment, and of this VM.
-func (c *Controller) pendingAsks(p *pool, since time.Time) int {
-	total := 0
-	for _, t := range p.active {
-		if t.ledger != nil {
-			total += t.ledger.Coming(c.config.VM)
-		}
-		if t.isWaiting() && t.askedAt.After(since) {
-			total += t.asked
-		}
-	}
-	return total
-}
-
-// planAsks chooses a target whose owner can grant a credit for each of the first waiting requests.
-func (c *Controller) planAsks(p *pool, missing int, now time.Time) (plan []int, unmet int) {
-	candidates := c.candidates(p, now)
-	for i, t := range p.active {
-		candidates[i].Free = 0
-		if !t.isWaiting() {
-			candidates[i].Free = min(t.obtainable(now), t.shareLeft(candidates[i].Share))
-		}
-	}
-	plan = make([]int, len(candidates))
-	for _, item := range p.queue.Head(missing) {
-		i, ok := c.chooser.Pick(item.Value.(*waiter).query(), candidates, rand.IntN)
-		if !ok {
-			unmet++
-			continue
-		}
-		plan[i]++
-		candidates[i].Free--
-		candidates[i].InUse++
-	}
-	return plan, unmet
-}
-
-// askFor asks a target's owner for credits unless an ask is under way.
-func (c *Controller) askFor(t *targetState, count int, now time.Time) {
-	switch {
-	case !t.owned || t.isWaiting():
-	case t.ledger != nil:
-		c.askLocal(t, count, now)
-	default:
-		c.askRemote(t, count, false, now)
-	}
-}
-
-// waitForCredits leaves asks with owners that have no free slot, and looks further afield.
-func (c *Controller) waitForCredits(p *pool, unmet int, now time.Time) {
-	c.widen(p, now)
-	queued := 0
-	for _, t := range p.active {
-		if t.isWaiting() {
-			queued++
-		}
-	}
-	for _, i := range rand.Perm(len(p.active)) {
-		t := p.active[i]
-		if t.isWaiting() || p.health.Share(now, t.settings.Name) == 0 {
-			continue
-		}
-		if t.ledger != nil {
-			c.askLocal(t, max(unmet, c.unmet(t)), now)
-			continue
-		}
-		if queued < maxQueuedAsks {
-			c.askRemote(t, unmet, true, now)
-			queued++
-		}
-	}
-}
-
-// handleCredits answers the asks of another entry.
-func (c *Controller) handleCredits(ctx context.Context, from peer.Identity, decode func(any) error) (any, error) {
-	var message CreditsAsk
-	if err := decode(&message); err != nil {
-		return nil, &peer.RemoteError{Code: "invalid_message", Message: err.Error()}
-	}
-	c.exchanges.Allow()
-	answer := CreditsAnswer{Targets: make([]TargetAnswer, len(message.Targets))}
-	deadline := time.NewTimer(c.config.AskWait)
-	defer deadline.Stop()
-	for {
-		changed := c.answerAsks(from.VM, message, answer.Targets)
-		if changed == nil {
-			return answer, nil
-		}
-		select {
-		case <-changed:
-		case <-deadline.C:
-			return answer, nil
-		case <-ctx.Done():
-			return answer, nil
-		}
-	}
-}
-
-// answerAsks fills in the answers. When it is better to look again before sending them, it returns
-// a channel that is closed at the next change.
-func (c *Controller) answerAsks(holder string, message CreditsAsk, answers []TargetAnswer) (changed <-chan struct{}) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	for i, ask := range message.Targets {
-		t := c.targets[ask.Target]
-		if t == nil || t.ledger == nil {
-			answers[i] = TargetAnswer{NotOwner: true}
-			continue
-		}
-		answer, revoke := t.ledger.Request(now, ask.ask(holder, message.Session))
-		c.revoke(revoke)
-		if ask.Refused {
-			t.pool.health.Observe(now, ask.Target, target.Refused, 0)
-		}
-		if ask.Want <= ask.Held {
-			// Credits may have been returned that others wait for.
-			t.notify()
-			c.fillBatch(now)
-		}
-		answers[i] = newTargetAnswer(t.pool.health.Refuses(ask.Target), answer)
-		if isShort(ask, answer) && (message.Hold || t.ledger.Coming(holder) > 0) {
-			changed = t.changed
-		}
-	}
-	return changed
-}
-
-// isShort reports whether an ask got nothing of what it wants.
-func isShort(ask TargetAsk, answer target.Answer) bool {
-	if answer.Stale {
-		return false
-	}
-	return answer.Granted <= ask.Held && ask.Want > ask.Held
-}
--- a/internal/admission/controller/fleet_test.go
+++ b/internal/admission/controller/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"net/netip"
 	"slices"
@@ -17,7 +16,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
-	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/member"
@@ -45,11 +43,15 @@
 
 type node struct {
 	*Controller
-	fleet   *fleet
-	vm      string
-	calls   map[peer.Method]peer.CallHandler
-	streams map[peer.Method]peer.StreamHandler
-	sent    int
+	fleet *fleet
+	vm    string
+	// identity is the VM's entry in the members.
+	identity member.Member
+	calls    map[peer.Method]peer.CallHandler
+	streams  map[peer.Method]peer.StreamHandler
+	sent     int
+	ctx      context.Context
+	stop     context.CancelFunc
 }
 
 // runFleet runs a test on a fleet of VMs, one per availability zone, in virtual time.
@@ -94,10 +96,11 @@
 
 func (f *fleet) start(m member.Member) *node {
 	n := &node{
-		fleet:   f,
-		vm:      m.VM,
-		calls:   make(map[peer.Method]peer.CallHandler),
-		streams: make(map[peer.Method]peer.StreamHandler),
+		fleet:    f,
+		vm:       m.VM,
+		identity: m,
+		calls:    make(map[peer.Method]peer.CallHandler),
+		streams:  make(map[peer.Method]peer.StreamHandler),
 	}
 	n.Controller = New(Config{
 		VM:               m.VM,
@@ -109,11 +112,41 @@
 		VMs:              f,
 	})
 	n.Register(n)
+	n.ctx, n.stop = context.WithCancel(f.ctx)
+	f.mu.Lock()
 	f.nodes[m.VM] = n
-	n.Start(f.ctx)
+	f.mu.Unlock()
+	n.Start(n.ctx)
 	return n
 }
 
+// restart replaces a VM's process by a new one.
+func (f *fleet) restart(vm string) {
+	old := f.node(vm)
+	old.stop()
+	f.start(old.identity)
+}
+
+func (f *fleet) node(vm string) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[vm]
+}
+
+// setCut makes a VM unreachable or reachable.
+func (f *fleet) setCut(vm string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[vm] = cut
+}
+
+// setMembers replaces what all VMs know of the members.
+func (f *fleet) setMembers(members []member.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = members
+}
+
 // engine returns the settings of a model engine.
 func engine(name, zone string, slots int) *settings.Target {
 	return &settings.Target{Name: name, Address: "127.0.0.1:9101", AvailabilityZone: zone, Model: "m", Slots: slots}
@@ -271,125 +304,6 @@
 	}
 }
 
-// batchWorker is a batch process that holds every slot it is granted until it is revoked.
-type batchWorker struct {
-	mu       sync.Mutex
-	held     map[uint64]batchslots.Granted
-	granted  int
-	revoked  int
-	incoming chan batchslots.ToEntry
-	ctx      context.Context
-	stop     context.CancelFunc
-	on       map[string]int
-	// quarantined are the fingerprints that the entry announced.
-	quarantined []uint64
-}
-
-// cancelTime is how long a batch process takes to cancel a stream.
-const cancelTime = 2 * time.Millisecond
-
-func (n *node) startBatch(wants int) *batchWorker {
-	w := &batchWorker{
-		held:     make(map[uint64]batchslots.Granted),
-		incoming: make(chan batchslots.ToEntry, 4096),
-		on:       make(map[string]int),
-	}
-	w.ctx, w.stop = context.WithCancel(n.fleet.ctx)
-	context.AfterFunc(w.ctx, w.stop)
-	go func() { _ = n.streams[batchslots.Method](w.ctx, peer.Identity{VM: n.vm}, w) }()
-	w.demand(batchslots.Want{Model: "m", Slots: wants})
-	return w
-}
-
-func (w *batchWorker) demand(want batchslots.Want) {
-	w.incoming <- batchslots.ToEntry{Demand: &batchslots.Demand{Wants: []batchslots.Want{want}}}
-}
-
-func (w *batchWorker) Send(message any) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	m := message.(batchslots.ToBatch)
-	switch {
-	case m.Granted != nil:
-		w.granted++
-		w.on[m.Granted.Target]++
-		w.held[m.Granted.Slot] = *m.Granted
-	case m.Revoked != nil:
-		w.revoked++
-		time.AfterFunc(cancelTime, func() { w.release(m.Revoked.Slot, admission.Outcome{}) })
-	case m.Quarantined != nil:
-		w.quarantined = append(w.quarantined, m.Quarantined.Fingerprints...)
-	}
-	return nil
-}
-
-// release ends the item in a slot. Its fingerprint is the slot's suspect, or else the slot's number.
-func (w *batchWorker) release(slot uint64, outcome admission.Outcome) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	held, ok := w.held[slot]
-	if !ok || w.ctx.Err() != nil {
-		return
-	}
-	delete(w.held, slot)
-	fingerprint := held.Suspect
-	if fingerprint == 0 {
-		fingerprint = slot
-	}
-	w.incoming <- batchslots.ToEntry{Released: &batchslots.Released{Slot: slot, Outcome: outcome, Fingerprint: fingerprint}}
-}
-
-// grantedOn counts the slots that were ever granted on a target.
-func (w *batchWorker) grantedOn(target string) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.on[target]
-}
-
-// suspects returns the slots that are for suspect items.
-func (w *batchWorker) suspects() []uint64 {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var slots []uint64
-	for id, held := range w.held {
-		if held.Suspect != 0 {
-			slots = append(slots, id)
-		}
-	}
-	return slots
-}
-
-// runningOn counts the items on one target.
-func (w *batchWorker) runningOn(target string) int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n := 0
-	for _, held := range w.held {
-		if held.Target == target {
-			n++
-		}
-	}
-	return n
-}
-
-func (w *batchWorker) Receive(into any) error {
-	select {
-	case message := <-w.incoming:
-		*into.(*batchslots.ToEntry) = message
-		return nil
-	case <-w.ctx.Done():
-		return io.EOF
-	}
-}
-
-func (w *batchWorker) Close() error { return nil }
-
-func (w *batchWorker) running() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.held)
-}
-
 // ownerOf returns the node that owns a target.
 func (f *fleet) ownerOf(name string) *node {
 	for _, n := range f.nodes {
--- a/internal/admission/controller/layout.go
+++ b/internal/admission/controller/layout.go
@@ -173,7 +173,7 @@
 func (c *Controller) setOwner(t *targetState, owner member.Member, ok bool, now time.Time) {
 	if t.owned != ok || t.owner.Owner.VM != owner.VM {
 		t.holder.Reset()
-		t.asked = 0
+		t.asked, t.retryAt = 0, time.Time{}
 	}
 	t.owned = ok
 	t.owner = target.Owned{Name: t.settings.Name, Serves: t.pool.serves, Owner: owner}
--- a/internal/admission/controller/overload_test.go
+++ b/internal/admission/controller/overload_test.go
@@ -127,3 +127,28 @@
 		})
 	})
 }
+
+func TestABurstThatBatchWorkMakesRoomForIsNotRefused(t *testing.T) {
+	runFleet(t, 3, engines(2, 8), func(f *fleet) {
+		time.Sleep(4 * time.Second)
+		for _, n := range f.nodes {
+			n.startBatch(100)
+			// Every VM knows that requests last long.
+			grant, err := n.acquire("a", time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			grant.Release(admission.Outcome{End: admission.EndCompleted, Duration: time.Minute})
+		}
+		time.Sleep(5 * time.Second)
+		var requests sync.WaitGroup
+		for range 16 {
+			requests.Go(func() {
+				if _, err := f.nodes["vm-1"].acquire("a", time.Second); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		requests.Wait()
+	})
+}
--- /dev/null
+++ b/internal/admission/controller/place.go
@@ -0,0 +1,128 @@
+package controller
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/dispatch"
+	"github.com/rosemarydyke/rosemarydyke/internal/admission"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
+)
+
+// pump places as many waiting requests as credits allow, and asks for credits for the rest.
+func (c *Controller) pump(p *pool, now time.Time) {
+	c.refuseWaitingQuarantined(p)
+	if p.queue.Len() > 0 {
+		c.collect(p, now)
+	}
+	c.placeWaiting(p, now)
+	if p.queue.Len() == 0 {
+		c.dropWants(p, now)
+		return
+	}
+	c.requestCredits(p, now)
+	// Asks to this VM's own ledgers are answered at once.
+	c.placeWaiting(p, now)
+}
+
+func (c *Controller) placeWaiting(p *pool, now time.Time) {
+	for p.queue.Len() > 0 {
+		candidates := c.candidates(p, now)
+		if !anyFree(candidates) {
+			return
+		}
+		var chosen *targetState
+		item := p.queue.Next(func(item *dispatch.Item) bool {
+			chosen = c.place(item.Value.(*waiter), candidates, now)
+			return chosen != nil
+		})
+		if item == nil {
+			return
+		}
+		c.grant(item.Value.(*waiter), chosen, now)
+	}
+}
+
+// candidate is a target as the choice sees it.
+func (c *Controller) candidate(t *targetState, now time.Time) dispatch.Candidate {
+	share := t.pool.health.Share(now, t.settings.Name)
+	return dispatch.Candidate{
+		Name:    t.settings.Name,
+		Local:   t.settings.AvailabilityZone == c.config.AvailabilityZone,
+		Healthy: share > 0,
+		Share:   share,
+		Free:    min(t.holder.Free(now), t.shareLeft(share)),
+		InUse:   t.holder.InUse(),
+		Slots:   t.settings.Slots,
+	}
+}
+
+// shareLeft is the number of further requests that the target's share allows, at least one in all.
+func (t *targetState) shareLeft(share float64) int {
+	allowed := max(1, int(share*float64(t.settings.Slots)))
+	return max(0, allowed-t.holder.InUse())
+}
+
+// candidates describes the active targets of a pool, in their order.
+func (c *Controller) candidates(p *pool, now time.Time) []dispatch.Candidate {
+	candidates := make([]dispatch.Candidate, len(p.active))
+	for i, t := range p.active {
+		candidates[i] = c.candidate(t, now)
+	}
+	return candidates
+}
+
+func anyFree(candidates []dispatch.Candidate) bool {
+	for _, candidate := range candidates {
+		if candidate.Healthy && candidate.Free > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// place returns the target that a request can be sent to now, or nil.
+func (c *Controller) place(w *waiter, candidates []dispatch.Candidate, now time.Time) *targetState {
+	if c.quarantine.Status(w.request.Fingerprint) == quarantine.Suspect {
+		return c.placeSuspect(w, now)
+	}
+	i, ok := c.chooser.Pick(w.query(), candidates, rand.IntN)
+	if !ok {
+		return nil
+	}
+	return w.pool.active[i]
+}
+
+// query is what the choice of a target needs to know.
+func (w *waiter) query() dispatch.Query {
+	return dispatch.Query{Tried: w.request.Tried, PrefixBlocks: w.request.PrefixBlocks}
+}
+
+func (c *Controller) grant(w *waiter, t *targetState, now time.Time) {
+	t.holder.Take(now)
+	suspect := w.lane == t
+	if suspect {
+		t.suspectRunning = true
+	}
+	c.prefixes.Store(t.settings.Name, w.request.PrefixBlocks...)
+	waited := max(0, now.Sub(w.item.Enqueued))
+	var once sync.Once
+	grant := &admission.Grant{Target: t.settings, Waited: waited, Reason: w.reason(t, waited)}
+	grant.Release = func(outcome admission.Outcome) {
+		once.Do(func() { c.release(w, t, suspect, outcome) })
+	}
+	w.granted <- admitted{grant: grant}
+}
+
+func (w *waiter) reason(t *targetState, waited time.Duration) string {
+	text := "a slot was free at once"
+	if waited > 0 {
+		text = fmt.Sprintf("waited %s for a slot behind %d requests", waited.Round(time.Microsecond), w.position)
+	}
+	if w.lane == t {
+		return text + fmt.Sprintf("; runs on %s apart from other suspects, because a target broke off while running it", t.settings.Name)
+	}
+	return text + fmt.Sprintf("; %s was the best of the targets with a free slot by cached prefix, load and availability zone", t.settings.Name)
+}
--- /dev/null
+++ b/internal/admission/controller/plan.go
@@ -0,0 +1,149 @@
+package controller
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
+)
+
+const (
+	// maxPlanned bounds the waiting requests for which one pass asks for credits.
+	maxPlanned = 64
+	// maxHeldAsks bounds the asks of one pool that owners without a free slot hold.
+	maxHeldAsks = 3
+	// askPause separates asks to an owner that does not answer or does not own the target.
+	askPause = 250 * time.Millisecond
+)
+
+// requestCredits asks owners for credits for the waiting requests of a pool: first where slots can
+// be had at once, and else where one is freed soonest.
+func (c *Controller) requestCredits(p *pool, now time.Time) {
+	c.askForLanes(p, now)
+	missing := min(p.queue.Len(), maxPlanned) - c.pendingAsks(p, now.Add(-c.config.AskPatience))
+	if missing <= 0 {
+		return
+	}
+	plan := c.planAsks(p, missing, now)
+	for i, count := range plan.counts {
+		if count > 0 {
+			c.askFor(p.active[i], c.unmet(p.active[i])+count, false, now)
+		}
+	}
+	if len(plan.unmet) > 0 {
+		c.waitForCredits(p, plan.unmet, now)
+	}
+}
+
+// askPlan says how many credits to ask for.
+type askPlan struct {
+	// counts holds a number for each active target of the pool.
+	counts []int
+	// unmet are the requests for which no target is known to have a slot.
+	unmet []*waiter
+}
+
+// askForLanes asks for a credit on each target where a suspect waits to run.
+func (c *Controller) askForLanes(p *pool, now time.Time) {
+	for _, t := range p.targets {
+		if t.holder.Suspect != 0 && !t.suspectRunning && t.holder.Free(now) == 0 {
+			c.askFor(t, 1, true, now)
+		}
+	}
+}
+
+// pendingAsks is the number of credits asked for of other VMs since a moment, and of this VM.
+func (c *Controller) pendingAsks(p *pool, since time.Time) int {
+	total := 0
+	for _, t := range p.active {
+		if t.ledger != nil {
+			total += t.ledger.Coming(c.config.VM)
+		}
+		if t.isWaiting() && t.askedAt.After(since) {
+			total += t.asked
+		}
+	}
+	return total
+}
+
+// planAsks chooses a target whose owner can grant a credit for each of the first waiting requests.
+// Suspects have asks of their own, see askForLanes.
+func (c *Controller) planAsks(p *pool, missing int, now time.Time) askPlan {
+	candidates := c.candidates(p, now)
+	for i, t := range p.active {
+		candidates[i].Free = 0
+		if t.mayAsk(now) {
+			candidates[i].Free = min(t.worthAsking(now), t.shareLeft(candidates[i].Share))
+		}
+	}
+	plan := askPlan{counts: make([]int, len(candidates))}
+	for _, item := range p.queue.Head(missing) {
+		w := item.Value.(*waiter)
+		if c.quarantine.Status(w.request.Fingerprint) == quarantine.Suspect {
+			continue
+		}
+		i, ok := c.chooser.Pick(w.query(), candidates, rand.IntN)
+		if !ok {
+			plan.unmet = append(plan.unmet, w)
+			continue
+		}
+		plan.counts[i]++
+		candidates[i].Free--
+		candidates[i].InUse++
+	}
+	return plan
+}
+
+// mayAsk reports whether an ask can be sent to the target's owner now.
+func (t *targetState) mayAsk(now time.Time) bool {
+	return t.owned && !t.isWaiting() && !now.Before(t.retryAt)
+}
+
+// askFor asks a target's owner for credits unless an ask is under way.
+func (c *Controller) askFor(t *targetState, count int, hold bool, now time.Time) {
+	switch {
+	case !t.mayAsk(now):
+	case t.ledger != nil:
+		c.askLocal(t, count, now)
+	default:
+		c.askRemote(t, count, hold, now)
+	}
+}
+
+// waitForCredits leaves asks with owners that have no free slot, and looks further afield.
+func (c *Controller) waitForCredits(p *pool, unmet []*waiter, now time.Time) {
+	c.widen(p, now)
+	held := 0
+	for _, t := range p.active {
+		if t.isWaiting() {
+			held++
+		}
+	}
+	for _, i := range rand.Perm(len(p.active)) {
+		t := p.active[i]
+		count := countFitting(unmet, t)
+		if count == 0 || !t.mayAsk(now) || p.health.Share(now, t.settings.Name) == 0 {
+			continue
+		}
+		if t.ledger != nil {
+			c.askLocal(t, max(count, c.unmet(t)), now)
+			continue
+		}
+		if held < maxHeldAsks {
+			c.askRemote(t, count, true, now)
+			held++
+		}
+	}
+}
+
+// countFitting counts the requests that have not been sent to the target before.
+func countFitting(waiters []*waiter, t *targetState) int {
+	n := 0
+	for _, w := range waiters {
+		if !slices.Contains(w.request.Tried, t.settings.Name) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/admission/controller/suspects.go
+++ b/internal/admission/controller/suspects.go
@@ -55,7 +55,7 @@
 	if lane.holder.Suspect == 0 {
 		lane.holder.Suspect = w.request.Fingerprint
 		w.lane = lane
-		c.askFor(lane, 1, now)
+		c.askFor(lane, 1, true, now)
 	}
 	if w.lane != lane || lane.suspectRunning || !lane.holder.MaySuspect(now, w.request.Fingerprint) {
 		return nil
--- a/target/holder.go
+++ b/target/holder.go
@@ -16,6 +16,7 @@
 	sequence uint64
 	pending  uint64
 	sentAt   time.Time
+	answered time.Time
 	peak     int
 	oldPeak  int
 	peakAt   time.Time
@@ -51,6 +52,9 @@
 // Limit returns the number of credits held.
 func (h *Holder) Limit() int { return h.limit }
 
+// HintAge returns how old the owner's last answer is.
+func (h *Holder) HintAge(now time.Time) time.Duration { return now.Sub(h.answered) }
+
 // Asking reports whether an ask has not been answered yet.
 func (h *Holder) Asking() bool { return h.pending != 0 }
 
@@ -130,6 +134,7 @@
 	}
 	h.limit = answer.Granted
 	h.expires = h.sentAt.Add(answer.TTL)
+	h.answered = h.sentAt
 	h.Obtainable = answer.Obtainable
 	h.Scarce = answer.Scarce
 	h.share = answer.Share
--- a/target/ledger.go
+++ b/target/ledger.go
@@ -133,7 +133,7 @@
 	return Answer{
 		Granted:    g.credits,
 		TTL:        l.config.TTL,
-		Obtainable: max(0, l.slots-l.credits()-l.shortage()),
+		Obtainable: l.Obtainable(),
 		Scarce:     l.shortage() > 0,
 		Share:      share,
 		Suspect:    g.suspect,
@@ -184,6 +184,10 @@
 	return fairShares(l.slots, demands)[vm]
 }
 
+// Obtainable returns the number of credits that could be granted at once or when batch work has given
+// up slots, beyond those that are wanted already.
+func (l *Ledger) Obtainable() int { return max(0, l.slots-l.credits()-l.shortage()) }
+
 // Unmet returns the number of credits that a holder wants and does not have.
 func (l *Ledger) Unmet(vm string) int {
 	g := l.holders[vm]
