Batch: jobs, files and batches interface, runner (thin)

Cause: batch jobs need a path from upload to results. Change: pure packages job and lease; jobstore keeps jobs in the table and object store; batchapi serves OpenAI's files and batches; runner takes chunks by epoch, runs items in granted slots and commits segments. Conclusion: two runners finish a job of 2,000 items with each item once, in a test with simulated time.

--- /dev/null
+++ b/internal/batchapi/batchapi.go
@@ -0,0 +1,72 @@
+// Package batchapi serves the files and batches of the callers' interface, in OpenAI's shapes.
+// The handler expects an authenticated client in the request's context, see package clientctx.
+package batchapi
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/clientctx"
+	"github.com/rosemarydyke/rosemarydyke/internal/jobstore"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/job"
+	"github.com/rosemarydyke/rosemarydyke/settings"
+	"github.com/rosemarydyke/rosemarydyke/verdict"
+)
+
+// Config is what the handler needs.
+type Config struct {
+	// Table and Objects keep the jobs.
+	Table   platform.Table
+	Objects platform.Objects
+	// Settings gives the models that batch lines may name.
+	Settings settings.Source
+	// MaxFileBytes is the largest upload, in bytes. Default job.MaxInputBytes.
+	MaxFileBytes int64
+	// OnCancel is told of each cancelled job, so that runners hear of it before they next ask the table. Optional.
+	OnCancel func(ctx context.Context, id string)
+	// Log takes failures that the client cannot mend.
+	Log zerolog.Logger
+}
+
+type api struct {
+	config Config
+	store  *jobstore.Store
+}
+
+// New returns the handler of /v1/files and /v1/batches.
+func New(config Config) http.Handler {
+	if config.MaxFileBytes == 0 {
+		config.MaxFileBytes = job.MaxInputBytes
+	}
+	if config.OnCancel == nil {
+		config.OnCancel = func(context.Context, string) {}
+	}
+	a := &api{config: config, store: jobstore.New(config.Table, config.Objects)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/files", a.withClient(a.createFile))
+	mux.HandleFunc("GET /v1/files/{id}", a.withClient(a.getFile))
+	mux.HandleFunc("GET /v1/files/{id}/content", a.withClient(a.getContent))
+	mux.HandleFunc("POST /v1/batches", a.withClient(a.createBatch))
+	mux.HandleFunc("GET /v1/batches", a.withClient(a.listBatches))
+	mux.HandleFunc("GET /v1/batches/{id}", a.withClient(a.getBatch))
+	mux.HandleFunc("POST /v1/batches/{id}/cancel", a.withClient(a.cancelBatch))
+	return mux
+}
+
+type clientHandler func(w http.ResponseWriter, r *http.Request, client *settings.Client) error
+
+func (a *api) withClient(handle clientHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		client, ok := clientctx.From(r.Context())
+		if !ok {
+			a.writeError(w, r, &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeUnauthorized, Message: "no API key was given"})
+			return
+		}
+		if err := handle(w, r, client); err != nil {
+			a.writeError(w, r, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobstore/jobs.go
@@ -0,0 +1,220 @@
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/job"
+)
+
+// Spec describes a job to create.
+type Spec struct {
+	Client           string
+	Endpoint         string
+	CompletionWindow time.Duration
+	InputFile        string
+	Metadata         map[string]string
+	// IdempotencyKey and the client name the job, so that a resend finds it.
+	IdempotencyKey string
+	// Identity is the digest of what the client asked for.
+	Identity string
+	Chunks   []*job.Chunk
+	Items    int
+}
+
+// Record is a job with its progress.
+type Record struct {
+	Job      job.Job
+	Progress job.Progress
+	version  uint64
+	progress uint64
+}
+
+// Status returns the state of the job.
+func (r *Record) Status() job.Status { return job.StatusOf(&r.Job, &r.Progress) }
+
+type identity struct {
+	Job    string `cbor:"1,keyasint"`
+	Digest string `cbor:"2,keyasint"`
+}
+
+// Find returns the job that a client's idempotency key names, or ErrNotFound. It fails with
+// ErrIdentityMismatch if the key was used for another request.
+func (s *Store) Find(ctx context.Context, client, idempotencyKey, digest string) (*Record, error) {
+	rows, err := s.table.Get(ctx, identityKey(client, idempotencyKey))
+	if err != nil {
+		return nil, err
+	}
+	if rows[0].Version == 0 {
+		return nil, ErrNotFound
+	}
+	var id identity
+	if err := decode(rows[0], &id); err != nil {
+		return nil, err
+	}
+	if id.Digest != digest {
+		return nil, ErrIdentityMismatch
+	}
+	return s.GetAny(ctx, id.Job)
+}
+
+// Create commits a job and all its chunks in one transaction, or returns the job that the same
+// request created before.
+func (s *Store) Create(ctx context.Context, spec Spec) (*Record, error) {
+	j := &job.Job{
+		ID:               "batch_" + s.newID(),
+		Client:           spec.Client,
+		Endpoint:         spec.Endpoint,
+		CompletionWindow: spec.CompletionWindow,
+		InputFile:        spec.InputFile,
+		Metadata:         spec.Metadata,
+		Identity:         spec.Identity,
+		Items:            spec.Items,
+		Chunks:           len(spec.Chunks),
+		CreatedAt:        s.now(),
+	}
+	key := identityKey(spec.Client, spec.IdempotencyKey)
+	version, err := s.commit(ctx, createTxn(j, spec, key), key, func(row platform.Row) bool {
+		var id identity
+		return row.Version != 0 && decode(row, &id) == nil && id.Job == j.ID
+	})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return s.Find(ctx, spec.Client, spec.IdempotencyKey, spec.Identity)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &Record{Job: *j, version: version, progress: version}, nil
+}
+
+func createTxn(j *job.Job, spec Spec, key string) platform.Txn {
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: key}},
+		Writes: []platform.Write{
+			{Key: key, Value: mustEncode(identity{Job: j.ID, Digest: spec.Identity})},
+			{Key: jobKey(j.ID), Value: mustEncode(j)},
+			{Key: progressKey(j.ID), Value: mustEncode(job.Progress{})},
+			{Key: clientJobKey(j.Client, j.ID, j.CreatedAt), Value: []byte(j.ID)},
+		},
+	}
+	for _, chunk := range spec.Chunks {
+		row := *chunk
+		row.Job = j.ID
+		txn.Writes = append(txn.Writes, platform.Write{Key: workKey(j, row.Number), Value: mustEncode(&row)})
+	}
+	return txn
+}
+
+// Get returns a client's job.
+func (s *Store) Get(ctx context.Context, client, id string) (*Record, error) {
+	record, err := s.GetAny(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if record.Job.Client != client {
+		return nil, ErrNotFound
+	}
+	return record, nil
+}
+
+// GetAny returns a job of any client. It costs one read of two rows.
+func (s *Store) GetAny(ctx context.Context, id string) (*Record, error) {
+	rows, err := s.table.Get(ctx, jobKey(id), progressKey(id))
+	if err != nil {
+		return nil, err
+	}
+	return decodeRecord(rows[0], rows[1])
+}
+
+func decodeRecord(jobRow, progressRow platform.Row) (*Record, error) {
+	if jobRow.Version == 0 {
+		return nil, ErrNotFound
+	}
+	record := &Record{version: jobRow.Version, progress: progressRow.Version}
+	if err := decode(jobRow, &record.Job); err != nil {
+		return nil, err
+	}
+	if err := decode(progressRow, &record.Progress); err != nil {
+		return nil, err
+	}
+	return record, nil
+}
+
+// List returns up to limit jobs of a client, the newest first, that were created before the job after.
+// An empty after starts with the newest. It costs two reads.
+func (s *Store) List(ctx context.Context, client, after string, limit int) ([]*Record, error) {
+	start := ""
+	if after != "" {
+		record, err := s.Get(ctx, client, after)
+		if err != nil {
+			return nil, err
+		}
+		start = clientJobKey(client, after, record.Job.CreatedAt)
+	}
+	index, err := s.table.Scan(ctx, clientJobsPrefix(client), start, limit)
+	if err != nil || len(index) == 0 {
+		return nil, err
+	}
+	ids := make([]string, len(index))
+	for i, row := range index {
+		ids[i] = string(row.Value)
+	}
+	return s.GetMany(ctx, ids)
+}
+
+// Cancel cancels a job. Once it returns, no result of an item that had not finished can be
+// committed. A job that is cancelled or finished already is returned as it is.
+func (s *Store) Cancel(ctx context.Context, id string) (*Record, error) {
+	for {
+		record, err := s.GetAny(ctx, id)
+		if err != nil || record.Job.IsCancelled() || !record.Progress.FinishedAt.IsZero() {
+			return record, err
+		}
+		record.Job.CancelledAt = s.now()
+		key := jobKey(id)
+		txn := platform.Txn{
+			// The progress row is required unchanged so that a job which finishes meanwhile is not called cancelled.
+			Conditions: []platform.Condition{{Key: key, Version: record.version}, {Key: progressKey(id), Version: record.progress}},
+			Writes:     []platform.Write{{Key: key, Value: mustEncode(&record.Job)}},
+		}
+		record.version, err = s.commit(ctx, txn, key, func(row platform.Row) bool {
+			var j job.Job
+			return decode(row, &j) == nil && j.IsCancelled()
+		})
+		var conflict *platform.ConflictError
+		if errors.As(err, &conflict) {
+			continue
+		}
+		return record, err
+	}
+}
+
+// GetMany returns the jobs of ids that exist. It costs one read of two rows for each job.
+func (s *Store) GetMany(ctx context.Context, ids []string) ([]*Record, error) {
+	if len(ids) == 0 {
+		return nil, nil
+	}
+	keys := make([]string, 0, 2*len(ids))
+	for _, id := range ids {
+		keys = append(keys, jobKey(id), progressKey(id))
+	}
+	rows, err := s.table.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	var records []*Record
+	for i := 0; i < len(rows); i += 2 {
+		record, err := decodeRecord(rows[i], rows[i+1])
+		if errors.Is(err, ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
--- /dev/null
+++ b/internal/jobstore/objects.go
@@ -0,0 +1,51 @@
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
+)
+
+// Waits between tries of an operation on the object store.
+const (
+	objectRetryDelay    = 100 * time.Millisecond
+	objectMaxRetryDelay = 5 * time.Second
+)
+
+func retryDelays() *backoff.ExponentialBackOff {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval = objectRetryDelay
+	delays.MaxInterval = objectMaxRetryDelay
+	return delays
+}
+
+func isTemporary(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrOutcomeUnknown)
+}
+
+func permanentUnlessTemporary(err error) error {
+	if err != nil && !isTemporary(err) {
+		return backoff.Permanent(err)
+	}
+	return err
+}
+
+// putObject stores an object, trying until ctx ends. Objects are immutable, so a repeated put is harmless.
+func (s *Store) putObject(ctx context.Context, name string, content []byte) error {
+	_, err := backoff.Retry(ctx, func() (struct{}, error) {
+		return struct{}{}, permanentUnlessTemporary(s.objects.Put(ctx, name, content))
+	}, backoff.WithBackOff(retryDelays()), backoff.WithMaxElapsedTime(0))
+	return err
+}
+
+func (s *Store) openObject(ctx context.Context, name string, offset, length int64) (io.ReadCloser, error) {
+	return backoff.Retry(ctx, func() (io.ReadCloser, error) {
+		object, err := s.objects.Get(ctx, name, offset, length)
+		return object, permanentUnlessTemporary(err)
+	}, backoff.WithBackOff(retryDelays()), backoff.WithMaxElapsedTime(0))
+}
--- /dev/null
+++ b/internal/jobstore/store.go
@@ -0,0 +1,117 @@
+// Package jobstore keeps batch jobs in the platform's table and object store.
+//
+// Rows: one per job, which only a cancel changes; one per job that counts closed chunks; one per
+// open chunk, which is also the index of open work; one per closed chunk, which together are the
+// manifest of the job's output; one per runner, which is its lease.
+package jobstore
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/oklog/ulid/v2"
+	"github.com/samber/oops"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
+)
+
+var (
+	// ErrNotFound means that the job or file does not exist, or belongs to another client.
+	ErrNotFound = errors.New("jobstore: not found")
+	// ErrFenced means that the chunk was taken over by another runner, or closed.
+	ErrFenced = errors.New("jobstore: chunk is held by another runner")
+	// ErrCancelled means that the job was cancelled.
+	ErrCancelled = errors.New("jobstore: job is cancelled")
+	// ErrIdentityMismatch means that the idempotency key was used for another request.
+	ErrIdentityMismatch = errors.New("jobstore: idempotency key belongs to another request")
+)
+
+// Store reads and writes batch jobs. It is safe for concurrent use.
+type Store struct {
+	table   platform.Table
+	objects platform.Objects
+	now     func() time.Time
+	newID   func() string
+}
+
+// New returns a store on the platform's table and object store.
+func New(table platform.Table, objects platform.Objects) *Store {
+	return &Store{
+		table:   table,
+		objects: objects,
+		now:     time.Now,
+		newID:   func() string { return ulid.Make().String() },
+	}
+}
+
+// commit applies txn, whatever happens to replies. It returns the version of the rows written.
+// The row of key must be among the conditions; isOurs reports whether its present row shows that txn took effect.
+func (s *Store) commit(ctx context.Context, txn platform.Txn, key string, isOurs func(platform.Row) bool) (uint64, error) {
+	recorder := &versionRecorder{Table: s.table, key: key}
+	err := platform.CommitSettled(ctx, recorder, txn, func(rows []platform.Row) bool {
+		for _, row := range rows {
+			if row.Key == key {
+				return isOurs(row)
+			}
+		}
+		return false
+	})
+	return recorder.version, err
+}
+
+// versionRecorder remembers the version that a row received by a commit, or had when it was read back.
+type versionRecorder struct {
+	platform.Table
+	key     string
+	version uint64
+}
+
+// Commit implements platform.Table.
+func (r *versionRecorder) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	version, err := r.Table.Commit(ctx, txn)
+	if err == nil {
+		r.version = version
+	}
+	return version, err
+}
+
+// Get implements platform.Table.
+func (r *versionRecorder) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	rows, err := r.Table.Get(ctx, keys...)
+	for _, row := range rows {
+		if row.Key == r.key {
+			r.version = row.Version
+		}
+	}
+	return rows, err
+}
+
+// rowEncoding keeps the fractions of seconds in times, which order jobs in lists.
+var rowEncoding = newRowEncoding()
+
+func newRowEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
+	if err != nil {
+		// The options are constants.
+		panic(err)
+	}
+	return mode
+}
+
+func mustEncode(value any) []byte {
+	content, err := rowEncoding.Marshal(value)
+	if err != nil {
+		// The row types hold nothing that CBOR cannot express.
+		panic(err)
+	}
+	return content
+}
+
+func decode(row platform.Row, out any) error {
+	if err := cbor.Unmarshal(row.Value, out); err != nil {
+		return oops.In("jobstore").With("key", row.Key).Wrapf(err, "decode row")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/runner/explain.go
@@ -0,0 +1,98 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/explain"
+	"github.com/rosemarydyke/rosemarydyke/internal/jobstore"
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+)
+
+// eventsPerItem bounds what is remembered of one item.
+const eventsPerItem = 16
+
+// itemLog remembers the last events of the items of a chunk.
+type itemLog struct {
+	events map[int][]explain.Event
+}
+
+func newItemLog() *itemLog { return &itemLog{events: map[int][]explain.Event{}} }
+
+func (l *itemLog) add(index int, text string) {
+	events := append(l.events[index], explain.Event{At: time.Now(), Text: text})
+	if len(events) > eventsPerItem {
+		events = events[1:]
+	}
+	l.events[index] = events
+}
+
+// Register takes the calls that rosemary-batch answers.
+func (r *Runner) Register(registrar peer.Registrar) {
+	registrar.HandleCall(explain.MethodItem, r.handleItem)
+	registrar.HandleCall(jobstore.MethodCancelled, r.handleCancelled)
+}
+
+func (r *Runner) handleCancelled(ctx context.Context, _ peer.Identity, decode func(any) error) (any, error) {
+	var m jobstore.Cancelled
+	if err := decode(&m); err != nil {
+		return nil, err
+	}
+	r.stopJob(m.Job)
+	return struct{}{}, r.refreshJob(ctx, m.Job)
+}
+
+func (r *Runner) handleItem(_ context.Context, _ peer.Identity, decode func(any) error) (any, error) {
+	var q explain.ItemQuestion
+	if err := decode(&q); err != nil {
+		return nil, err
+	}
+	return r.ExplainItem(q), nil
+}
+
+// ExplainItem says what this runner knows of an item that it holds.
+func (r *Runner) ExplainItem(q explain.ItemQuestion) explain.Explanation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range r.held {
+		if h.record.Job.ID != q.Job {
+			continue
+		}
+		index, ok := h.run.Find(q.CustomID)
+		if !ok {
+			continue
+		}
+		return explain.Explanation{
+			Found:   true,
+			Subject: q.Job + "/" + q.CustomID,
+			Summary: fmt.Sprintf("held by %s in chunk %d, epoch %d: %s", r.config.VM, h.run.Chunk().Number, h.run.Chunk().Epoch, r.describe(h, index)),
+			Events:  r.eventsOf(h, index),
+		}
+	}
+	return explain.Explanation{Subject: q.Job + "/" + q.CustomID}
+}
+
+// describe says where an item stands. The caller holds the lock.
+func (r *Runner) describe(h *heldChunk, index int) string {
+	now := time.Now()
+	text := h.run.Describe(index, now)
+	switch {
+	case now.Sub(r.jobsAskedAt) > r.config.MaxJobAge:
+		return text + "; no item is sent until the table has been asked for cancels"
+	case r.buffered >= r.config.MaxBufferedBytes:
+		return text + "; no item is sent until waiting results are committed"
+	case r.draining:
+		return text + "; this process is stopping and sends no more items"
+	default:
+		return text
+	}
+}
+
+func (r *Runner) eventsOf(h *heldChunk, index int) []explain.Event {
+	events := append([]explain.Event(nil), h.events.events[index]...)
+	for i := range events {
+		events[i].VM = r.config.VM
+	}
+	return events
+}
--- /dev/null
+++ b/internal/runner/runner_test.go
@@ -0,0 +1,228 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
+	"github.com/rosemarydyke/rosemarydyke/internal/jobstore"
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
+	"github.com/rosemarydyke/rosemarydyke/job"
+	"github.com/rosemarydyke/rosemarydyke/verdict"
+)
+
+const model = "m"
+
+// fakeEntry grants every demanded slot up to its limit, and revokes on command.
+type fakeEntry struct {
+	limit int
+
+	mu      sync.Mutex
+	next    uint64
+	inUse   map[uint64]bool
+	wants   int
+	streams []*fakeStream
+}
+
+func (e *fakeEntry) Call(context.Context, netip.AddrPort, peer.Method, any, any) error {
+	return errors.New("no calls")
+}
+
+func (e *fakeEntry) OpenStream(context.Context, netip.AddrPort, peer.Method) (peer.Stream, error) {
+	s := &fakeStream{entry: e, toBatch: make(chan batchslots.ToBatch, 1024), closed: make(chan struct{})}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inUse = map[uint64]bool{}
+	e.streams = append(e.streams, s)
+	return s, nil
+}
+
+// grant fills free slots. The caller holds the lock.
+func (e *fakeEntry) grant(s *fakeStream) {
+	for len(e.inUse) < e.limit && len(e.inUse) < e.wants {
+		e.next++
+		e.inUse[e.next] = true
+		s.toBatch <- batchslots.ToBatch{Granted: &batchslots.Granted{Slot: e.next, Model: model, Target: "t", Address: "127.0.0.1:1"}}
+	}
+}
+
+func (e *fakeEntry) revokeAll() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.streams[len(e.streams)-1]
+	for slot := range e.inUse {
+		s.toBatch <- batchslots.ToBatch{Revoked: &batchslots.Revoked{Slot: slot}}
+	}
+}
+
+type fakeStream struct {
+	entry   *fakeEntry
+	toBatch chan batchslots.ToBatch
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (s *fakeStream) Send(m any) error {
+	e := s.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch m := m.(batchslots.ToEntry); {
+	case m.Demand != nil:
+		e.wants = 0
+		for _, w := range m.Demand.Wants {
+			e.wants += w.Slots
+		}
+	case m.Released != nil:
+		delete(e.inUse, m.Released.Slot)
+	}
+	e.grant(s)
+	return nil
+}
+
+func (s *fakeStream) Receive(out any) error {
+	select {
+	case m := <-s.toBatch:
+		*out.(*batchslots.ToBatch) = m
+		return nil
+	case <-s.closed:
+		return errors.New("closed")
+	}
+}
+
+func (s *fakeStream) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	return nil
+}
+
+// fakeItems answers after a delay and counts the dispatches of each item.
+type fakeItems struct {
+	delay time.Duration
+
+	mu         sync.Mutex
+	dispatches map[string]int
+	last       time.Time
+}
+
+func (f *fakeItems) RunItem(ctx context.Context, call ItemCall) ItemOutcome {
+	f.mu.Lock()
+	f.dispatches[call.RequestID]++
+	f.last = time.Now()
+	f.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ItemOutcome{
+			Err:     &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeCancelled},
+			Partial: job.Partial{Text: call.Partial.Text + "x", Tokens: call.Partial.Tokens + 1},
+		}
+	case <-time.After(f.delay):
+		return ItemOutcome{Status: 200, Body: []byte(`{"ok":true}`)}
+	}
+}
+
+func createJob(t testing.TB, store *jobstore.Store, items int, line func(i int) string) *jobstore.Record {
+	c := qt.New(t)
+	var input strings.Builder
+	for i := range items {
+		input.WriteString(line(i))
+		input.WriteString("\n")
+	}
+	ctx := context.Background()
+	file, err := store.CreateFile(ctx, "client", "in.jsonl", "batch", strings.NewReader(input.String()), 1<<30)
+	c.Assert(err, qt.IsNil)
+	rules := job.Rules{Endpoint: "/v1/chat/completions", HasModel: func(m string) bool { return m == model }}
+	chunks, n, err := job.Split(strings.NewReader(input.String()), rules)
+	c.Assert(err, qt.IsNil)
+	record, err := store.Create(ctx, jobstore.Spec{
+		Client: "client", Endpoint: rules.Endpoint, CompletionWindow: 24 * time.Hour,
+		InputFile: file.ID, IdempotencyKey: file.ID, Identity: file.SHA256, Chunks: chunks, Items: n,
+	})
+	c.Assert(err, qt.IsNil)
+	return record
+}
+
+func plainLine(i int) string {
+	return fmt.Sprintf(`{"custom_id":"c%d","method":"POST","url":"/v1/chat/completions","body":{"model":"m","messages":[]}}`, i)
+}
+
+func nonIdempotentLine(i int) string {
+	return fmt.Sprintf(`{"custom_id":"c%d","method":"POST","url":"/v1/chat/completions","idempotent":false,"body":{"model":"m","messages":[]}}`, i)
+}
+
+func newTestRunner(store *jobstore.Store, entry *fakeEntry, items ItemRunner) *Runner {
+	return New(Config{
+		VM: "vm-1", Caller: entry, Store: store, Items: items, Log: zerolog.Nop(),
+		Fingerprint: func(string, string, []byte) uint64 { return 0 },
+	})
+}
+
+func start(r *Runner) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func status(t testing.TB, store *jobstore.Store, id string) *jobstore.Record {
+	record, err := store.GetAny(context.Background(), id)
+	qt.Assert(t, err, qt.IsNil)
+	return record
+}
+
+func waitFor(t testing.TB, bound time.Duration, what string, holds func() bool) {
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", bound, what)
+}
+
+func resultIDs(t testing.TB, store *jobstore.Store, id string, output jobstore.Output) map[string]int {
+	var text strings.Builder
+	qt.Assert(t, store.WriteResults(context.Background(), &text, id, output), qt.IsNil)
+	ids := map[string]int{}
+	for line := range strings.Lines(text.String()) {
+		_, rest, _ := strings.Cut(line, `"custom_id":"`)
+		customID, _, _ := strings.Cut(rest, `"`)
+		ids[customID]++
+	}
+	return ids
+}
+
+func TestTwoRunnersFinishAJobWithEachItemOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memory.New()
+		store := jobstore.New(p, p.Objects())
+		record := createJob(t, store, 2000, plainLine)
+		items := &fakeItems{delay: 300 * time.Millisecond, dispatches: map[string]int{}}
+		stopA := start(newTestRunner(store, &fakeEntry{limit: 20}, items))
+		stopB := start(newTestRunner(store, &fakeEntry{limit: 20}, items))
+		defer stopA()
+		defer stopB()
+		waitFor(t, 2*time.Minute, "job completed", func() bool { return status(t, store, record.Job.ID).Status() == job.StatusCompleted })
+		ids := resultIDs(t, store, record.Job.ID, jobstore.Answers)
+		qt.Assert(t, len(ids), qt.Equals, 2000)
+		for id, n := range ids {
+			qt.Assert(t, n, qt.Equals, 1, qt.Commentf("%s", id))
+		}
+		done := status(t, store, record.Job.ID).Progress
+		qt.Assert(t, done.Completed, qt.Equals, 2000)
+	})
+}
--- /dev/null
+++ b/job/run.go
@@ -0,0 +1,411 @@
+package job
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/verdict"
+)
+
+// Policy holds the bounds of a run. The zero value of a field stands for its default.
+type Policy struct {
+	// MaxTries bounds the dispatches of an item that may have run each time. Default 4.
+	MaxTries int
+	// MaxRefusals bounds the dispatches of an item that were not run. Default 100.
+	MaxRefusals int
+	// RetryDelay is the wait before the second try; it doubles with each try. Default 500ms.
+	RetryDelay time.Duration
+	// MaxRetryDelay bounds the wait between tries. Default 30s.
+	MaxRetryDelay time.Duration
+	// SegmentItems is the number of results that are written together. Default 64.
+	SegmentItems int
+	// SegmentAge is the longest time that a result waits to be written. Default 10s.
+	SegmentAge time.Duration
+	// IntentItems is the number of non-idempotent items whose intents are written together. Default 16.
+	IntentItems int
+}
+
+// WithDefaults returns the policy with its defaults filled in.
+func (p Policy) WithDefaults() Policy {
+	setDefault(&p.MaxTries, 4)
+	setDefault(&p.MaxRefusals, 100)
+	setDefault(&p.RetryDelay, 500*time.Millisecond)
+	setDefault(&p.MaxRetryDelay, 30*time.Second)
+	setDefault(&p.SegmentItems, 64)
+	setDefault(&p.SegmentAge, 10*time.Second)
+	setDefault(&p.IntentItems, 16)
+	return p
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+type itemState uint8
+
+const (
+	itemPending itemState = iota
+	itemRunning
+	// itemResolved items have a result that is not in a committed segment yet.
+	itemResolved
+	itemDone
+)
+
+type item struct {
+	state     itemState
+	tries     int
+	refusals  int
+	notBefore time.Time
+	partial   Partial
+	result    *Result
+}
+
+// Partial is what was generated of an item's answer before it was preempted.
+type Partial struct {
+	Text   string
+	Tokens int
+}
+
+// Dispatch is the order to send one item to a target.
+type Dispatch struct {
+	Index int
+	Line  *Line
+	// Partial is what earlier tries generated; the target continues after it.
+	Partial Partial
+}
+
+// Batch is a set of results that are committed together.
+type Batch struct {
+	Results []*Result
+	indexes []int
+}
+
+// Run decides what happens to the items of one chunk that this runner holds. It is not safe for
+// concurrent use.
+type Run struct {
+	policy  Policy
+	chunk   *Chunk
+	lines   []*Line
+	items   []item
+	stopped bool
+	oldest  time.Time
+}
+
+// NewRun returns the run of a chunk that has just been claimed. A non-idempotent item whose
+// intent was recorded by an earlier holder, without a result, ends as may-have-run.
+func NewRun(chunk *Chunk, lines []*Line, policy Policy, now time.Time) (*Run, error) {
+	if len(lines) != chunk.Items {
+		return nil, fmt.Errorf("chunk %d of %s has %d items, its input %d lines", chunk.Number, chunk.Job, chunk.Items, len(lines))
+	}
+	r := &Run{policy: policy.WithDefaults(), chunk: chunk, lines: lines, items: make([]item, chunk.Items)}
+	for i := range r.items {
+		switch {
+		case chunk.Done.Has(i):
+			r.items[i].state = itemDone
+		case chunk.Intents.Has(i):
+			r.fail(i, unknownOutcome("the runner that had sent it stopped before the answer"), now)
+		}
+	}
+	return r, nil
+}
+
+func unknownOutcome(why string) *verdict.Error {
+	return &verdict.Error{
+		Verdict: verdict.MayHaveRun,
+		Code:    verdict.CodeStreamCut,
+		Message: "the item is not idempotent and may have run: " + why,
+	}
+}
+
+// Chunk returns the row as it was last committed by this runner.
+func (r *Run) Chunk() *Chunk { return r.chunk }
+
+// Line returns the input of an item.
+func (r *Run) Line(index int) *Line { return r.lines[index] }
+
+// Stop ends dispatches, because the job was cancelled, the chunk was lost or the runner is leaving.
+func (r *Run) Stop() { r.stopped = true }
+
+// IsStopped reports whether dispatches have ended.
+func (r *Run) IsStopped() bool { return r.stopped }
+
+// Intents returns the non-idempotent items whose intents must be committed before they can be
+// dispatched. It returns none while an item with an intent still waits for its dispatch.
+func (r *Run) Intents() []int {
+	if r.stopped {
+		return nil
+	}
+	var indexes []int
+	for i := range r.items {
+		if r.items[i].state != itemPending || r.lines[i].IsIdempotent() {
+			continue
+		}
+		if r.chunk.Intents.Has(i) {
+			return nil
+		}
+		if len(indexes) < r.policy.IntentItems {
+			indexes = append(indexes, i)
+		}
+	}
+	return indexes
+}
+
+// WithIntents returns the row that records intents.
+func (r *Run) WithIntents(indexes []int, operation string) *Chunk {
+	c := r.chunk.Clone()
+	c.Operation = operation
+	for _, i := range indexes {
+		c.Intents.Set(i)
+	}
+	return c
+}
+
+// Next picks an item to dispatch and marks it as running.
+func (r *Run) Next(now time.Time) (Dispatch, bool) {
+	if r.stopped {
+		return Dispatch{}, false
+	}
+	for i := range r.items {
+		if !r.isReady(i, now) {
+			continue
+		}
+		r.items[i].state = itemRunning
+		return Dispatch{Index: i, Line: r.lines[i], Partial: r.items[i].partial}, true
+	}
+	return Dispatch{}, false
+}
+
+func (r *Run) isReady(i int, now time.Time) bool {
+	it := &r.items[i]
+	if it.state != itemPending || it.notBefore.After(now) {
+		return false
+	}
+	return r.lines[i].IsIdempotent() || r.chunk.Intents.Has(i)
+}
+
+// Ready returns the number of items that Next would hand out.
+func (r *Run) Ready(now time.Time) int {
+	if r.stopped {
+		return 0
+	}
+	n := 0
+	for i := range r.items {
+		if r.isReady(i, now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Pending returns the number of items that wait for a dispatch now or later.
+func (r *Run) Pending() int { return r.count(itemPending) }
+
+// Running returns the number of dispatched items.
+func (r *Run) Running() int { return r.count(itemRunning) }
+
+func (r *Run) count(state itemState) int {
+	n := 0
+	for i := range r.items {
+		if r.items[i].state == state {
+			n++
+		}
+	}
+	return n
+}
+
+// Unsent takes back a dispatch that was not carried out.
+func (r *Run) Unsent(index int) { r.items[index].state = itemPending }
+
+// Preempted reports that a dispatched item was cancelled to make room. It returns whether what was
+// generated so far is kept for a later try.
+func (r *Run) Preempted(index int, partial Partial, now time.Time) bool {
+	if !r.lines[index].IsIdempotent() {
+		r.fail(index, unknownOutcome("it was stopped to make room for online requests"), now)
+		return false
+	}
+	r.items[index].partial = partial
+	r.items[index].state = itemPending
+	return partial.Text != ""
+}
+
+// Answered reports the whole answer of an item. An answer of status 400 or higher is a failure.
+func (r *Run) Answered(index int, status int, requestID string, body []byte, now time.Time) {
+	result := r.newResult(index)
+	result.Response = &Response{StatusCode: status, RequestID: requestID, Body: body}
+	if status >= 400 {
+		result.Error = &Failure{
+			Code:    verdict.CodeTargetFailed,
+			Message: fmt.Sprintf("the target answered with status %d", status),
+			Verdict: verdict.Completed.String(),
+		}
+	}
+	r.resolve(index, result, now)
+}
+
+// Failed reports a try without a whole answer. The item is tried again if its verdict allows.
+func (r *Run) Failed(index int, err *verdict.Error, now time.Time) {
+	it := &r.items[index]
+	switch {
+	case err.Code == verdict.CodeQuarantined:
+		r.fail(index, err, now)
+		return
+	case err.Verdict == verdict.NotRun:
+		it.refusals++
+	default:
+		it.tries++
+	}
+	exhausted := it.tries >= r.policy.MaxTries || it.refusals >= r.policy.MaxRefusals
+	if exhausted || !verdict.MayRetry(err.Verdict, r.lines[index].IsIdempotent()) {
+		r.fail(index, err, now)
+		return
+	}
+	it.partial = Partial{}
+	it.state = itemPending
+	it.notBefore = now.Add(r.retryDelay(it.tries + it.refusals))
+}
+
+func (r *Run) retryDelay(tries int) time.Duration {
+	delay := r.policy.RetryDelay
+	for range tries - 1 {
+		delay *= 2
+		if delay >= r.policy.MaxRetryDelay {
+			return r.policy.MaxRetryDelay
+		}
+	}
+	return delay
+}
+
+func (r *Run) fail(index int, err *verdict.Error, now time.Time) {
+	result := r.newResult(index)
+	result.Error = NewFailure(err)
+	r.resolve(index, result, now)
+}
+
+func (r *Run) newResult(index int) *Result {
+	return &Result{ID: ItemID(r.chunk, index), CustomID: r.lines[index].CustomID}
+}
+
+func (r *Run) resolve(index int, result *Result, now time.Time) {
+	if r.oldest.IsZero() {
+		r.oldest = now
+	}
+	r.items[index].state = itemResolved
+	r.items[index].result = result
+	r.items[index].partial = Partial{}
+}
+
+// Due reports whether results should be committed now.
+func (r *Run) Due(now time.Time) bool {
+	n := r.count(itemResolved)
+	switch {
+	case n == 0:
+		return false
+	case n >= r.policy.SegmentItems || now.Sub(r.oldest) >= r.policy.SegmentAge:
+		return true
+	default:
+		return r.Pending() == 0 && r.Running() == 0
+	}
+}
+
+// Collect returns all results that are not committed yet.
+func (r *Run) Collect() Batch {
+	var b Batch
+	for i := range r.items {
+		if r.items[i].state == itemResolved {
+			b.indexes = append(b.indexes, i)
+			b.Results = append(b.Results, r.items[i].result)
+		}
+	}
+	return b
+}
+
+// WithBatch returns the row that adds a segment with the results of b.
+func (r *Run) WithBatch(b Batch, segment Segment, operation string) *Chunk {
+	c := r.chunk.Clone()
+	c.Operation = operation
+	c.Segments = append(c.Segments, segment)
+	for _, i := range b.indexes {
+		c.Done.Set(i)
+		c.Intents.Clear(i)
+	}
+	return c
+}
+
+// Committed adopts a row that has taken effect.
+func (r *Run) Committed(row *Chunk, now time.Time) {
+	r.chunk = row
+	r.oldest = time.Time{}
+	for i := range r.items {
+		switch {
+		case row.Done.Has(i):
+			r.items[i] = item{state: itemDone}
+		case r.items[i].state == itemResolved && r.oldest.IsZero():
+			r.oldest = now
+		}
+	}
+}
+
+// Released returns the row that hands the chunk back. Intents of items that were not dispatched are removed.
+func (r *Run) Released(operation string) *Chunk {
+	c := r.chunk.Clone()
+	c.Operation = operation
+	c.Holder = ""
+	for i := range r.items {
+		if r.items[i].state == itemPending {
+			c.Intents.Clear(i)
+		}
+	}
+	return c
+}
+
+// ResolveIntents ends every non-idempotent item that may have been dispatched, and still has no
+// result, as may-have-run. It is called before a chunk of a cancelled job is closed.
+func (r *Run) ResolveIntents(now time.Time) {
+	for i := range r.items {
+		it := &r.items[i]
+		switch {
+		case it.state == itemRunning && !r.lines[i].IsIdempotent():
+			r.fail(i, unknownOutcome("the job was cancelled before the answer"), now)
+		case it.state == itemRunning:
+			it.state = itemPending
+		}
+	}
+}
+
+// Unchanged returns the row under a new operation.
+func (r *Run) Unchanged(operation string) *Chunk {
+	c := r.chunk.Clone()
+	c.Operation = operation
+	return c
+}
+
+// Find returns the index of the item with a custom_id.
+func (r *Run) Find(customID string) (int, bool) {
+	for i, line := range r.lines {
+		if line.CustomID == customID {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Describe says in plain words where an item stands.
+func (r *Run) Describe(index int, now time.Time) string {
+	it := &r.items[index]
+	switch {
+	case it.state == itemDone:
+		return "its result is committed"
+	case it.state == itemResolved:
+		return "its result waits to be committed with others"
+	case it.state == itemRunning:
+		return "it runs on a target"
+	case it.notBefore.After(now):
+		return fmt.Sprintf("it waits for try %d", it.tries+it.refusals+1)
+	case !r.isReady(index, now):
+		return "it is not idempotent and waits until its dispatch is recorded"
+	default:
+		return "it waits for a slot"
+	}
+}
