Idempotency: keys are free after faults, and takeover is rejected

Cause: nothing showed that a key whose request was not run can be used again after lost replies, nor that taking a lost owner's key is wrong. Change: a second property over the same plans, and a third naive claimer.

--- a/internal/idempotency/at_most_once_test.go
+++ b/internal/idempotency/at_most_once_test.go
@@ -139,6 +139,41 @@
 
 func (b *blindClaimer) stop() {}
 
+// takeoverClaimer is a naive claimer: it takes the key of an owner that is thought to be gone.
+type takeoverClaimer struct {
+	table platform.Table
+	check idempotency.OwnerCheck
+}
+
+func newTakeoverClaimer(_ string, table platform.Table, check idempotency.OwnerCheck) claimer {
+	return &takeoverClaimer{table, check}
+}
+
+func (k *takeoverClaimer) begin(ctx context.Context, key string, _ byte, id string) (func(ending), *pure.Outcome, error) {
+	rows, err := k.table.Get(ctx, key)
+	if err != nil {
+		return nil, nil, &verdict.Error{Verdict: verdict.NotRun}
+	}
+	owner := string(rows[0].Value)
+	if owner == "done" || owner != "" && k.check(ctx, pure.Owner{RequestID: owner}) != pure.Gone {
+		return nil, nil, &verdict.Error{Code: verdict.CodeInProgress}
+	}
+	version, err := k.write(ctx, key, rows[0].Version, id)
+	if err != nil {
+		return nil, nil, &verdict.Error{Verdict: verdict.NotRun}
+	}
+	return func(ending) { _, _ = k.write(ctx, key, version, "done") }, nil, nil
+}
+
+func (k *takeoverClaimer) write(ctx context.Context, key string, version uint64, value string) (uint64, error) {
+	return k.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Version: version}},
+		Writes:     []platform.Write{{Key: key, Value: []byte(value)}},
+	})
+}
+
+func (k *takeoverClaimer) stop() {}
+
 // plan is one random course of events.
 type plan struct {
 	seed     uint64
@@ -327,6 +362,7 @@
 	naive := map[string]system{
 		"keys remembered on each VM only": newMemoryClaimer,
 		"a read followed by a write":      newBlindClaimer,
+		"the key of a lost owner taken":   newTakeoverClaimer,
 	}
 	for name, newClaimer := range naive {
 		t.Run(name, func(t *testing.T) {
@@ -342,3 +378,44 @@
 		})
 	}
 }
+
+// freedKeys runs plans in which nothing is ever run, heals the table, and returns the keys that stay taken.
+func freedKeys(t *testing.T, p plan) (taken []error) {
+	synctest.Test(t, func(*testing.T) {
+		table := &faultyTable{Table: memory.New(), random: rand.New(rand.NewPCG(p.seed, 2)), faults: p.faults}
+		w := &world{dead: make([]bool, p.vms), inProgress: map[string]bool{}, ran: map[string][]string{}, random: rand.New(rand.NewPCG(p.seed, 1))}
+		for vm := range p.vms {
+			w.claimers = append(w.claimers, newLedgerClaimer(fmt.Sprintf("vm-%d", vm), table, w.check))
+		}
+		var tasks sync.WaitGroup
+		for i, request := range p.requests {
+			request.ending, request.content = endsNotRun, 1
+			tasks.Go(func() { w.serve(request, fmt.Sprintf("r%d", i)) })
+		}
+		tasks.Wait()
+		table.heal()
+		time.Sleep(time.Minute)
+		for _, request := range p.requests {
+			end, _, err := w.claimers[0].begin(context.Background(), request.key, 1, "last-"+request.key)
+			if end == nil {
+				taken = append(taken, fmt.Errorf("key %s: %w", request.key, err))
+				continue
+			}
+			end(endsNotRun)
+			time.Sleep(time.Minute)
+		}
+		table.late.Wait()
+		for _, claimer := range w.claimers {
+			claimer.stop()
+		}
+	})
+	return taken
+}
+
+func TestAKeyOfARequestThatWasNotRunIsFreeOnceTheTableAnswers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if taken := freedKeys(t, drawPlan(rt)); len(taken) > 0 {
+			rt.Fatal(errors.Join(taken...))
+		}
+	})
+}
