--- a/internal/clientctx/clientctx.go
+++ b/internal/clientctx/clientctx.go
@@ -1,4 +1,4 @@
-// Package clientctx carries the authenticated client of a request in the request's context.
+// Package clientctx carries the authenticated client of a request in its context.
 package clientctx
 
 import (
@@ -7,15 +7,15 @@
 	"github.com/rosemarydyke/rosemarydyke/settings"
 )
 
-type contextKey struct{}
+type key struct{}
 
 // With returns a context that carries client.
 func With(ctx context.Context, client *settings.Client) context.Context {
-	return context.WithValue(ctx, contextKey{}, client)
+	return context.WithValue(ctx, key{}, client)
 }
 
 // From returns the client that ctx carries.
 func From(ctx context.Context) (*settings.Client, bool) {
-	client, ok := ctx.Value(contextKey{}).(*settings.Client)
-	return client, ok && client != nil
+	client, ok := ctx.Value(key{}).(*settings.Client)
+	return client, ok
 }
