Local fleet and demo

Cause: the main job has to be shown on separate processes, from a fresh clone.

Change: scripts/fleet.sh (make up) starts the stand-ins and three entry VMs and stops them by process id; scripts/demo.sh (make demo) runs rosemary-load demo, which checks every step, then rosemary explain.

Not shown yet: the daemons are not all there.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,20 @@
 GO ?= go
 BINARIES := rosemary rosemary-entry rosemary-batch rosemary-operator rosemary-standin rosemary-load
 
-.PHONY: build test lint unit bench capacity
+.PHONY: build test lint unit up demo bench capacity
 
 build:
 	mkdir -p bin
 	$(GO) build -o bin/ ./cmd/...
 
+# Starts stand-ins and three entry VMs on 127.0.0.1, in the foreground until Ctrl-C.
+up: build
+	@exec ./scripts/fleet.sh
+
+# Shows the main job on a local fleet of its own. Ends with status 0 only if all of it held.
+demo: build
+	@./scripts/demo.sh
+
 test: lint unit
 
 lint:
--- a/cmd/rosemary-load/main.go
+++ b/cmd/rosemary-load/main.go
@@ -22,6 +22,8 @@
 	Version kong.VersionFlag `help:"Print the version and exit."`
 	Online  onlineCommand    `cmd:"" help:"Send streamed chat requests to a fleet at a fixed rate and print what callers saw, as JSON."`
 	Report  reportCommand    `cmd:"" help:"Print the report of an experiment as a table and draw its plots."`
+	Demo    demoCommand      `cmd:"" help:"Show the main job on a local fleet, kill its VM 2, and check that all held."`
+	Wait    waitCommand      `cmd:"" help:"Wait until URLs answer."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/demo/online.go
@@ -0,0 +1,114 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/explain"
+	"github.com/rosemarydyke/rosemarydyke/verdict"
+)
+
+// Models of the local fleet.
+const (
+	// modelDrafting is served by several engines.
+	modelDrafting = "drafting"
+	// modelSummaries is served by one engine, so that most entries do not own it.
+	modelSummaries = "summaries"
+)
+
+// Headers of answers.
+const (
+	headerRequestID = "Rosemarydyke-Request-Id"
+	headerVerdict   = "Rosemarydyke-Verdict"
+	headerRetry     = "X-Should-Retry"
+)
+
+// maxTokens bounds each answer of the demo.
+const maxTokens = 48
+
+func ask(model, prompt string) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     model,
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+		MaxTokens: openai.Int(maxTokens),
+	}
+}
+
+func (d *demo) streamedAnswer(ctx context.Context) error {
+	client := d.client(d.config.Entries[0])
+	var response *http.Response
+	sent := time.Now()
+	stream := client.Chat.Completions.NewStreaming(ctx,
+		ask(modelDrafting, "The pump of a tractor near Puno runs dry. Draft a dispatch note."), option.WithResponseInto(&response))
+	defer func() { _ = stream.Close() }()
+	var accumulated openai.ChatCompletionAccumulator
+	var first time.Duration
+	chunks := 0
+	for stream.Next() {
+		accumulated.AddChunk(stream.Current())
+		if chunks++; chunks == 1 {
+			first = time.Since(sent)
+		}
+	}
+	if err := stream.Err(); err != nil {
+		return err
+	}
+	if len(accumulated.Choices) != 1 || accumulated.Choices[0].FinishReason == "" {
+		return errors.New("the stream ended without a finish reason")
+	}
+	d.subjects.Request = response.Header.Get(headerRequestID)
+	d.print("request %s: %d chunks, the first after %v\n", d.subjects.Request, chunks, first.Round(time.Millisecond))
+	d.print("%q\n", accumulated.Choices[0].Message.Content)
+	return nil
+}
+
+func (d *demo) crossEntry(ctx context.Context) error {
+	owner, err := d.owner(ctx, modelSummaries)
+	if err != nil {
+		return err
+	}
+	crossed := 0
+	for _, entry := range d.config.Entries {
+		var response *http.Response
+		client := d.client(entry)
+		answer, err := client.Chat.Completions.New(ctx, ask(modelSummaries, "Summarize the repair of a harvester's belt."), option.WithResponseInto(&response))
+		if err != nil {
+			return fmt.Errorf("through %s: %w", entry, err)
+		}
+		id := response.Header.Get(headerRequestID)
+		vm, _, _ := strings.Cut(id, ".")
+		d.print("through %s (owner of the target: %s): request %s, %d tokens, verdict %s\n",
+			vm, owner, id, answer.Usage.CompletionTokens, response.Header.Get(headerVerdict))
+		if response.Header.Get(headerVerdict) != verdict.Completed.String() {
+			return fmt.Errorf("the verdict is %q", response.Header.Get(headerVerdict))
+		}
+		if vm != owner {
+			crossed++
+		}
+	}
+	if crossed == 0 {
+		return errors.New("every request went through the owner of its target")
+	}
+	return nil
+}
+
+// owner returns the VM that owns the only target of a model.
+func (d *demo) owner(ctx context.Context, model string) (string, error) {
+	var targets []explain.TargetInfo
+	if err := d.operatorGet(ctx, "/v1/targets", &targets); err != nil {
+		return "", err
+	}
+	for _, target := range targets {
+		if strings.Contains(target.Serves, model) {
+			return target.Owner, nil
+		}
+	}
+	return "", fmt.Errorf("no target serves %s", model)
+}
--- /dev/null
+++ b/internal/demo/settings.go
@@ -0,0 +1,53 @@
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+)
+
+const (
+	// settingsBound is the time within which an accepted change must be in force everywhere.
+	settingsBound = 17 * time.Second
+	// settingsPoll separates looks at an entry.
+	settingsPoll = 20 * time.Millisecond
+)
+
+// settingsChange adds a client through one VM and uses its key at all.
+func (d *demo) settingsChange(ctx context.Context) error {
+	key := "sk-" + ulid.Make().String()
+	document := fmt.Sprintf("key_sha256: [%x]\n", sha256.Sum256([]byte(key)))
+	var accepted struct {
+		TreeRevision uint64 `json:"tree_revision"`
+	}
+	change := call{
+		method: http.MethodPut,
+		url:    d.config.Operator + "/v1/settings/teams/dispatch/clients/night-shift",
+		key:    d.config.OperatorKey,
+		header: http.Header{"Idempotency-Key": {ulid.Make().String()}},
+		body:   []byte(document),
+	}
+	if err := d.expect(ctx, change, &accepted); err != nil {
+		return err
+	}
+	acceptedAt := time.Now()
+	d.print("revision %d accepted: a new client\n", accepted.TreeRevision)
+	for _, entry := range d.config.Entries {
+		for {
+			err := d.expect(ctx, call{method: http.MethodGet, url: entry + "/v1/models", key: key}, nil)
+			if err == nil {
+				break
+			}
+			if time.Since(acceptedAt) > settingsBound {
+				return fmt.Errorf("not in force at %s after %v: %w", entry, settingsBound, err)
+			}
+			time.Sleep(settingsPoll)
+		}
+		d.print("in force at %s within %v\n", entry, time.Since(acceptedAt).Round(time.Millisecond))
+	}
+	return nil
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Starts a local fleet, shows the main job on it, asks for explanations and stops the fleet. It ends with
+# status 0 only if all of it held.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+if [ -f run/pids/fleet ] && kill -0 "$(cat run/pids/fleet)" 2>/dev/null; then
+  echo "A fleet is running already, with process id $(cat run/pids/fleet); stop it first." >&2
+  exit 1
+fi
+rm -f run/fleet.env
+scripts/fleet.sh &
+fleet=$!
+stop_fleet() {
+  kill -TERM "$fleet" 2>/dev/null || true
+  wait "$fleet" 2>/dev/null || true
+}
+trap stop_fleet EXIT
+
+while [ ! -f run/fleet.env ]; do
+  if ! kill -0 "$fleet" 2>/dev/null; then
+    echo "The fleet did not start; its logs are in run/logs." >&2
+    exit 1
+  fi
+  sleep 0.1
+done
+set -a
+# shellcheck disable=SC1091
+. run/fleet.env
+set +a
+
+bin/rosemary-load demo --pids run/pids --subjects run/demo.env
+# shellcheck disable=SC1091
+. run/demo.env
+echo
+echo "== rosemary explain"
+bin/rosemary explain request "$DEMO_REQUEST"
+bin/rosemary explain item "$DEMO_JOB" "$DEMO_ITEM"
+bin/rosemary explain job "$DEMO_JOB"
+echo
+echo "All held."
