--- a/internal/admission/controller/acquire.go
+++ b/internal/admission/controller/acquire.go
@@ -67,10 +67,10 @@
 	if len(w.granted) > 0 {
 		return w, nil
 	}
-	if p.hasFreshHints(now) {
+	if p.isOwned() {
 		return w, c.judge(w, now)
 	}
-	// What the owners can grant is learned by the asks that have just gone out.
+	// What the other owners can grant is learned by the asks that have just gone out.
 	time.AfterFunc(c.config.AskPatience, func() { c.judgeLater(w) })
 	return w, nil
 }
@@ -146,9 +146,9 @@
 	return w
 }
 
-// hasFreshHints reports whether what the owners can grant is known well enough to refuse a request for it.
-func (p *pool) hasFreshHints(now time.Time) bool {
-	return !slices.ContainsFunc(p.active, func(t *targetState) bool { return !t.hasFreshHint(now) })
+// isOwned reports whether this VM owns all targets, so that what they can grant is known without an ask.
+func (p *pool) isOwned() bool {
+	return !slices.ContainsFunc(p.active, func(t *targetState) bool { return t.ledger == nil })
 }
 
 // judgeLater refuses a request that still waits and cannot meet its deadline.
@@ -210,7 +210,7 @@
 func (t *targetState) obtainable(now time.Time) int {
 	switch {
 	case t.ledger != nil:
-		return t.holder.Free(now) + t.ledger.Obtainable()
+		return t.holder.Free(now) + t.ledger.Obtainable(t.owner.Owner.VM)
 	case t.holder.Obtainable < 0:
 		return t.settings.Slots
 	default:
--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -75,6 +75,8 @@
 	// ledger and pacer are set on the owner only.
 	ledger *target.Ledger
 	pacer  *target.Pacer
+	// recalls holds when each holder was last asked to give unused credits back.
+	recalls map[string]time.Time
 	// changed is closed and replaced when the ledger may be able to grant more.
 	changed chan struct{}
 	// suspectRunning says that a suspect request of this VM runs on the target.
@@ -104,6 +106,7 @@
 // Register adds the controller's peer methods.
 func (c *Controller) Register(registrar peer.Registrar) {
 	registrar.HandleCall(MethodCredits, c.handleCredits)
+	registrar.HandleCall(MethodRecall, c.handleRecall)
 	registrar.HandleStream(batchslots.Method, c.handleBatch)
 }
 
--- a/internal/admission/controller/credits.go
+++ b/internal/admission/controller/credits.go
@@ -16,6 +16,7 @@
 	answer, revoke := t.ledger.Request(now, ask)
 	t.holder.Answered(ask.Sequence, answer)
 	c.revoke(revoke)
+	c.recallIdle(t, now)
 }
 
 // unmet is the number of credits that waiting requests of this VM want from its own ledger.
--- a/internal/admission/controller/layout.go
+++ b/internal/admission/controller/layout.go
@@ -127,6 +127,7 @@
 		pool:     c.poolOf(serves),
 		holder:   target.NewHolder(),
 		changed:  make(chan struct{}),
+		recalls:  make(map[string]time.Time),
 	}
 }
 
--- a/internal/admission/controller/messages.go
+++ b/internal/admission/controller/messages.go
@@ -10,6 +10,14 @@
 // MethodCredits asks an owner for credits: CreditsAsk to CreditsAnswer.
 const MethodCredits peer.Method = "credits.request"
 
+// MethodRecall asks a holder to give unused credits back: CreditsRecall to struct{}.
+const MethodRecall peer.Method = "credits.recall"
+
+// CreditsRecall names the targets for which others wait.
+type CreditsRecall struct {
+	Targets []string `cbor:"1,keyasint"`
+}
+
 // CreditsAsk carries one entry's asks for all targets of one owner.
 type CreditsAsk struct {
 	// Session identifies the asking process.
@@ -30,6 +38,7 @@
 	Suspect  uint64 `cbor:"6,keyasint,omitempty"`
 	// Refused says that the target has refused a request of the holder.
 	Refused bool `cbor:"7,keyasint,omitempty"`
+	Spare   int  `cbor:"8,keyasint,omitempty"`
 }
 
 func newTargetAsk(name string, refused bool, ask target.Ask) TargetAsk {
@@ -39,6 +48,7 @@
 		Held:     ask.Held,
 		InUse:    ask.InUse,
 		Want:     ask.Want,
+		Spare:    ask.Spare,
 		Suspect:  ask.Suspect,
 		Refused:  refused,
 	}
@@ -52,6 +62,7 @@
 		Held:     a.Held,
 		InUse:    a.InUse,
 		Want:     a.Want,
+		Spare:    a.Spare,
 		Suspect:  a.Suspect,
 	}
 }
--- a/internal/admission/controller/owner.go
+++ b/internal/admission/controller/owner.go
@@ -56,7 +56,8 @@
 			c.fillBatch(now)
 		}
 		answers[i] = newTargetAnswer(t.pool.health.Refuses(ask.Target), answer)
-		if isShort(ask, answer) && (message.Hold || t.ledger.Coming(holder) > 0) {
+		recalled := c.recallIdle(t, now)
+		if isShort(ask, answer) && (message.Hold || recalled || t.ledger.Coming(holder) > 0) {
 			changed = t.changed
 		}
 	}
--- a/target/holder.go
+++ b/target/holder.go
@@ -105,7 +105,8 @@
 		Sequence: h.sequence,
 		Held:     held,
 		InUse:    h.inUse,
-		Want:     max(held, h.inUse+waiting, h.forecast()),
+		Want:     h.inUse + waiting,
+		Spare:    h.forecast(),
 		Suspect:  h.Suspect,
 	}
 }
--- a/target/ledger.go
+++ b/target/ledger.go
@@ -41,8 +41,11 @@
 	Held int
 	// InUse is the number of requests that the holder is running on the target.
 	InUse int
-	// Want is the number of credits that the holder could use now, Held included.
+	// Want is the number of requests that the holder runs or has waiting. Batch work makes room for them.
 	Want int
+	// Spare is the number of credits that the holder would like to have in case more requests come.
+	// They are granted from free slots only.
+	Spare int
 	// Suspect is the fingerprint of the suspect request that the holder runs or wants to run; zero for none.
 	Suspect uint64
 }
@@ -54,7 +57,7 @@
 	// TTL is the life of the grant, counted by the holder from before it sent the ask.
 	TTL time.Duration
 	// Obtainable is the number of credits, beyond those granted and wanted, that the owner could grant: free
-	// slots and slots that batch work would give up, less what others wait for.
+	// slots and slots that batch work or others with unused credits would give up, less what is waited for.
 	Obtainable int
 	// Scarce says that others wait for credits, so that unused ones should be returned at once.
 	Scarce bool
@@ -128,12 +131,13 @@
 	g.expires = now.Add(l.config.TTL)
 	share := l.share(ask.Holder)
 	g.credits += max(0, min(min(g.want, share)-g.credits, l.free()))
+	g.credits += max(0, min(min(ask.Spare, share)-g.credits, l.free()-l.shortage()))
 	l.bursts.observe(now, l.credits())
 	revoke := l.reclaim()
 	return Answer{
 		Granted:    g.credits,
 		TTL:        l.config.TTL,
-		Obtainable: l.Obtainable(),
+		Obtainable: l.Obtainable(ask.Holder),
 		Scarce:     l.shortage() > 0,
 		Share:      share,
 		Suspect:    g.suspect,
@@ -184,9 +188,45 @@
 	return fairShares(l.slots, demands)[vm]
 }
 
-// Obtainable returns the number of credits that could be granted at once or when batch work has given
-// up slots, beyond those that are wanted already.
-func (l *Ledger) Obtainable() int { return max(0, l.slots-l.credits()-l.shortage()) }
+// Obtainable returns the number of credits that a holder could get beyond those that are wanted already:
+// free slots, those that batch work would give up, and those that others hold and do not use.
+func (l *Ledger) Obtainable(vm string) int {
+	left := l.slots - l.shortage()
+	for name, g := range l.holders {
+		if name == vm {
+			left -= g.credits
+		} else {
+			left -= min(g.demand(), g.credits)
+		}
+	}
+	return max(0, left)
+}
+
+// Idle returns the holders whose unused credits would meet a shortage that batch work does not meet.
+func (l *Ledger) Idle() []string {
+	if l.shortage() <= l.revoked() {
+		return nil
+	}
+	var idle []string
+	for vm, g := range l.holders {
+		if g.credits > g.demand() {
+			idle = append(idle, vm)
+		}
+	}
+	slices.Sort(idle)
+	return idle
+}
+
+// revoked is the number of batch slots that are being given up.
+func (l *Ledger) revoked() int {
+	n := 0
+	for _, slot := range l.batch {
+		if slot.revoked {
+			n++
+		}
+	}
+	return n
+}
 
 // Unmet returns the number of credits that a holder wants and does not have.
 func (l *Ledger) Unmet(vm string) int {
@@ -199,13 +239,7 @@
 
 // Coming returns how many of a holder's unmet credits batch work is about to give up.
 func (l *Ledger) Coming(vm string) int {
-	revoked := 0
-	for _, slot := range l.batch {
-		if slot.revoked {
-			revoked++
-		}
-	}
-	return min(l.Unmet(vm), revoked)
+	return min(l.Unmet(vm), l.revoked())
 }
 
 // demand is the number of slots that a holder uses or could use.
