--- a/internal/jobstore/objects.go
+++ b/internal/jobstore/retry.go
@@ -11,16 +11,16 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 )
 
-// Waits between tries of an operation on the object store.
+// Waits between tries of an operation on the platform.
 const (
-	objectRetryDelay    = 100 * time.Millisecond
-	objectMaxRetryDelay = 5 * time.Second
+	platformRetryDelay    = 100 * time.Millisecond
+	platformMaxRetryDelay = 5 * time.Second
 )
 
 func retryDelays() *backoff.ExponentialBackOff {
 	delays := backoff.NewExponentialBackOff()
-	delays.InitialInterval = objectRetryDelay
-	delays.MaxInterval = objectMaxRetryDelay
+	delays.InitialInterval = platformRetryDelay
+	delays.MaxInterval = platformMaxRetryDelay
 	return delays
 }
 
@@ -49,3 +49,11 @@
 		return object, permanentUnlessTemporary(err)
 	}, backoff.WithBackOff(retryDelays()), backoff.WithMaxElapsedTime(0))
 }
+
+// getRows reads rows, trying until ctx ends.
+func (s *Store) getRows(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	return backoff.Retry(ctx, func() ([]platform.Row, error) {
+		rows, err := s.table.Get(ctx, keys...)
+		return rows, permanentUnlessTemporary(err)
+	}, backoff.WithBackOff(retryDelays()), backoff.WithMaxElapsedTime(0))
+}
--- a/internal/jobstore/work.go
+++ b/internal/jobstore/work.go
@@ -118,7 +118,7 @@
 }
 
 func (s *Store) tryClose(ctx context.Context, w *Work, row *job.Chunk, record *Record) error {
-	progress, err := s.table.Get(ctx, progressKey(row.Job))
+	progress, err := s.getRows(ctx, progressKey(row.Job))
 	if err != nil {
 		return err
 	}
--- a/internal/runner/answer.go
+++ b/internal/runner/answer.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
 	"strings"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/job"
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
@@ -103,8 +105,7 @@
 		} `json:"delta"`
 		FinishReason *string `json:"finish_reason"`
 	} `json:"choices"`
-	Usage *usage          `json:"usage"`
-	Error json.RawMessage `json:"error"`
+	Usage *usage `json:"usage"`
 }
 
 type completion struct {
@@ -139,13 +140,10 @@
 }
 
 // add takes one event.
-func (a *answer) add(data []byte, started time.Time) *verdict.Error {
+func (a *answer) add(data []byte, started time.Time) error {
 	var event streamEvent
 	if err := json.Unmarshal(data, &event); err != nil {
-		return &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeTargetFailed, Message: "an event of the stream is not JSON", Cause: err}
-	}
-	if len(event.Error) > 0 && string(event.Error) != "null" {
-		return &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeTargetFailed, Message: "the target reported an error: " + string(event.Error)}
+		return err
 	}
 	a.completion.ID, a.completion.Created, a.completion.Model = event.ID, event.Created, event.Model
 	if event.Usage != nil {
@@ -170,21 +168,21 @@
 	}
 }
 
-func (a *answer) outcome(err *verdict.Error) ItemOutcome {
+// outcome returns what the events add up to. An end without a finish reason may be an answer that
+// was cut on the way.
+func (a *answer) outcome() ItemOutcome {
 	o := ItemOutcome{
-		Err:        err,
 		Partial:    job.Partial{Text: a.text.String(), Tokens: a.request.partial.Tokens + a.tokens},
 		Tokens:     a.tokens,
 		FirstToken: a.firstToken,
 	}
-	if err == nil && a.finish == "" {
-		// An end without a finish reason may be an answer that was cut on the way.
+	if a.finish == "" {
+		o.End = admission.EndCut
 		o.Err = &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeStreamCut, Message: "the stream ended without a finish reason"}
-	}
-	if o.Err != nil {
 		return o
 	}
-	o.Status = 200
+	o.End = admission.EndCompleted
+	o.Status = http.StatusOK
 	o.Body, _ = json.Marshal(a.whole())
 	return o
 }
--- a/internal/runner/discover.go
+++ b/internal/runner/discover.go
@@ -164,5 +164,5 @@
 	if record.Job.IsCancelled() {
 		run.Stop()
 	}
-	return &heldChunk{work: w, record: record, run: run, running: map[int]context.CancelCauseFunc{}, events: newItemLog()}, nil
+	return &heldChunk{work: w, record: record, run: run, running: map[int]context.CancelCauseFunc{}, suspects: map[uint64][]int{}, events: newItemLog()}, nil
 }
--- a/internal/runner/items.go
+++ b/internal/runner/items.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/job"
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
@@ -27,6 +28,8 @@
 	// Status and Body are the whole answer. They are set when Err is nil.
 	Status int
 	Body   []byte
+	// End is how the try ended for the target.
+	End admission.End
 	// Err is nil when a whole answer came back.
 	Err *verdict.Error
 	// Partial is what can be continued by a later try, with that of earlier tries.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -30,8 +30,6 @@
 	Store *jobstore.Store
 	// Items sends items to targets.
 	Items ItemRunner
-	// Fingerprint identifies an item's content, as package quarantine does for online requests.
-	Fingerprint func(client, model string, body []byte) uint64
 	// Members returns the number of runners in the fleet, by which the renewals are spread. Default 1.
 	Members func() int
 	// Policy bounds tries and sizes of commits.
@@ -123,7 +121,9 @@
 	isSettling bool
 	// running holds the cancel functions of the dispatched items by index.
 	running map[int]context.CancelCauseFunc
-	events  *itemLog
+	// suspects holds the items that were cut off on a target, by fingerprint.
+	suspects map[uint64][]int
+	events   *itemLog
 }
 
 // stop ends dispatches and cancels what runs.
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/jobstore"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform/faulty"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
 	"github.com/rosemarydyke/rosemarydyke/job"
 	"github.com/rosemarydyke/rosemarydyke/verdict"
@@ -162,7 +163,6 @@
 func newTestRunner(store *jobstore.Store, entry *fakeEntry, items ItemRunner) *Runner {
 	return New(Config{
 		VM: "vm-1", Caller: entry, Store: store, Items: items, Log: zerolog.Nop(),
-		Fingerprint: func(string, string, []byte) uint64 { return 0 },
 	})
 }
 
@@ -226,3 +226,138 @@
 		qt.Assert(t, done.Completed, qt.Equals, 2000)
 	})
 }
+
+func TestAPreemptedItemContinuesAndANonIdempotentOneEndsAsMayHaveRun(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		line       func(int) string
+		dispatches int
+		output     jobstore.Output
+	}{
+		{"idempotent", plainLine, 2, jobstore.Answers},
+		{"non-idempotent", nonIdempotentLine, 1, jobstore.Errors},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := memory.New()
+				store := jobstore.New(p, p.Objects())
+				record := createJob(t, store, 10, test.line)
+				items := &fakeItems{delay: 5 * time.Second, dispatches: map[string]int{}}
+				entry := &fakeEntry{limit: 20}
+				defer start(newTestRunner(store, entry, items))()
+				waitFor(t, time.Minute, "all items sent", func() bool { return items.total() == 10 })
+				entry.revokeAll()
+				waitFor(t, time.Minute, "job completed", func() bool { return status(t, store, record.Job.ID).Status() == job.StatusCompleted })
+				qt.Assert(t, resultIDs(t, store, record.Job.ID, test.output), qt.HasLen, 10)
+				for id, n := range items.dispatches {
+					qt.Assert(t, n, qt.Equals, test.dispatches, qt.Commentf("%s", id))
+				}
+			})
+		})
+	}
+}
+
+func (f *fakeItems) total() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, count := range f.dispatches {
+		n += count
+	}
+	return n
+}
+
+func (f *fakeItems) lastDispatch() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last
+}
+
+// cancelBound is the time after which no runner may send an item of a cancelled job.
+const cancelBound = 3 * time.Second
+
+func TestACancelledJobSendsNothingNewWithinTheBoundAndKeepsItsResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memory.New()
+		store := jobstore.New(p, p.Objects())
+		record := createJob(t, store, 5000, plainLine)
+		items := &fakeItems{delay: time.Second, dispatches: map[string]int{}}
+		defer start(newTestRunner(store, &fakeEntry{limit: 20}, items))()
+		defer start(newTestRunner(store, &fakeEntry{limit: 20}, items))()
+		waitFor(t, time.Minute, "results committed", func() bool { return status(t, store, record.Job.ID).Progress.Completed > 100 })
+		cancelled := time.Now()
+		_, err := store.Cancel(context.Background(), record.Job.ID)
+		qt.Assert(t, err, qt.IsNil)
+		waitFor(t, time.Minute, "job cancelled", func() bool { return status(t, store, record.Job.ID).Status() == job.StatusCancelled })
+		qt.Assert(t, items.lastDispatch().Sub(cancelled) < cancelBound, qt.IsTrue)
+		answers := resultIDs(t, store, record.Job.ID, jobstore.Answers)
+		qt.Assert(t, answers, qt.HasLen, status(t, store, record.Job.ID).Progress.Completed)
+		work, err := store.OpenWork(context.Background(), "", 10)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, work, qt.HasLen, 0)
+	})
+}
+
+func TestAStoppingRunnerFinishesItsItemsAndHandsItsChunksBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memory.New()
+		store := jobstore.New(p, p.Objects())
+		record := createJob(t, store, 200, plainLine)
+		items := &fakeItems{delay: 2 * time.Second, dispatches: map[string]int{}}
+		stop := start(newTestRunner(store, &fakeEntry{limit: 10}, items))
+		waitFor(t, time.Minute, "items sent", func() bool { return items.total() >= 20 })
+		stop()
+		work, err := store.OpenWork(context.Background(), "", 100)
+		qt.Assert(t, err, qt.IsNil)
+		done := 0
+		for _, w := range work {
+			qt.Assert(t, w.Chunk.Holder, qt.Equals, "")
+			done += w.Chunk.Done.Count()
+		}
+		qt.Assert(t, done, qt.Equals, items.total())
+		sent := items.total()
+		defer start(newTestRunner(store, &fakeEntry{limit: 10}, items))()
+		waitFor(t, time.Minute, "job completed", func() bool { return status(t, store, record.Job.ID).Status() == job.StatusCompleted })
+		qt.Assert(t, items.total(), qt.Equals, 200, qt.Commentf("sent before the stop: %d", sent))
+	})
+}
+
+func TestTableDownRunnersGoOnAndCommitWhenItIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memory.New()
+		table := faulty.New(p)
+		store := jobstore.New(table, p.Objects())
+		record := createJob(t, store, 400, plainLine)
+		items := &fakeItems{delay: time.Second, dispatches: map[string]int{}}
+		defer start(newTestRunner(store, &fakeEntry{limit: 4}, items))()
+		waitFor(t, time.Minute, "items sent", func() bool { return items.total() >= 8 })
+		table.SetDown(true)
+		before := items.total()
+		time.Sleep(10 * time.Second)
+		qt.Assert(t, items.total() > before, qt.IsTrue)
+		table.SetDown(false)
+		waitFor(t, 10*time.Minute, "job completed", func() bool { return status(t, store, record.Job.ID).Status() == job.StatusCompleted })
+		qt.Assert(t, items.total(), qt.Equals, 400)
+		qt.Assert(t, resultIDs(t, store, record.Job.ID, jobstore.Answers), qt.HasLen, 400)
+	})
+}
+
+func TestChunksOfALostRunnerAreTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memory.New()
+		store := jobstore.New(p, p.Objects())
+		record := createJob(t, store, 200, plainLine)
+		items := &fakeItems{delay: time.Second, dispatches: map[string]int{}}
+		table := faulty.New(p)
+		lost := newTestRunner(jobstore.New(table, p.Objects()), &fakeEntry{limit: 4}, items)
+		stop := start(lost)
+		waitFor(t, time.Minute, "items sent", func() bool { return items.total() >= 40 })
+		// A VM that is cut off for good looks to the others like one that was lost.
+		table.SetDown(true)
+		defer stop()
+		defer start(newTestRunner(store, &fakeEntry{limit: 20}, items))()
+		waitFor(t, time.Minute, "job completed", func() bool { return status(t, store, record.Job.ID).Status() == job.StatusCompleted })
+		qt.Assert(t, resultIDs(t, store, record.Job.ID, jobstore.Answers), qt.HasLen, 200)
+		qt.Assert(t, status(t, store, record.Job.ID).Progress.Completed, qt.Equals, 200)
+	})
+}
--- a/internal/runner/settle.go
+++ b/internal/runner/settle.go
@@ -156,7 +156,9 @@
 	case errors.Is(err, jobstore.ErrFenced):
 		r.drop(key, h)
 	default:
+		// The next look at the chunk tries again.
 		r.config.Log.Warn().Err(err).Str("job", h.record.Job.ID).Int("chunk", h.run.Chunk().Number).Msg("commit failed")
+		return
 	}
 	wake(r.settleSoon)
 }
--- a/internal/runner/slots.go
+++ b/internal/runner/slots.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/job"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
 
@@ -85,20 +86,49 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	slots := map[string]int{}
+	wants := map[string]*batchslots.Want{}
 	for _, h := range r.held {
 		model := h.run.Chunk().Model
-		slots[model] += len(h.running)
+		want := wants[model]
+		if want == nil {
+			want = &batchslots.Want{Model: model}
+			wants[model] = want
+		}
+		want.Slots += len(h.running)
 		if r.mayDispatch(h, now) {
-			slots[model] += h.run.Ready(now)
+			want.Slots += h.run.Ready(now)
+			want.Suspects = append(want.Suspects, h.readySuspects(now)...)
 		}
 	}
-	var wants []batchslots.Want
-	for model, n := range slots {
-		wants = append(wants, batchslots.Want{Model: model, Slots: min(n, maxWantedSlots)})
+	var list []batchslots.Want
+	for _, want := range wants {
+		want.Slots = min(want.Slots, maxWantedSlots)
+		list = append(list, *want)
+	}
+	slices.SortFunc(list, func(a, b batchslots.Want) int { return strings.Compare(a.Model, b.Model) })
+	return list
+}
+
+// readySuspects returns the fingerprints of the suspects that could be sent now.
+func (h *heldChunk) readySuspects(now time.Time) []uint64 {
+	var fingerprints []uint64
+	for fingerprint, indexes := range h.suspects {
+		isReady := func(index int) bool { return h.run.IsReadySuspect(index, now) }
+		if slices.ContainsFunc(indexes, isReady) {
+			fingerprints = append(fingerprints, fingerprint)
+		}
+	}
+	return fingerprints
+}
+
+// takeSuspect picks one of the items with the fingerprint, which may be several with the same content.
+func (h *heldChunk) takeSuspect(fingerprint uint64, now time.Time) (index int, ok bool) {
+	for _, index := range h.suspects[fingerprint] {
+		if h.run.TakeSuspect(index, now) {
+			return index, true
+		}
 	}
-	slices.SortFunc(wants, func(a, b batchslots.Want) int { return strings.Compare(a.Model, b.Model) })
-	return wants
+	return 0, false
 }
 
 // mayDispatch reports whether items of the chunk may be sent now. The caller holds the lock.
@@ -136,11 +166,20 @@
 	}
 }
 
+// quarantine ends waiting suspects with these fingerprints, and keeps others from being sent.
 func (r *Runner) quarantine(fingerprints []uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	for _, f := range fingerprints {
 		r.quarantined[f] = struct{}{}
+		for _, h := range r.held {
+			for index, ok := h.takeSuspect(f, now); ok; index, ok = h.takeSuspect(f, now) {
+				h.run.Failed(index, errQuarantined, now)
+				h.events.add(index, "refused: quarantined")
+				wake(r.settleSoon)
+			}
+		}
 	}
 }
 
@@ -167,7 +206,7 @@
 		l.runner.mu.Unlock()
 		l.release(batchslots.Released{
 			Slot:         grant.Slot,
-			Outcome:      outcomeOf(outcome, itemCtx.Err() != nil),
+			Outcome:      outcomeOf(outcome),
 			Fingerprint:  try.fingerprint,
 			TokensWasted: wasted,
 		})
@@ -179,25 +218,8 @@
 	_ = l.stream.Send(batchslots.ToEntry{Released: &released})
 }
 
-func outcomeOf(o ItemOutcome, cancelled bool) admission.Outcome {
-	return admission.Outcome{End: endOf(o.Err, cancelled), FirstToken: o.FirstToken, Tokens: o.Tokens, Duration: o.Duration}
-}
-
-func endOf(err *verdict.Error, cancelled bool) admission.End {
-	switch {
-	case err == nil:
-		return admission.EndCompleted
-	case cancelled:
-		return admission.EndCancelled
-	case err.Verdict == verdict.NotRun && err.Code == verdict.CodeOverloaded:
-		return admission.EndRefused
-	case err.Verdict == verdict.NotRun:
-		return admission.EndUnreachable
-	case errors.Is(err, context.DeadlineExceeded):
-		return admission.EndTimeout
-	default:
-		return admission.EndCut
-	}
+func outcomeOf(o ItemOutcome) admission.Outcome {
+	return admission.Outcome{End: o.End, FirstToken: o.FirstToken, Tokens: o.Tokens, Duration: o.Duration}
 }
 
 // try is one dispatch of an item.
@@ -228,22 +250,21 @@
 	return try{}, false
 }
 
+// nextOf picks an item of a chunk. A slot for a suspect takes that item only, another slot takes no suspect.
 func (r *Runner) nextOf(h *heldChunk, grant batchslots.Granted, now time.Time) (try, bool) {
+	if grant.Suspect != 0 {
+		index, ok := h.takeSuspect(grant.Suspect, now)
+		if !ok {
+			return try{}, false
+		}
+		return r.newTry(h, grant, h.run.Dispatch(index)), true
+	}
 	for {
 		d, ok := h.run.Next(now)
 		if !ok {
 			return try{}, false
 		}
-		t := try{
-			chunk:       h,
-			index:       d.Index,
-			target:      grant.Target,
-			fingerprint: r.config.Fingerprint(h.record.Job.Client, grant.Model, d.Line.Body),
-			call: ItemCall{
-				Address: grant.Address, RequestID: job.ItemID(h.run.Chunk(), d.Index),
-				Path: d.Line.URL, Body: d.Line.Body, Partial: d.Partial,
-			},
-		}
+		t := r.newTry(h, grant, d)
 		if _, ok := r.quarantined[t.fingerprint]; !ok {
 			return t, true
 		}
@@ -253,6 +274,19 @@
 	}
 }
 
+func (r *Runner) newTry(h *heldChunk, grant batchslots.Granted, d job.Dispatch) try {
+	return try{
+		chunk:       h,
+		index:       d.Index,
+		target:      grant.Target,
+		fingerprint: quarantine.Fingerprint(h.record.Job.Client, grant.Model, d.Line.Body),
+		call: ItemCall{
+			Address: grant.Address, RequestID: job.ItemID(h.run.Chunk(), d.Index),
+			Path: d.Line.URL, Body: d.Line.Body, Partial: d.Partial,
+		},
+	}
+}
+
 var errQuarantined = &verdict.Error{
 	Verdict: verdict.NotRun,
 	Code:    verdict.CodeQuarantined,
@@ -283,6 +317,9 @@
 		t.chunk.events.add(t.index, "stopped on target "+t.target+": "+cause.Error())
 		wasted = r.preempted(t, o, now)
 	default:
+		if o.End == admission.EndCut {
+			t.chunk.suspect(t)
+		}
 		run.Failed(t.index, o.Err, now)
 		wasted = o.Partial.Tokens
 		t.chunk.events.add(t.index, "failed on target "+t.target+": "+o.Err.Message)
@@ -291,6 +328,14 @@
 	return wasted
 }
 
+// suspect notes that an item was cut off on a target, which it may have crashed.
+func (h *heldChunk) suspect(t try) {
+	h.run.Suspect(t.index)
+	if !slices.Contains(h.suspects[t.fingerprint], t.index) {
+		h.suspects[t.fingerprint] = append(h.suspects[t.fingerprint], t.index)
+	}
+}
+
 func (r *Runner) preempted(t try, o ItemOutcome, now time.Time) (wasted int) {
 	r.metrics.preempted.Inc()
 	if t.chunk.run.Preempted(t.index, o.Partial, now) {
--- a/job/run.go
+++ b/job/run.go
@@ -59,6 +59,8 @@
 	refusals  int
 	notBefore time.Time
 	partial   Partial
+	// isSuspect is set once the item was cut off on a target, which it may have crashed.
+	isSuspect bool
 	result    *Result
 }
 
@@ -168,15 +170,38 @@
 		return Dispatch{}, false
 	}
 	for i := range r.items {
-		if !r.isReady(i, now) {
+		if r.items[i].isSuspect || !r.isReady(i, now) {
 			continue
 		}
 		r.items[i].state = itemRunning
-		return Dispatch{Index: i, Line: r.lines[i], Partial: r.items[i].partial}, true
+		return r.Dispatch(i), true
 	}
 	return Dispatch{}, false
 }
 
+// Dispatch returns the order to send an item that has been marked as running.
+func (r *Run) Dispatch(index int) Dispatch {
+	return Dispatch{Index: index, Line: r.lines[index], Partial: r.items[index].partial}
+}
+
+// Suspect marks an item that was cut off on a target. Next passes over it from then on, so that it
+// is never sent beside others that would be cut off with it.
+func (r *Run) Suspect(index int) { r.items[index].isSuspect = true }
+
+// IsReadySuspect reports whether TakeSuspect would succeed.
+func (r *Run) IsReadySuspect(index int, now time.Time) bool {
+	return !r.stopped && r.items[index].isSuspect && r.isReady(index, now)
+}
+
+// TakeSuspect marks a suspect as running, if it can be sent now.
+func (r *Run) TakeSuspect(index int, now time.Time) bool {
+	if !r.IsReadySuspect(index, now) {
+		return false
+	}
+	r.items[index].state = itemRunning
+	return true
+}
+
 func (r *Run) isReady(i int, now time.Time) bool {
 	it := &r.items[i]
 	if it.state != itemPending || it.notBefore.After(now) {
@@ -185,14 +210,14 @@
 	return r.lines[i].IsIdempotent() || r.chunk.Intents.Has(i)
 }
 
-// Ready returns the number of items that Next would hand out.
+// Ready returns the number of items that Next would hand out. Suspects are not among them.
 func (r *Run) Ready(now time.Time) int {
 	if r.stopped {
 		return 0
 	}
 	n := 0
 	for i := range r.items {
-		if r.isReady(i, now) {
+		if !r.items[i].isSuspect && r.isReady(i, now) {
 			n++
 		}
 	}
