Entry serves files and batches; stock client uploads, submits and cancels

Cause: the batch interface was merged and not mounted. Change: batchapi behind the entry's authentication; a cancelled job is announced to the batch processes of all members; the platform's default timeout is applied. Proof: entry.TestAStockClientSubmitsAndCancelsABatch, TestAStockClientIsToldTheLineThatDoesNotParse. Conclusion: the callers' interface is whole in one process.

--- a/cmd/rosemary-entry/main.go
+++ b/cmd/rosemary-entry/main.go
@@ -2,7 +2,9 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
 	"github.com/rosemarydyke/rosemarydyke/internal/entry"
@@ -10,6 +12,9 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/process"
 )
 
+// defaultPlatformTimeout bounds one call to the platform.
+const defaultPlatformTimeout = 2 * time.Second
+
 func main() {
 	process.Main("rosemary-entry", "Serves callers: admission, routing to targets, streams.", common, run)
 }
@@ -17,7 +22,7 @@
 func common(settings *config.Entry) *config.Common { return &settings.Common }
 
 func run(ctx context.Context, env process.Env, settings *config.Entry) error {
-	platform := client.New(settings.Platform.URL, settings.Platform.Timeout)
+	platform := client.New(settings.Platform.URL, cmp.Or(settings.Platform.Timeout, defaultPlatformTimeout))
 	e, err := entry.New(entry.Config{
 		Settings: settings,
 		Platform: platform,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,11 +15,13 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/admission/controller"
+	"github.com/rosemarydyke/rosemarydyke/internal/batchapi"
 	"github.com/rosemarydyke/rosemarydyke/internal/callerapi"
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
 	"github.com/rosemarydyke/rosemarydyke/internal/engine"
 	"github.com/rosemarydyke/rosemarydyke/internal/evidence"
 	"github.com/rosemarydyke/rosemarydyke/internal/idempotency"
+	"github.com/rosemarydyke/rosemarydyke/internal/jobstore"
 	"github.com/rosemarydyke/rosemarydyke/internal/membership"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
@@ -27,7 +29,6 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/settingstore"
 	"github.com/rosemarydyke/rosemarydyke/internal/settingsync"
 	"github.com/rosemarydyke/rosemarydyke/member"
-	"github.com/rosemarydyke/rosemarydyke/settings"
 )
 
 // Platform is what an entry uses of the platform.
@@ -37,17 +38,12 @@
 	VMs() platform.VMList
 }
 
-// BatchHandler makes the handler of files and batches.
-type BatchHandler func(platform Platform, source settings.Source, log zerolog.Logger) http.Handler
-
 // Config configures an Entry.
 type Config struct {
 	// Settings are the process's settings.
 	Settings *config.Entry
 	// Platform keeps what must last.
 	Platform Platform
-	// Batch makes the handler of files and batches. Nil leaves them out.
-	Batch BatchHandler
 	// Log is the process's log.
 	Log zerolog.Logger
 	// Ready is set while callers may be sent here.
@@ -165,7 +161,7 @@
 }
 
 func (e *Entry) callersConfig() callerapi.Config {
-	cfg := callerapi.Config{
+	return callerapi.Config{
 		VM:          e.config.Settings.VM.Name,
 		Settings:    e.watcher,
 		Members:     e.members,
@@ -176,11 +172,19 @@
 		Evidence:    e.evidence,
 		Log:         e.config.Log,
 		EntriesTTL:  e.config.EntriesTTL,
+		Batch: batchapi.New(batchapi.Config{
+			Table:    e.config.Platform.Table(),
+			Objects:  e.config.Platform.Objects(),
+			Settings: e.watcher,
+			OnCancel: e.announceCancel,
+			Log:      e.config.Log,
+		}),
 	}
-	if e.config.Batch != nil {
-		cfg.Batch = e.config.Batch(e.config.Platform, e.watcher, e.config.Log)
-	}
-	return cfg
+}
+
+// announceCancel tells the batch processes of all VMs of a cancelled job, without keeping its caller waiting.
+func (e *Entry) announceCancel(ctx context.Context, id string) {
+	go jobstore.AnnounceCancel(ctx, e.node, e.members.Members(), id)
 }
 
 // self describes this VM to the other members.
--- a/internal/entry/openai_test.go
+++ b/internal/entry/openai_test.go
@@ -191,3 +191,50 @@
 		return err == nil && load.Running == 0
 	})
 }
+
+const batchLine = `{"custom_id":"a","method":"POST","url":"/v1/chat/completions","body":{"model":"m","messages":[{"role":"user","content":"hi"}]}}` + "\n"
+
+// upload stores a batch's input.
+func (ef *engineFleet) upload(content string) (*openai.FileObject, error) {
+	return ef.client.Files.New(context.Background(), openai.FileNewParams{
+		File:    openai.File(strings.NewReader(content), "night.jsonl", "application/jsonl"),
+		Purpose: openai.FilePurposeBatch,
+	})
+}
+
+func (ef *engineFleet) submit(file string) (*openai.Batch, error) {
+	return ef.client.Batches.New(context.Background(), openai.BatchNewParams{
+		InputFileID:      file,
+		Endpoint:         openai.BatchNewParamsEndpointV1ChatCompletions,
+		CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+	})
+}
+
+func TestAStockClientSubmitsAndCancelsABatch(t *testing.T) {
+	c := qt.New(t)
+	ef := newEngineFleet(t, 1)
+	file, err := ef.upload(batchLine)
+	c.Assert(err, qt.IsNil)
+	batch, err := ef.submit(file.ID)
+	c.Assert(err, qt.IsNil)
+	c.Assert(batch.RequestCounts.Total, qt.Equals, int64(1))
+	_, err = ef.client.Batches.Cancel(context.Background(), batch.ID)
+	c.Assert(err, qt.IsNil)
+	elsewhere, err := ef.client.Batches.Get(context.Background(), batch.ID, option.WithBaseURL(ef.url(2)+"/v1"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(elsewhere.Status == openai.BatchStatusCancelling || elsewhere.Status == openai.BatchStatusCancelled, qt.IsTrue,
+		qt.Commentf("status %s", elsewhere.Status))
+}
+
+func TestAStockClientIsToldTheLineThatDoesNotParse(t *testing.T) {
+	c := qt.New(t)
+	ef := newEngineFleet(t, 1)
+	file, err := ef.upload(batchLine + "{broken\n")
+	if err == nil {
+		_, err = ef.submit(file.ID)
+	}
+	var apiError *openai.Error
+	c.Assert(errors.As(err, &apiError), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(apiError.StatusCode, qt.Equals, 400)
+	c.Assert(apiError.Message, qt.Contains, "line 2")
+}
