Fleet script: check what a process id belongs to before acting on it

Cause: ids of an earlier fleet may belong to other processes by now, and a stale run/fleet.env looked like a fleet that is up. Change: the command line is compared; the demo waits for the files of its own fleet. Tried without rosemary-batch: start, Ctrl-C to the group, SIGKILL of the script and a new start, a second start beside a running fleet (refused).

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,11 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-if [ -f run/pids/fleet ] && kill -0 "$(cat run/pids/fleet)" 2>/dev/null; then
-  echo "A fleet is running already, with process id $(cat run/pids/fleet); stop it first." >&2
-  exit 1
-fi
-rm -f run/fleet.env
 scripts/fleet.sh &
 fleet=$!
 stop_fleet() {
@@ -17,7 +12,9 @@
 }
 trap stop_fleet EXIT
 
-while [ ! -f run/fleet.env ]; do
+# Files of an earlier fleet may lie about until the new one removes them.
+is_up() { [ "$(cat run/pids/fleet 2>/dev/null)" = "$fleet" ] && [ -f run/fleet.env ]; }
+until is_up; do
   if ! kill -0 "$fleet" 2>/dev/null; then
     echo "The fleet did not start; its logs are in run/logs." >&2
     exit 1
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -10,7 +10,10 @@
 # Seconds that daemons get for a graceful stop before they are killed.
 stop_timeout=20
 
-if [ -f run/pids/fleet ] && kill -0 "$(cat run/pids/fleet)" 2>/dev/null; then
+# runs_as PID PATTERN tells whether the process runs a command that matches the pattern.
+runs_as() { [ -d "/proc/$1" ] && tr '\0' ' ' < "/proc/$1/cmdline" | grep -q "$2"; }
+
+if [ -f run/pids/fleet ] && runs_as "$(cat run/pids/fleet)" 'fleet\.sh'; then
   echo "A fleet is running already, with process id $(cat run/pids/fleet)." >&2
   exit 1
 fi
@@ -18,7 +21,7 @@
 for file in run/pids/*; do
   [ -f "$file" ] || continue
   pid=$(cat "$file")
-  if tr '\0' ' ' < "/proc/$pid/cmdline" 2>/dev/null | grep -q '^bin/rosemary-.* --config run/config/'; then
+  if runs_as "$pid" '^bin/rosemary-.* --config run/config/'; then
     echo "Killing $(basename "$file"), which an earlier fleet left behind." >&2
     kill -KILL "$pid" 2>/dev/null || true
   fi
