--- a/dispatch/choice.go
+++ b/dispatch/choice.go
@@ -14,6 +14,8 @@
 	Share float64
 	// Free is the number of requests that this VM may start on it now, or that it could have slots for at once.
 	Free int
+	// Idle is the part of Free that takes no slot from batch work, as far as is known.
+	Idle int
 	// InUse is the number of requests that this VM runs on it.
 	InUse int
 	// Slots is the number of requests that the target runs at once.
@@ -62,6 +64,7 @@
 			{Scorer: PrefixAffinity{Index: index, Bound: DefaultLoadBound}, Weight: 2},
 			{Scorer: LowLoad{}, Weight: 1},
 			{Scorer: MostFree{}, Weight: 1},
+			{Scorer: SparesBatch{}, Weight: 1},
 			{Scorer: SameZone{}, Weight: 0.25},
 		},
 	}
--- a/dispatch/choice_test.go
+++ b/dispatch/choice_test.go
@@ -50,6 +50,14 @@
 	qt.Assert(t, i, qt.Equals, 1)
 }
 
+func TestATargetWithAnIdleSlotIsPickedBeforeOneThatBatchFills(t *testing.T) {
+	full, idle := candidate("a"), candidate("b")
+	full.Free, idle.Free = 3, 3
+	idle.Idle = 1
+	i, _ := NewChooser(nil).Pick(Query{}, []Candidate{full, idle}, first)
+	qt.Assert(t, i, qt.Equals, 1)
+}
+
 func TestATargetInTheSameZoneIsPickedAmongEquals(t *testing.T) {
 	far, near := candidate("a"), candidate("b")
 	near.Local = true
--- a/dispatch/scorers.go
+++ b/dispatch/scorers.go
@@ -40,6 +40,22 @@
 	return scores
 }
 
+// SparesBatch prefers targets with a slot that need not be taken from batch work, whose prompt would
+// have to be processed again. What is known of idle slots is a little old, so a target counts only
+// when it has other slots to give if the idle ones are gone.
+type SparesBatch struct{}
+
+// Score implements Scorer.
+func (SparesBatch) Score(_ Query, candidates []Candidate) []float64 {
+	scores := make([]float64, len(candidates))
+	for i, c := range candidates {
+		if c.Idle > 0 && c.Free > c.Idle {
+			scores[i] = 1
+		}
+	}
+	return scores
+}
+
 // SameZone prefers targets in this VM's availability zone.
 type SameZone struct{}
 
--- a/internal/admission/controller/acquire.go
+++ b/internal/admission/controller/acquire.go
@@ -218,6 +218,18 @@
 	}
 }
 
+// idle is the number of slots that nobody has, or zero when the owner's word on it is old.
+func (t *targetState) idle(now time.Time) int {
+	switch {
+	case t.ledger != nil:
+		return t.ledger.IdleSlots()
+	case t.hasFreshHint(now):
+		return t.holder.Idle
+	default:
+		return 0
+	}
+}
+
 // worthAsking is the number of credits to plan an ask for. An owner that could grant none a while ago is tried with one.
 func (t *targetState) worthAsking(now time.Time) int {
 	if t.hasFreshHint(now) {
--- a/internal/admission/controller/batch.go
+++ b/internal/admission/controller/batch.go
@@ -12,6 +12,10 @@
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
 )
 
+// batchFillTime is the time in which a target's slots are filled with batch work. Spreading the starts keeps
+// the prompts of many items from being processed before that of an online request.
+const batchFillTime = time.Second
+
 // batchState is the entry's side of the batch slots.
 type batchState struct {
 	lastSlot uint64
@@ -173,7 +177,7 @@
 		if t == nil {
 			return
 		}
-		id := c.grantBatch(batchSlot{session: session, target: t, model: want.Model})
+		id := c.grantBatch(batchSlot{session: session, target: t, model: want.Model}, now)
 		t.ledger.GrantBatch(id)
 		session.held[want.Model]++
 	}
@@ -193,7 +197,7 @@
 		if t == nil {
 			continue
 		}
-		id := c.grantBatch(batchSlot{session: session, target: t, model: want.Model, suspect: fingerprint})
+		id := c.grantBatch(batchSlot{session: session, target: t, model: want.Model, suspect: fingerprint}, now)
 		t.ledger.GrantSuspectBatch(id)
 		session.suspects[fingerprint] = true
 	}
@@ -219,18 +223,37 @@
 	return best
 }
 
-// roomiest returns the owned target with the most room for batch work, or nil.
+// roomiest returns the owned target with the most room for batch work that may be given an item now, or nil.
 func (c *Controller) roomiest(p *pool, now time.Time) *targetState {
 	var best *targetState
 	most := 0
 	for _, t := range p.targets {
-		if room := t.batchRoom(now); room > most {
+		room := t.batchRoom(now)
+		if room > 0 && now.Before(t.nextBatch) {
+			c.fillLater(t, now)
+			continue
+		}
+		if room > most {
 			best, most = t, room
 		}
 	}
 	return best
 }
 
+// fillLater grants batch slots again when the target may be given the next item.
+func (c *Controller) fillLater(t *targetState, now time.Time) {
+	if t.fillPlanned {
+		return
+	}
+	t.fillPlanned = true
+	time.AfterFunc(t.nextBatch.Sub(now), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		t.fillPlanned = false
+		c.fillBatch(time.Now())
+	})
+}
+
 func (t *targetState) batchRoom(now time.Time) int {
 	if t.ledger == nil {
 		return 0
@@ -240,7 +263,9 @@
 }
 
 // grantBatch hands a slot out and returns its id.
-func (c *Controller) grantBatch(slot batchSlot) uint64 {
+func (c *Controller) grantBatch(slot batchSlot, now time.Time) uint64 {
+	slot.target.batchStarted = now
+	slot.target.nextBatch = now.Add(batchFillTime / time.Duration(slot.target.settings.Slots))
 	c.batch.lastSlot++
 	id := c.batch.lastSlot
 	c.batch.slots[id] = slot
--- a/internal/admission/controller/config.go
+++ b/internal/admission/controller/config.go
@@ -78,8 +78,8 @@
 	c.CallTimeout = cmp.Or(c.CallTimeout, time.Second)
 	c.AskWait = cmp.Or(c.AskWait, 250*time.Millisecond)
 	c.AskPatience = cmp.Or(c.AskPatience, 25*time.Millisecond)
-	c.ExchangeRate = cmp.Or(c.ExchangeRate, 12)
-	c.ExchangeBurst = cmp.Or(c.ExchangeBurst, 60)
+	c.ExchangeRate = cmp.Or(c.ExchangeRate, 18)
+	c.ExchangeBurst = cmp.Or(c.ExchangeBurst, 120)
 	c.MinTargets = cmp.Or(c.MinTargets, 5)
 	c.PrefixEntries = cmp.Or(c.PrefixEntries, 65536)
 	if c.Prober == nil {
--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -75,6 +75,11 @@
 	// ledger and pacer are set on the owner only.
 	ledger *target.Ledger
 	pacer  *target.Pacer
+	// batchStarted is when the last batch item started.
+	batchStarted time.Time
+	// nextBatch is when the next batch item may start, and fillPlanned says that a timer waits for it.
+	nextBatch   time.Time
+	fillPlanned bool
 	// recalls holds when each holder was last asked to give unused credits back.
 	recalls map[string]time.Time
 	// changed is closed and replaced when the ledger may be able to grant more.
--- a/internal/admission/controller/credits.go
+++ b/internal/admission/controller/credits.go
@@ -15,6 +15,9 @@
 	ask.Holder, ask.Session = c.config.VM, c.session
 	answer, revoke := t.ledger.Request(now, ask)
 	t.holder.Answered(ask.Sequence, answer)
+	if answer.Granted > ask.Held {
+		c.quieten(t, now)
+	}
 	c.revoke(revoke)
 	c.recallIdle(t, now)
 }
--- a/internal/admission/controller/fleet_test.go
+++ b/internal/admission/controller/fleet_test.go
@@ -51,7 +51,6 @@
 	identity member.Member
 	calls    map[peer.Method]peer.CallHandler
 	streams  map[peer.Method]peer.StreamHandler
-	sent     int
 	ctx      context.Context
 	stop     context.CancelFunc
 }
--- a/internal/admission/controller/messages.go
+++ b/internal/admission/controller/messages.go
@@ -85,6 +85,7 @@
 	Share      int           `cbor:"8,keyasint,omitempty"`
 	// Refuses says that the target refuses work, by what the owner has seen or heard.
 	Refuses bool `cbor:"9,keyasint,omitempty"`
+	Idle    int  `cbor:"10,keyasint,omitempty"`
 }
 
 func newTargetAnswer(refuses bool, answer target.Answer) TargetAnswer {
@@ -96,6 +97,7 @@
 		Suspect:    answer.Suspect,
 		Stale:      answer.Stale,
 		Share:      answer.Share,
+		Idle:       answer.Idle,
 		Refuses:    refuses,
 	}
 }
@@ -109,5 +111,6 @@
 		Suspect:    a.Suspect,
 		Stale:      a.Stale,
 		Share:      a.Share,
+		Idle:       a.Idle,
 	}
 }
--- a/internal/admission/controller/owner.go
+++ b/internal/admission/controller/owner.go
@@ -56,6 +56,9 @@
 			c.fillBatch(now)
 		}
 		answers[i] = newTargetAnswer(t.pool.health.Refuses(ask.Target), answer)
+		if ask.Want > ask.Held && answer.Granted > ask.Held {
+			c.quieten(t, now)
+		}
 		recalled := c.recallIdle(t, now)
 		if isShort(ask, answer) && (message.Hold || recalled || t.ledger.Coming(holder) > 0) {
 			changed = t.changed
@@ -64,6 +67,34 @@
 	return changed
 }
 
+// maxBusy bounds the time for which a batch item's prompt is taken to be processed.
+const maxBusy = 100 * time.Millisecond
+
+// busyFor returns for how long the owned target will process the prompt of the batch item that started last: about
+// one and a half first-token times after its start, since batch prompts are longer.
+func (t *targetState) busyFor(now time.Time) time.Duration {
+	prompt := min(t.pacer.FirstToken()*2, maxBusy)
+	return max(0, prompt-now.Sub(t.batchStarted))
+}
+
+// quieten keeps prompts of batch items from delaying the first token of an online request that is about to
+// start: it takes back the slot of an item whose prompt is being processed, and keeps the next item back.
+func (c *Controller) quieten(t *targetState, now time.Time) {
+	if t.isBusy(now) {
+		t.batchStarted = time.Time{}
+		c.revoke(t.ledger.RevokeBatch(1))
+	}
+	until := now.Add(min(t.pacer.FirstToken()*3/2, maxBusy))
+	if until.After(t.nextBatch) {
+		t.nextBatch = until
+	}
+}
+
+// isBusy reports whether the owned target processes the prompt of a batch item.
+func (t *targetState) isBusy(now time.Time) bool {
+	return t.ledger != nil && t.busyFor(now) > 0
+}
+
 // isShort reports whether an ask got nothing of what it wants.
 func isShort(ask TargetAsk, answer target.Answer) bool {
 	if answer.Stale {
--- a/internal/admission/controller/plan.go
+++ b/internal/admission/controller/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/dispatch"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
 )
 
@@ -70,13 +71,7 @@
 // planAsks chooses a target whose owner can grant a credit for each of the first waiting requests.
 // Suspects have asks of their own, see askForLanes.
 func (c *Controller) planAsks(p *pool, missing int, now time.Time) askPlan {
-	candidates := c.candidates(p, now)
-	for i, t := range p.active {
-		candidates[i].Free = 0
-		if t.mayAsk(now) {
-			candidates[i].Free = min(t.worthAsking(now), t.shareLeft(candidates[i].Share))
-		}
-	}
+	candidates := c.askable(p, now)
 	plan := askPlan{counts: make([]int, len(candidates))}
 	for _, item := range p.queue.Head(missing) {
 		w := item.Value.(*waiter)
@@ -90,11 +85,25 @@
 		}
 		plan.counts[i]++
 		candidates[i].Free--
+		candidates[i].Idle--
 		candidates[i].InUse++
 	}
 	return plan
 }
 
+// askable describes the active targets by what their owners could grant.
+func (c *Controller) askable(p *pool, now time.Time) []dispatch.Candidate {
+	candidates := c.candidates(p, now)
+	for i, t := range p.active {
+		candidates[i].Free = 0
+		if t.mayAsk(now) {
+			candidates[i].Idle = t.idle(now)
+			candidates[i].Free = min(t.worthAsking(now), t.shareLeft(candidates[i].Share))
+		}
+	}
+	return candidates
+}
+
 // mayAsk reports whether an ask can be sent to the target's owner now.
 func (t *targetState) mayAsk(now time.Time) bool {
 	return t.owned && !t.isWaiting() && !now.Before(t.retryAt)
--- a/target/holder.go
+++ b/target/holder.go
@@ -29,7 +29,9 @@
 	// Obtainable and Scarce are those of the owner's last answer. Obtainable is -1 before the first one.
 	Obtainable int
 	Scarce     bool
-	share      int
+	// Idle is that of the owner's last answer.
+	Idle  int
+	share int
 }
 
 // NewHolder returns a holder without credits.
@@ -137,6 +139,7 @@
 	h.expires = h.sentAt.Add(answer.TTL)
 	h.answered = h.sentAt
 	h.Obtainable = answer.Obtainable
+	h.Idle = answer.Idle
 	h.Scarce = answer.Scarce
 	h.share = answer.Share
 	h.allowed = answer.Suspect
--- a/target/ledger.go
+++ b/target/ledger.go
@@ -59,6 +59,8 @@
 	// Obtainable is the number of credits, beyond those granted and wanted, that the owner could grant: free
 	// slots and slots that batch work or others with unused credits would give up, less what is waited for.
 	Obtainable int
+	// Idle is the number of slots that nobody has: they can be had without taking any from batch work.
+	Idle int
 	// Scarce says that others wait for credits, so that unused ones should be returned at once.
 	Scarce bool
 	// Share is the number of credits that the holder should use at most while credits are scarce.
@@ -138,6 +140,7 @@
 		Granted:    g.credits,
 		TTL:        l.config.TTL,
 		Obtainable: l.Obtainable(ask.Holder),
+		Idle:       l.IdleSlots(),
 		Scarce:     l.shortage() > 0,
 		Share:      share,
 		Suspect:    g.suspect,
@@ -202,6 +205,9 @@
 	return max(0, left)
 }
 
+// IdleSlots returns the number of slots that nobody has.
+func (l *Ledger) IdleSlots() int { return max(0, l.free()) }
+
 // Idle returns the holders whose unused credits would meet a shortage that batch work does not meet.
 func (l *Ledger) Idle() []string {
 	if l.shortage() <= l.revoked() {
--- a/target/pacer.go
+++ b/target/pacer.go
@@ -88,6 +88,11 @@
 	p.limit = min(p.limit, float64(slots))
 }
 
+// FirstToken returns the undisturbed first-token time, or zero while none was observed.
+func (p *Pacer) FirstToken() time.Duration {
+	return time.Duration(p.firstToken.base * float64(time.Second))
+}
+
 // Limit returns the number of batch requests that the target should run at most.
 func (p *Pacer) Limit() int { return int(p.limit) }
 
