Credits: asks that wait at an owner no longer wake each other without end

Each look at a held ask announced the return again and woke the other held asks, which announced theirs. Ruled out: the experiment's network and the batch workers, which were asleep in the stack. Change: a return is announced once for each ask.

--- a/internal/admission/controller/owner.go
+++ b/internal/admission/controller/owner.go
@@ -18,43 +18,56 @@
 	answer := CreditsAnswer{Targets: make([]TargetAnswer, len(message.Targets))}
 	deadline := time.NewTimer(c.config.AskWait)
 	defer deadline.Stop()
-	for {
-		changed := c.answerAsks(from.VM, message, answer.Targets)
-		if changed == nil {
-			return answer, nil
-		}
+	changed := c.answerAsks(from.VM, message, answer.Targets)
+	c.announceReturns(message)
+	for changed != nil {
 		select {
 		case <-changed:
+			changed = c.answerAsks(from.VM, message, answer.Targets)
 		case <-deadline.C:
 			return answer, nil
 		case <-ctx.Done():
 			return answer, nil
 		}
 	}
+	return answer, nil
 }
 
-// answerAsks fills in the answers. When it is better to look again before sending them, it returns
-// a channel that is closed at the next change.
-func (c *Controller) answerAsks(holder string, message CreditsAsk, answers []TargetAnswer) (changed <-chan struct{}) {
+// announceReturns wakes what waits for the credits that an ask returned. It runs once for each ask: two
+// asks that wait, and woke each other each time they looked again, would never sleep.
+func (c *Controller) announceReturns(message CreditsAsk) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for i, ask := range message.Targets {
+	for _, ask := range message.Targets {
 		t := c.targets[ask.Target]
 		if t == nil || t.ledger == nil {
-			answers[i] = TargetAnswer{NotOwner: true}
 			continue
 		}
-		answer, revoke := t.ledger.Request(now, ask.ask(holder, message.Session))
-		c.revoke(revoke)
 		if ask.Refused {
 			t.pool.health.Observe(now, ask.Target, target.Refused, 0)
 		}
 		if ask.Want <= ask.Held {
-			// Credits may have been returned that others wait for.
 			t.notify()
 			c.fillBatch(now)
 		}
+	}
+}
+
+// answerAsks fills in the answers. When it is better to look again before sending them, it returns
+// a channel that is closed at the next change.
+func (c *Controller) answerAsks(holder string, message CreditsAsk, answers []TargetAnswer) (changed <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for i, ask := range message.Targets {
+		t := c.targets[ask.Target]
+		if t == nil || t.ledger == nil {
+			answers[i] = TargetAnswer{NotOwner: true}
+			continue
+		}
+		answer, revoke := t.ledger.Request(now, ask.ask(holder, message.Session))
+		c.revoke(revoke)
 		answers[i] = newTargetAnswer(t.pool.health.Refuses(ask.Target), answer)
 		recalled := c.recallIdle(t, now)
 		if isShort(ask, answer) && (message.Hold || recalled || t.ledger.Coming(holder) > 0) {
