Memory of bodies in progress bounded, Retry-After jittered, events decoded less

Cause: 2,000 bodies of 4 MiB exceed a VM's memory; callers refused together by an outage came back together; each streamed event was decoded three times.

--- a/internal/callerapi/call.go
+++ b/internal/callerapi/call.go
@@ -49,6 +49,8 @@
 	// deadlineGiven says that the caller itself named the deadline.
 	deadlineGiven bool
 	prefixBlocks  []uint64
+	// release gives back the memory reserved for the body.
+	release func()
 }
 
 // newCall reads what all calls have in common.
@@ -62,13 +64,14 @@
 		client:         client,
 		snapshot:       snapshot,
 		idempotencyKey: r.Header.Get(headerIdempotencyKey),
+		release:        func() {},
 	}
 	w.Header().Set(headerRequestID, c.id)
 	c.record = s.config.Requests.Begin(c.id, "The request is in progress.")
 	c.record.Event(fmt.Sprintf("Admitted from client %s under settings revision %d: %s %s.", client.Name, snapshot.Revision, r.Method, r.URL.Path))
 	if !s.config.Settings.Fresh() {
 		e := notRun(verdict.CodeStaleSettings, "this entry cannot confirm its settings; ask another entry")
-		e.RetryAfter = time.Second
+		e.RetryAfter = jittered(time.Second)
 		return c, e
 	}
 	if len(c.idempotencyKey) > maxKeyBytes {
@@ -77,9 +80,32 @@
 	if err := c.readDeadline(r); err != nil {
 		return c, err
 	}
+	if err := s.reserve(c, r); err != nil {
+		return c, err
+	}
 	return c, c.readBody(w, r, s.config.MaxBodyBytes)
 }
 
+// reserve takes the memory for the body out of what all requests in progress may use.
+func (s *Server) reserve(c *call, r *http.Request) error {
+	size := r.ContentLength
+	if size > s.config.MaxBodyBytes {
+		return bodyTooLarge(s.config.MaxBodyBytes)
+	}
+	if size < 0 {
+		size = s.config.MaxBodyBytes
+	}
+	if !s.bodies.TryAcquire(size) {
+		return full("this entry has as many bodies in progress as it can hold")
+	}
+	c.release = func() { s.bodies.Release(size) }
+	return nil
+}
+
+func bodyTooLarge(limit int64) error {
+	return notRun(verdict.CodeBodyTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
+}
+
 func (c *call) readDeadline(r *http.Request) error {
 	wait := c.client.Deadline
 	if wait == 0 {
@@ -109,7 +135,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return notRun(verdict.CodeBodyTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
+		return bodyTooLarge(limit)
 	}
 	if err != nil {
 		e := notRun(verdict.CodeInvalidRequest, "the body could not be read")
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -295,6 +295,19 @@
 	first.Wait()
 }
 
+func TestBodiesInProgressAreBoundedTogether(t *testing.T) {
+	c := qt.New(t)
+	target := newCounted(answerJSON)
+	f := newFixture(t, "vm-1", memory.New(), func(c *callerapi.Config) { c.MaxBytesInProgress = 100 }, target)
+	c.Assert(f.send(t, "POST", chat, chatBody, nil).status, qt.Equals, 200)
+	padded := strings.Replace(chatBody, "hi", strings.Repeat("hi", 100), 1)
+	got := f.send(t, "POST", chat, padded, nil)
+	c.Assert(got.code(), qt.Equals, "overloaded")
+	c.Assert(got.header.Get("Rosemarydyke-Verdict"), qt.Equals, "not-run")
+	c.Assert(f.send(t, "POST", chat, chatBody, nil).status, qt.Equals, 200)
+	c.Assert(target.count.Load(), qt.Equals, int64(2))
+}
+
 func TestAFrozenTargetIsGivenUpByTheTokensAskedFor(t *testing.T) {
 	c := qt.New(t)
 	frozen := make(chan struct{})
--- a/internal/callerapi/errors.go
+++ b/internal/callerapi/errors.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -127,12 +128,16 @@
 func writeError(w http.ResponseWriter, err error, idempotent bool) {
 	e := asVerdict(err)
 	retry := shouldRetry(e, idempotent)
+	wait := e.RetryAfter
+	if e.Code == verdict.CodePlatformUnavailable {
+		wait = jittered(wait)
+	}
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(headerVerdict, e.Verdict.String())
 	header.Set(headerShouldRetry, strconv.FormatBool(retry))
 	if retry || e.RetryAfter > 0 {
-		header.Set(headerRetryAfter, retryAfterSeconds(e.RetryAfter))
+		header.Set(headerRetryAfter, retryAfterSeconds(wait))
 	}
 	w.WriteHeader(status(e))
 	_ = json.NewEncoder(w).Encode(newErrorBody(e))
@@ -144,6 +149,11 @@
 	return strconv.Itoa(int(seconds))
 }
 
+// jittered returns a time from d up to three times d, so that callers refused together do not come back together.
+func jittered(d time.Duration) time.Duration {
+	return d + time.Duration(2*rand.Float64()*float64(d))
+}
+
 func notRun(code verdict.Code, message string) *verdict.Error {
 	return &verdict.Error{Verdict: verdict.NotRun, Code: code, Message: message}
 }
--- a/internal/callerapi/gate.go
+++ b/internal/callerapi/gate.go
@@ -11,6 +11,12 @@
 // fullRetryAfter is what callers are told while an entry is full.
 const fullRetryAfter = time.Second
 
+func full(message string) error {
+	e := notRun(verdict.CodeOverloaded, message)
+	e.RetryAfter = jittered(fullRetryAfter)
+	return e
+}
+
 // gate admits requests until it is closed or full, and counts those in progress.
 type gate struct {
 	// limit bounds the requests in progress.
@@ -32,9 +38,7 @@
 		return nil, notRun(verdict.CodeLeaving, "this entry is leaving; ask another entry")
 	}
 	if g.running >= g.limit {
-		e := notRun(verdict.CodeOverloaded, "this entry has as many requests in progress as it can hold")
-		e.RetryAfter = fullRetryAfter
-		return nil, e
+		return nil, full("this entry has as many requests in progress as it can hold")
 	}
 	g.running++
 	return g.exit, nil
--- a/internal/callerapi/serve.go
+++ b/internal/callerapi/serve.go
@@ -32,6 +32,7 @@
 		s.refuse(w, err, start)
 		return
 	}
+	defer c.release()
 	span.SetAttributes(attribute.String("request_id", c.id))
 	if err == nil {
 		err = run(ctx, c)
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/internal/engine"
@@ -46,6 +47,8 @@
 	MaxBodyBytes int64
 	// MaxInProgress bounds the requests in progress. Default 2000.
 	MaxInProgress int
+	// MaxBytesInProgress bounds the bodies of requests in progress, together. Default 64 MiB.
+	MaxBytesInProgress int64
 	// EntriesTTL is how long callers may keep the answer to /v1/entries. Default 5s.
 	EntriesTTL time.Duration
 	// MaxTries bounds the targets that one request is sent to. Default 3.
@@ -63,6 +66,7 @@
 const (
 	defaultMaxBodyBytes      = 4 << 20
 	defaultMaxInProgress     = 2000
+	defaultBytesInProgress   = 64 << 20
 	defaultEntriesTTL        = 5 * time.Second
 	defaultMaxTries          = 3
 	defaultFirstTokenTimeout = 10 * time.Second
@@ -86,6 +90,9 @@
 	if c.MaxInProgress == 0 {
 		c.MaxInProgress = defaultMaxInProgress
 	}
+	if c.MaxBytesInProgress == 0 {
+		c.MaxBytesInProgress = defaultBytesInProgress
+	}
 	if c.TokenTimeout == 0 {
 		c.TokenTimeout = defaultTokenTimeout
 	}
@@ -109,6 +116,7 @@
 	mux     *http.ServeMux
 	clients clientIndex
 	gate    gate
+	bodies  *semaphore.Weighted
 	tracer  trace.Tracer
 	metrics *serverMetrics
 }
@@ -121,6 +129,7 @@
 		mux:     http.NewServeMux(),
 		tracer:  otel.Tracer("rosemarydyke/callerapi"),
 		metrics: newServerMetrics(),
+		bodies:  semaphore.NewWeighted(config.MaxBytesInProgress),
 	}
 	s.gate.limit = config.MaxInProgress
 	metrics.GetOrCreateGauge("rosemarydyke_requests_in_progress", s.gate.inProgress)
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -99,19 +99,31 @@
 		return failure(admission.EndCut, verdict.MayHaveRun, verdict.CodeStreamCut,
 			"the target sent an event that is not whole", errIncomplete)
 	}
-	var chunk struct {
-		Error json.RawMessage `json:"error"`
-	}
-	_ = json.Unmarshal(data, &chunk)
-	if eventType == "error" || len(chunk.Error) > 0 && string(chunk.Error) != "null" {
+	if eventType == "error" || holdsError(data) {
 		return failure(admission.EndCut, verdict.MayHaveRun, verdict.CodeTargetFailed,
 			"the target reported an error within its stream", errIncomplete)
 	}
 	return nil
 }
 
+// holdsError reports whether a chunk carries an error. Most chunks are told apart without decoding them.
+func holdsError(data []byte) bool {
+	if !bytes.Contains(data, []byte(`"error"`)) {
+		return false
+	}
+	var chunk struct {
+		Error json.RawMessage `json:"error"`
+	}
+	_ = json.Unmarshal(data, &chunk)
+	return len(chunk.Error) > 0 && string(chunk.Error) != "null"
+}
+
 // count updates the number of tokens from one chunk.
 func (r *StreamResult) count(data []byte) {
+	if !bytes.Contains(data, []byte(`"usage"`)) {
+		r.Tokens++
+		return
+	}
 	var chunk struct {
 		Usage *struct {
 			CompletionTokens int `json:"completion_tokens"`
