Tests of the entry end their fleet without the order of a leave

Cause: each test waited for a leave that it did not test. Change: a failure to serve closes the node too, and the tests end that way.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -265,11 +265,21 @@
 	serving := make(chan error, 1)
 	go func() { serving <- e.server.Serve(e.listener) }()
 	if err := e.watch(ctx, serving); err != nil {
-		return err
+		return errors.Join(err, e.closeNode())
 	}
 	return e.leave()
 }
 
+// closeNode ends the connections to other processes, after a short wait for calls in progress.
+func (e *Entry) closeNode() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := e.node.Close(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return nil
+}
+
 // watch keeps Ready up to date until ctx ends or serving fails.
 func (e *Entry) watch(ctx context.Context, serving <-chan error) error {
 	ticker := time.NewTicker(readyInterval)
@@ -303,9 +313,6 @@
 	farewell, end := context.WithTimeout(context.Background(), closeTimeout)
 	defer end()
 	e.members.Close(farewell)
-	closed := e.node.Close(farewell)
-	if errors.Is(closed, context.DeadlineExceeded) {
-		closed = nil
-	}
+	closed := e.closeNode()
 	return errors.Join(drained, stopped, closed)
 }
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -141,11 +141,15 @@
 	go func() { ended <- f.entries[i].Run(ctx) }()
 }
 
+// close ends all entries at once, without the order of a leave.
 func (f *fleet) close() {
 	var closing sync.WaitGroup
-	for i := range f.entries {
-		f.stops[i]()
-		closing.Go(func() { <-f.ended[i] })
+	for i, e := range f.entries {
+		closing.Go(func() {
+			_ = e.server.Close()
+			<-f.ended[i]
+			f.stops[i]()
+		})
 	}
 	closing.Wait()
 }
