--- a/internal/idempotency/at_most_once_test.go
+++ b/internal/idempotency/at_most_once_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,22 +17,13 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/idempotency"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
+	"github.com/rosemarydyke/rosemarydyke/internal/rapidtest"
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set := func(name, variable, fallback string) {
-		value := os.Getenv(variable)
-		if value == "" {
-			value = fallback
-		}
-		_ = flag.Set(name, value)
-	}
-	set("rapid.seed", "ROSEMARYDYKE_FUZZ_SEED", "1")
-	set("rapid.checks", "ROSEMARYDYKE_FUZZ_CHECKS", "200")
-	os.Exit(m.Run())
-}
+const fuzzChecks = 200
+
+func TestMain(m *testing.M) { rapidtest.Main(m, fuzzChecks) }
 
 // claimer is what a VM asks before it dispatches a request that must not be repeated.
 type claimer interface {
