Edges of deadlines, stale settings, own headers and abandoned claims

Cause: a deadline that passed between grant and dispatch meant no bound; uploads and new jobs were taken with stale settings; a service could set our headers; a claim given up with an unknown outcome was reported as lost while it was being released. Change: a passed deadline is over at once; new batch work is refused while stale; headers with our prefix stay between callers and entries; an abandoned claim counts as in progress until it is released.

--- a/internal/callerapi/call.go
+++ b/internal/callerapi/call.go
@@ -70,9 +70,7 @@
 	c.record = s.config.Requests.Begin(c.id, "The request is in progress.")
 	c.record.Event(fmt.Sprintf("Admitted from client %s under settings revision %d: %s %s.", client.Name, snapshot.Revision, r.Method, r.URL.Path))
 	if !s.config.Settings.Fresh() {
-		e := notRun(verdict.CodeStaleSettings, "this entry cannot confirm its settings; ask another entry")
-		e.RetryAfter = jittered(time.Second)
-		return c, e
+		return c, staleSettings()
 	}
 	if len(c.idempotencyKey) > maxKeyBytes {
 		return c, notRun(verdict.CodeInvalidRequest, fmt.Sprintf("%s is longer than %d bytes", headerIdempotencyKey, maxKeyBytes))
@@ -86,6 +84,12 @@
 	return c, c.readBody(w, r, s.config.MaxBodyBytes)
 }
 
+func staleSettings() error {
+	e := notRun(verdict.CodeStaleSettings, "this entry cannot confirm its settings; ask another entry")
+	e.RetryAfter = jittered(time.Second)
+	return e
+}
+
 // reserve takes the memory for the body out of what all requests in progress may use.
 func (s *Server) reserve(c *call, r *http.Request) error {
 	size := r.ContentLength
@@ -126,6 +130,14 @@
 	return nil
 }
 
+// remaining is the time until the deadline. It is never zero, which would stand for no deadline.
+func (c *call) remaining() time.Duration {
+	if d := time.Until(c.deadline); d != 0 {
+		return d
+	}
+	return -1
+}
+
 func (c *call) readBody(w http.ResponseWriter, r *http.Request, limit int64) error {
 	// The read deadline frees the connection of a caller that stops sending. It must not stay in
 	// force, since it would then look like a caller that has gone.
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -203,11 +203,13 @@
 	f := newFixture(t, "vm-1", memory.New(), nil, newCounted(func(w http.ResponseWriter, r *http.Request) {
 		seen = r
 		w.Header().Set("X-Room", "7")
+		w.Header().Set("Rosemarydyke-Verdict", "not-run")
 		w.WriteHeader(http.StatusCreated)
 	}))
 	got := f.send(t, "POST", "/services/booking/rooms/a%2Fb?x=1", "{}", http.Header{"X-Desk": {"1"}, "Connection": {"X-Secret"}, "X-Secret": {"s"}})
 	c.Assert(got.status, qt.Equals, 201)
 	c.Assert(got.header.Get("X-Room"), qt.Equals, "7")
+	c.Assert(got.header.Values("Rosemarydyke-Verdict"), qt.DeepEquals, []string{"completed"})
 	c.Assert(seen.URL.RequestURI(), qt.Equals, "/rooms/a%2Fb?x=1")
 	c.Assert(seen.Header.Get("X-Desk"), qt.Equals, "1")
 	c.Assert(seen.Header.Get("X-Secret"), qt.Equals, "")
@@ -218,12 +220,17 @@
 func TestStaleSettingsRefuseNewWork(t *testing.T) {
 	c := qt.New(t)
 	target := newCounted(answerJSON)
-	f := newFixture(t, "vm-1", memory.New(), nil, target)
+	f := newFixture(t, "vm-1", memory.New(), func(c *callerapi.Config) {
+		c.Batch = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	}, target)
 	f.source.stale.Store(true)
 	got := f.send(t, "POST", chat, chatBody, nil)
 	c.Assert(got.code(), qt.Equals, "stale_settings")
 	c.Assert(got.header.Get("Rosemarydyke-Verdict"), qt.Equals, "not-run")
 	c.Assert(target.count.Load(), qt.Equals, int64(0))
+	c.Assert(f.send(t, "POST", "/v1/batches", "{}", nil).code(), qt.Equals, "stale_settings")
+	c.Assert(f.send(t, "POST", "/v1/batches/b/cancel", "{}", nil).status, qt.Equals, http.StatusTeapot)
+	c.Assert(f.send(t, "GET", "/v1/batches/b", "", nil).status, qt.Equals, http.StatusTeapot)
 }
 
 func TestACallerThatDisconnectsCancelsTheTargetsStream(t *testing.T) {
--- a/internal/callerapi/completions.go
+++ b/internal/callerapi/completions.go
@@ -116,7 +116,7 @@
 		request := c.engineRequest(ctx, r, target)
 		request.FirstByteTimeout = timeout
 		if c.deadlineGiven {
-			request.FirstByteTimeout = min(timeout, time.Until(c.deadline))
+			request.FirstByteTimeout = min(timeout, c.remaining())
 		}
 		answer, err := s.config.Engine.Complete(ctx, request)
 		if err != nil {
@@ -145,7 +145,7 @@
 	progress := newResumption(c, r.URL.Path)
 	return s.dispatch(ctx, c, func(ctx context.Context, target *settings.Target) (admission.Outcome, error) {
 		request := c.engineRequest(ctx, r, target)
-		request.FirstByteTimeout = min(s.config.FirstTokenTimeout, time.Until(c.deadline))
+		request.FirstByteTimeout = min(s.config.FirstTokenTimeout, c.remaining())
 		if a.started {
 			body, ok := progress.resume()
 			if !ok {
--- a/internal/callerapi/entries.go
+++ b/internal/callerapi/entries.go
@@ -84,9 +84,18 @@
 		return
 	}
 	defer leave()
+	if isNewBatchWork(r) && !s.config.Settings.Fresh() {
+		writeError(w, staleSettings(), true)
+		return
+	}
 	s.config.Batch.ServeHTTP(w, r)
 }
 
+// isNewBatchWork reports whether a request uploads or submits. Cancelling and reading need no fresh settings.
+func isNewBatchWork(r *http.Request) bool {
+	return r.Method == http.MethodPost && (r.URL.Path == "/v1/files" || r.URL.Path == "/v1/batches")
+}
+
 func handleUnknown(w http.ResponseWriter, r *http.Request) {
 	writeError(w, notRun(verdict.CodeNotFound, "there is nothing at "+r.Method+" "+r.URL.Path), true)
 }
--- a/internal/callerapi/serve.go
+++ b/internal/callerapi/serve.go
@@ -25,7 +25,7 @@
 		return
 	}
 	defer leave()
-	ctx, span := s.tracer.Start(traced(r), "request "+r.URL.Path, trace.WithSpanKind(trace.SpanKindServer))
+	ctx, span := s.tracer.Start(traced(r), "request "+r.Pattern, trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	c, err := s.newCall(w, r, snapshot)
 	if c == nil {
--- a/internal/callerapi/services.go
+++ b/internal/callerapi/services.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/internal/engine"
@@ -80,9 +79,7 @@
 func (c *call) serviceRequest(ctx context.Context, r *http.Request, service *settings.Service, target *settings.Target) engine.Request {
 	header := http.Header{}
 	copyEndToEnd(header, r.Header)
-	for _, name := range []string{"Authorization", headerIdempotent, headerDeadline} {
-		header.Del(name)
-	}
+	header.Del("Authorization")
 	header.Set(headerTargetRequest, c.id)
 	injectTrace(ctx, header)
 	prefix := "/services/" + c.service
@@ -91,7 +88,7 @@
 		timeout = defaultServiceTimeout
 	}
 	if c.deadlineGiven {
-		timeout = min(timeout, time.Until(c.deadline))
+		timeout = min(timeout, c.remaining())
 	}
 	return engine.Request{
 		Address:          target.Address,
@@ -111,7 +108,10 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
-// copyEndToEnd copies the headers that belong to the message rather than to its connection.
+// ownPrefix starts the headers that pass between callers and entries only.
+const ownPrefix = "Rosemarydyke-"
+
+// copyEndToEnd copies the headers that belong to the message rather than to its connection or to us.
 func copyEndToEnd(to, from http.Header) {
 	dropped := slices.Clone(hopByHop)
 	for _, value := range from.Values("Connection") {
@@ -120,7 +120,7 @@
 		}
 	}
 	for name, values := range from {
-		if !slices.Contains(dropped, name) {
+		if !slices.Contains(dropped, name) && !strings.HasPrefix(name, ownPrefix) {
 			to[name] = slices.Clone(values)
 		}
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -85,7 +85,7 @@
 	Header  http.Header
 	Body    []byte
 	// FirstByteTimeout bounds the wait for the first byte of the answer, or the first event of a
-	// stream, the connection included. Zero means no bound.
+	// stream, the connection included. Zero means no bound; a negative time is over at once.
 	FirstByteTimeout time.Duration
 }
 
@@ -157,7 +157,8 @@
 	})
 }
 
-// watch cancels the exchange when timeout passes before the next call of watch. Zero stops the watch.
+// watch cancels the exchange when timeout passes before the next call of watch. Zero stops the watch; a
+// negative timeout has passed already.
 func (x *exchange) watch(timeout time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -165,7 +166,7 @@
 		x.timer.Stop()
 		x.timer = nil
 	}
-	if timeout > 0 {
+	if timeout != 0 {
 		x.timer = time.AfterFunc(timeout, func() { x.cancel(errTimeout) })
 	}
 }
--- a/internal/idempotency/ledger.go
+++ b/internal/idempotency/ledger.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"sync"
 	"time"
 
@@ -163,7 +164,12 @@
 	owner := idempotency.Owner{VM: l.config.VM, RequestID: requestID}
 	claim := &Claim{ledger: l, key: rowKey(client, key), record: idempotency.NewRecord(fingerprint, owner, time.Now())}
 	l.setRunning(requestID, true)
-	outcome, err := l.claim(ctx, claim)
+	outcome, open, err := l.claim(ctx, claim)
+	if open {
+		// The claim may have taken effect. Until it is released, the key is in progress here.
+		l.abandon(claim)
+		return nil, nil, err
+	}
 	if err != nil || outcome != nil {
 		l.setRunning(requestID, false)
 		return nil, outcome, err
@@ -180,22 +186,22 @@
 	return rowPrefix + hex.EncodeToString(digest[:16])
 }
 
-func (l *Ledger) claim(ctx context.Context, claim *Claim) (*idempotency.Outcome, error) {
+// claim returns nothing when the claim is in force. It reports open when it failed and may still take effect.
+func (l *Ledger) claim(ctx context.Context, claim *Claim) (outcome *idempotency.Outcome, open bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, l.config.ClaimTimeout)
 	defer cancel()
 	for {
 		result := l.committer.submit(ctx, claim.key, claim.version, claim.record)
 		switch {
 		case result.err != nil:
-			l.abandon(claim, result.err)
-			return nil, unavailable(result.err)
+			return nil, errors.Is(result.err, platform.ErrOutcomeUnknown), unavailable(result.err)
 		case result.conflict == nil:
 			claim.version = result.version
-			return nil, nil
+			return nil, false, nil
 		}
 		outcome, err := l.resolve(ctx, claim, *result.conflict)
 		if err != nil || outcome != nil {
-			return outcome, err
+			return outcome, false, err
 		}
 	}
 }
@@ -260,11 +266,9 @@
 }
 
 // abandon releases, in the background, a claim that may have taken effect although it was given up.
-func (l *Ledger) abandon(claim *Claim, cause error) {
-	if cause != platform.ErrOutcomeUnknown {
-		return
-	}
+func (l *Ledger) abandon(claim *Claim) {
 	l.inBackground(func(ctx context.Context) {
+		defer l.setRunning(claim.record.Owner.RequestID, false)
 		// Settling the claim first tells the version that the release must replace.
 		result := l.committer.submitUncertain(ctx, claim.key, claim.version, claim.record)
 		if result.err == nil && result.conflict == nil {
