A stock client's batch beside online requests; a VM without targets holds work up

Cause: no test ran entries, runners and stand-in engines together. Change: a job of 400 items on three VMs while a stock client chats; its results hold each custom_id once. Conclusion: a runner must not keep chunks for which it gets no slots; reported to batch.

--- /dev/null
+++ b/internal/entry/batch_test.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/openai/openai-go/v3"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/engine"
+	"github.com/rosemarydyke/rosemarydyke/internal/jobstore"
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/runner"
+)
+
+// batchPatience is how long a test waits for a job that takes seconds.
+const batchPatience = time.Minute
+
+// batchItems is the size of the job, more than one chunk.
+const batchItems = 400
+
+// startRunners runs batch work beside each entry.
+func (f *fleet) startRunners() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	f.tb.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	for _, e := range f.entries {
+		name := e.config.Settings.VM.Name
+		node, err := peer.Listen(peer.Config{Address: "127.0.0.1:0", TLS: certificates(f.keys, name), Log: zerolog.Nop()})
+		qt.Assert(f.tb, err, qt.IsNil)
+		r := runner.New(runner.Config{
+			VM:     name,
+			Entry:  e.Peers(),
+			Caller: node,
+			Store:  jobstore.New(f.platform.Table(), f.platform.Objects()),
+			Items:  runner.NewEngine(engine.New(engine.Config{})),
+			Log:    zerolog.Nop(),
+		})
+		r.Register(node)
+		qt.Assert(f.tb, node.Start(), qt.IsNil)
+		running.Go(func() {
+			_ = r.Run(ctx)
+			_ = node.Close(context.Background())
+		})
+	}
+}
+
+func batchInput() string {
+	var lines strings.Builder
+	for i := range batchItems {
+		fmt.Fprintf(&lines, `{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"summary %d"}]}}`+"\n", i, i)
+	}
+	return lines.String()
+}
+
+// customIDs counts the lines of a result file by their custom_id.
+func customIDs(c *qt.C, content io.Reader) map[string]int {
+	counts := map[string]int{}
+	decoder := json.NewDecoder(content)
+	for {
+		var line struct {
+			CustomID string `json:"custom_id"`
+		}
+		err := decoder.Decode(&line)
+		if err == io.EOF {
+			return counts
+		}
+		c.Assert(err, qt.IsNil)
+		counts[line.CustomID]++
+	}
+}
+
+func TestAStockClientRunsABatchBesideOnlineRequests(t *testing.T) {
+	runBatch(t, 3)
+}
+
+func TestABatchEndsAlthoughOneVMOwnsNoTarget(t *testing.T) {
+	runBatch(t, 2)
+}
+
+// runBatch runs a job on three VMs before the given number of engines, each of which one VM owns.
+func runBatch(t *testing.T, engines int) {
+	c := qt.New(t)
+	ef := newEngineFleet(t, engines)
+	ef.startRunners()
+	file, err := ef.upload(batchInput())
+	c.Assert(err, qt.IsNil)
+	batch, err := ef.submit(file.ID)
+	c.Assert(err, qt.IsNil)
+	deadline := time.Now().Add(batchPatience)
+	for batch.Status != openai.BatchStatusCompleted {
+		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("status %s, counts %+v", batch.Status, batch.RequestCounts))
+		_, err := ef.client.Chat.Completions.New(context.Background(), params("where is the tractor"))
+		c.Assert(err, qt.IsNil)
+		batch, err = ef.client.Batches.Get(context.Background(), batch.ID)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(batch.RequestCounts.Completed, qt.Equals, int64(batchItems))
+	content, err := ef.client.Files.Content(context.Background(), batch.OutputFileID)
+	c.Assert(err, qt.IsNil)
+	defer content.Body.Close()
+	counts := customIDs(c, content.Body)
+	c.Assert(counts, qt.HasLen, batchItems)
+	for id, count := range counts {
+		c.Assert(count, qt.Equals, 1, qt.Commentf("%s", id))
+	}
+}
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -46,6 +46,7 @@
 	stops    []context.CancelFunc
 	ended    []chan error
 	targets  int
+	keys     string
 }
 
 const fleetTTL = time.Second
@@ -66,6 +67,7 @@
 func newFleetOf(tb testing.TB, slots int, addresses []string) *fleet {
 	f := &fleet{tb: tb, platform: memoryPlatform{memory.New()}}
 	keys := tb.TempDir()
+	f.keys = keys
 	names := []string{"vm-1", "vm-2", "vm-3"}
 	qt.Assert(tb, devkeys.Generate(keys, names), qt.IsNil)
 	documents := baseDocuments()
@@ -118,7 +120,7 @@
 		Settings: &config.Entry{
 			Common: config.Common{
 				VM:    config.VM{Name: name, AvailabilityZone: zone, Region: "r1"},
-				TLS:   config.TLS{CA: filepath.Join(keys, devkeys.CAFile), Certificate: filepath.Join(keys, name+".pem"), Key: filepath.Join(keys, name+".key")},
+				TLS:   certificates(keys, name),
 				Peers: loopback,
 			},
 			Callers: loopback, BatchPeers: loopback, OperatorPeers: loopback,
@@ -133,6 +135,10 @@
 	return e
 }
 
+func certificates(dir, vm string) config.TLS {
+	return config.TLS{CA: filepath.Join(dir, devkeys.CAFile), Certificate: filepath.Join(dir, vm+".pem"), Key: filepath.Join(dir, vm+".key")}
+}
+
 func (f *fleet) start(i int) {
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
