Batch: a runner that cannot confirm its jobs stops sending; files and batches tested

Cause: a runner whose table reads failed went on sending items of a job that others had cancelled. A commit that met a cancel was tried again at once while the job's row was slow to read. Change: without the table, runners ask up to three others; they go on only if one answers. Requests to files and batches give up on the platform after 5 s with a verdict and Retry-After.

--- a/cmd/rosemary-batch/main.go
+++ b/cmd/rosemary-batch/main.go
@@ -43,7 +43,7 @@
 		timeout = defaultPlatformTimeout
 	}
 	store := client.New(settings.Platform.URL, timeout)
-	fleet := runner.NewFleet(node, entry)
+	fleet := runner.NewFleet(settings.VM.Name, node, entry)
 	r := runner.New(runner.Config{
 		VM:      settings.VM.Name,
 		Entry:   entry,
@@ -51,6 +51,7 @@
 		Store:   jobstore.New(store.Table(), store.Objects()),
 		Items:   runner.NewEngine(engine.New(engine.Config{})),
 		Members: fleet.Size,
+		Peers:   fleet.Others,
 		Log:     env.Log,
 	})
 	r.Register(node)
--- a/internal/batchapi/batchapi.go
+++ b/internal/batchapi/batchapi.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -25,12 +26,16 @@
 	Settings settings.Source
 	// MaxFileBytes is the largest upload, in bytes. Default job.MaxInputBytes.
 	MaxFileBytes int64
+	// Patience bounds the wait for the platform in each of a request's operations. Default 5s.
+	Patience time.Duration
 	// OnCancel is told of each cancelled job, so that runners hear of it before they next ask the table. Optional.
 	OnCancel func(ctx context.Context, id string)
 	// Log takes failures that the client cannot mend.
 	Log zerolog.Logger
 }
 
+const defaultPatience = 5 * time.Second
+
 type api struct {
 	config Config
 	store  *jobstore.Store
@@ -41,10 +46,13 @@
 	if config.MaxFileBytes == 0 {
 		config.MaxFileBytes = job.MaxInputBytes
 	}
+	if config.Patience == 0 {
+		config.Patience = defaultPatience
+	}
 	if config.OnCancel == nil {
 		config.OnCancel = func(context.Context, string) {}
 	}
-	a := &api{config: config, store: jobstore.New(config.Table, config.Objects)}
+	a := &api{config: config, store: jobstore.New(config.Table, config.Objects).WithPatience(config.Patience)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/files", a.withClient(a.createFile))
 	mux.HandleFunc("GET /v1/files/{id}", a.withClient(a.getFile))
--- a/internal/runner/explain.go
+++ b/internal/runner/explain.go
@@ -32,15 +32,7 @@
 func (r *Runner) Register(registrar peer.Registrar) {
 	registrar.HandleCall(explain.MethodItem, r.handleItem)
 	registrar.HandleCall(jobstore.MethodCancelled, r.handleCancelled)
-}
-
-func (r *Runner) handleCancelled(ctx context.Context, _ peer.Identity, decode func(any) error) (any, error) {
-	var m jobstore.Cancelled
-	if err := decode(&m); err != nil {
-		return nil, err
-	}
-	r.stopJob(m.Job)
-	return struct{}{}, r.refreshJob(ctx, m.Job)
+	registrar.HandleCall(methodJobs, r.handleJobs)
 }
 
 func (r *Runner) handleItem(_ context.Context, _ peer.Identity, decode func(any) error) (any, error) {
--- a/internal/runner/fleet.go
+++ b/internal/runner/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -17,22 +18,26 @@
 	fleetTimeout       = 2 * time.Second
 )
 
-// Fleet follows the number of VMs, by which the runners spread their renewals.
+// Fleet follows the VMs, by whose number the runners spread their renewals.
 type Fleet struct {
+	vm     string
 	caller peer.Caller
 	entry  netip.AddrPort
-	size   atomic.Int64
+	others atomic.Pointer[[]netip.AddrPort]
 }
 
 // NewFleet returns a Fleet that asks the entry on this VM.
-func NewFleet(caller peer.Caller, entry netip.AddrPort) *Fleet {
-	f := &Fleet{caller: caller, entry: entry}
-	f.size.Store(1)
+func NewFleet(vm string, caller peer.Caller, entry netip.AddrPort) *Fleet {
+	f := &Fleet{vm: vm, caller: caller, entry: entry}
+	f.others.Store(&[]netip.AddrPort{})
 	return f
 }
 
 // Size returns the number of VMs that the entry knew when it was last asked, at least 1.
-func (f *Fleet) Size() int { return int(f.size.Load()) }
+func (f *Fleet) Size() int { return len(*f.others.Load()) + 1 }
+
+// Others returns a copy of the peer addresses of the other VMs' batch processes.
+func (f *Fleet) Others() []netip.AddrPort { return slices.Clone(*f.others.Load()) }
 
 // Run asks the entry until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
@@ -54,6 +59,12 @@
 	if f.caller.Call(ctx, f.entry, explain.MethodVMs, struct{}{}, &answer) != nil {
 		return false
 	}
-	f.size.Store(int64(max(len(answer.VMs), 1)))
+	others := []netip.AddrPort{}
+	for _, vm := range answer.VMs {
+		if address, err := netip.ParseAddrPort(vm.BatchPeers); err == nil && vm.VM != f.vm {
+			others = append(others, address)
+		}
+	}
+	f.others.Store(&others)
 	return true
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -32,13 +32,15 @@
 	Items ItemRunner
 	// Members returns the number of runners in the fleet, by which the renewals are spread. Default 1.
 	Members func() int
+	// Peers returns the peer addresses of the other batch processes. Default none.
+	Peers func() []netip.AddrPort
 	// Policy bounds tries and sizes of commits.
 	Policy job.Policy
 	// MaxChunks is the number of chunks held at once. Default 8.
 	MaxChunks int
 	// MaxBufferedBytes bounds the results that wait for a commit; beyond it no item is dispatched. Default 48 MiB.
 	MaxBufferedBytes int
-	// MaxJobAge bounds the time since the job rows were last asked for within which items may be dispatched. Default 2500ms.
+	// MaxJobAge is how long items may be sent after it was last asked whether their jobs are cancelled. Default 2500ms.
 	MaxJobAge time.Duration
 	// DrainTimeout bounds the wait for running items at a stop. Default 30s.
 	DrainTimeout time.Duration
@@ -58,6 +60,9 @@
 	if c.Members == nil {
 		c.Members = func() int { return 1 }
 	}
+	if c.Peers == nil {
+		c.Peers = func() []netip.AddrPort { return nil }
+	}
 	if c.MaxChunks == 0 {
 		c.MaxChunks = defaultMaxChunks
 	}
@@ -85,7 +90,7 @@
 	mu          sync.Mutex
 	held        map[string]*heldChunk
 	quarantined map[uint64]struct{}
-	// jobsAskedAt is when the last answer about the held jobs was asked for.
+	// jobsAskedAt is when the last confirmation that the held jobs are not cancelled was asked for.
 	jobsAskedAt time.Time
 	leaseHeld   *lease.Holder
 	watcher     *lease.Watcher
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -362,3 +362,5 @@
 		qt.Assert(t, status(t, store, record.Job.ID).Progress.Completed, qt.Equals, 200)
 	})
 }
+
+func grantOf(model string) batchslots.Granted { return batchslots.Granted{Slot: 1, Model: model} }
--- a/internal/runner/settle.go
+++ b/internal/runner/settle.go
@@ -141,18 +141,20 @@
 func (r *Runner) settle(ctx context.Context, h *heldChunk, step step) {
 	key := h.work.Key
 	work, err := step(ctx)
+	if errors.Is(err, jobstore.ErrCancelled) {
+		// The chunk stays marked until the job is read, or the same commit would be tried again at once.
+		err = r.refreshJob(ctx, h.record.Job.ID)
+		work = h.work
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h.isSettling = false
 	switch {
 	case err == nil && work != nil:
-		h.work = work
-		h.run.Committed(work.Chunk, time.Now())
+		h.adopt(work)
 		wake(r.demandSoon)
 	case err == nil:
 		delete(r.held, key)
-	case errors.Is(err, jobstore.ErrCancelled):
-		go r.refresh(ctx, h.record.Job.ID)
 	case errors.Is(err, jobstore.ErrFenced):
 		r.drop(key, h)
 	default:
@@ -163,11 +165,13 @@
 	wake(r.settleSoon)
 }
 
-// refresh reads a job that is known to have changed.
-func (r *Runner) refresh(ctx context.Context, id string) {
-	if err := r.refreshJob(ctx, id); err != nil {
-		r.config.Log.Warn().Err(err).Str("job", id).Msg("job could not be read")
+// adopt takes in the row that this runner committed.
+func (h *heldChunk) adopt(work *jobstore.Work) {
+	if work == h.work {
+		return
 	}
+	h.work = work
+	h.run.Committed(work.Chunk, time.Now())
 }
 
 // drop gives up a chunk that another runner has taken over. The caller holds the lock.
