Fleet script: fail when a process has ended at the start

Cause: a fleet of another clone held the ports; its answers were taken for our own. Change: after each wait all processes must still run, else the log's end is shown and the fleet stops.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -181,7 +181,24 @@
 }
 
 # wait_for URL... waits until all URLs answer with status 200.
-wait_for() { bin/rosemary-load wait --timeout 60s "$@"; }
+wait_for() {
+  local ok=0
+  bin/rosemary-load wait --timeout 60s "$@" || ok=1
+  check_processes
+  return $ok
+}
+
+# check_processes fails when one of our processes has ended, such as when its address is in use: what
+# answers there then belongs to another fleet.
+check_processes() {
+  local file
+  for file in run/pids/*; do
+    is_running "$(cat "$file")" && continue
+    echo "$(basename "$file") has ended; the end of its log:" >&2
+    tail -n 3 "run/logs/$(basename "$file").log" >&2
+    exit 1
+  done
+}
 
 bin/rosemary keys --dir run/keys vm-1 vm-2 vm-3 > /dev/null
 write_standin_config
