--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -9,6 +9,8 @@
 zones=(az-a az-b az-c)
 # Seconds that daemons get for a graceful stop before they are killed.
 stop_timeout=20
+# Process that the script waits for; "" until the fleet is up.
+idle=
 
 # runs_as PID PATTERN tells whether the process runs a command that matches the pattern.
 runs_as() { [ -d "/proc/$1" ] && tr '\0' ' ' < "/proc/$1/cmdline" | grep -q "$2"; }
@@ -38,6 +40,8 @@
   shift
   "$@" 2> "run/logs/$name.log" &
   echo $! > "run/pids/$name"
+  # The shell reports the violent death of a job, which the demo causes on purpose, unless it is disowned.
+  disown $!
 }
 
 # is_running PID tells whether a process of ours has not ended yet.
@@ -59,7 +63,6 @@
       echo "$name did not stop within $stop_timeout s and is killed." >&2
       kill -KILL "$pid" 2>/dev/null || true
     fi
-    wait "$pid" 2>/dev/null || true
     rm -f "run/pids/$name"
   done
 }
@@ -72,6 +75,7 @@
   # shellcheck disable=SC2086
   stop $names
   [ ! -f run/pids/standin-1 ] || stop standin-1
+  [ -z "$idle" ] || kill "$idle" 2>/dev/null || true
   rm -f run/pids/fleet run/fleet.env
 }
 trap stop_all EXIT
@@ -217,5 +221,7 @@
 bin/rosemary-load wait --timeout 60s --api-key "$api_key" http://127.0.0.1:810{1,2,3}/v1/models
 write_fleet_env
 echo "The fleet is up; run/fleet.env tells how to reach it. Ctrl-C stops it."
-# The shell wakes up for a signal, or when all processes have ended. It would report each process that is killed.
-wait 2>/dev/null
+# A signal ends the wait.
+sleep infinity &
+idle=$!
+wait "$idle"
