Membership proved by simulation, with its cost

Cause: a paused, cut off or restarted VM must neither kill others nor stay dead. Change: a deterministic simulation of 3 to 81 members with loss, delay, pause, a cut availability zone, crash, restart with the clock set back, and leave. The same oracles reject heartbeats from all to all, a prober without suspicion and a version that believes claims of death when states are compared. Found and mended by the fuzz: a resumed VM believed claims of death that had waited in its socket (TestBacklogOfAPauseIsNotBelieved); such claims are now checked by a probe, and a resumed VM compares states at once.

--- /dev/null
+++ b/member/lifeguard_test.go
@@ -0,0 +1,173 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// settled returns a simulation whose VMs have found each other.
+func settled(c *qt.C, protocol makeProtocol, vms int, seed uint64) *sim {
+	s := newSim(protocol, vms, seed)
+	_, err := s.runUntil(healBound(DefaultConfig(), vms), s.converged)
+	c.Assert(err, qt.IsNil)
+	s.run(time.Minute)
+	return s
+}
+
+// wronglyAccused runs plan and returns the VMs other than the subjects that were suspected or taken for dead.
+func wronglyAccused(s *sim, plan func(), subjects ...*simVM) []string {
+	var wrong []string
+	note := func(observer, subject *simVM) {
+		for _, v := range subjects {
+			if v == subject {
+				return
+			}
+		}
+		wrong = append(wrong, observer.name+" accused "+subject.name)
+	}
+	s.watch(note, note)
+	plan()
+	s.watched = false
+	return wrong
+}
+
+// pauseLengths start and end a pause at many points of a probe.
+var pauseLengths = []time.Duration{700, 1300, 2900, 7100, 15_300, 31_700}
+
+func TestResumedMemberAccusesNobody(t *testing.T) {
+	t.Parallel()
+	for _, vms := range []int{3, 9, 27} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			c := qt.New(t)
+			check := func(protocol makeProtocol) (wrong []string) {
+				s := settled(c, protocol, vms, 1)
+				paused := s.vms[0]
+				for offset := range 10 {
+					for _, length := range pauseLengths {
+						wrong = append(wrong, wronglyAccused(s, func() {
+							s.run(time.Duration(offset) * 97 * time.Millisecond)
+							s.pause(paused)
+							s.run(length * time.Millisecond)
+							s.resume(paused)
+							s.run(30 * time.Second)
+						}, paused)...)
+					}
+				}
+				return wrong
+			}
+			c.Assert(check(makeMachine), qt.HasLen, 0)
+			c.Assert(check(makeNaiveProber), qt.Not(qt.HasLen), 0,
+				qt.Commentf("the oracle must reject a version that trusts its own clock after a pause"))
+		})
+	}
+}
+
+func TestBrokenLinkBetweenTwoMembersAccusesNobody(t *testing.T) {
+	t.Parallel()
+	for _, vms := range []int{3, 9, 27} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			c := qt.New(t)
+			check := func(protocol makeProtocol) []string {
+				s := settled(c, protocol, vms, 1)
+				return wronglyAccused(s, func() {
+					s.broken = [2]*simVM{s.vms[0], s.vms[1]}
+					s.run(5 * time.Minute)
+				})
+			}
+			c.Assert(check(makeMachine), qt.HasLen, 0)
+			c.Assert(check(makeNaiveProber), qt.Not(qt.HasLen), 0,
+				qt.Commentf("the oracle must reject a version without indirect probes"))
+		})
+	}
+}
+
+// makeCredulous makes a version of Machine that believes another member's claims of death when states are compared.
+func makeCredulous(cfg Config) makeProtocol {
+	return func(self Member, rng *randSource, now time.Time) protocol {
+		return &credulous{New(cfg, self, rng, now)}
+	}
+}
+
+type credulous struct{ *Machine }
+
+func (p *credulous) Handle(now time.Time, event Event) []Action {
+	actions := p.Machine.Handle(now, event)
+	if e, ok := event.(Synced); ok {
+		for _, m := range e.Members {
+			if known := p.members[m.VM]; known != nil && m.State == Dead {
+				p.actions = nil
+				p.apply(now, Update{VM: m.VM, Incarnation: m.Incarnation, State: Dead, Contact: contactOf(m)})
+				actions = append(actions, p.actions...)
+			}
+		}
+	}
+	return actions
+}
+
+func TestHealedPartitionKillsNobodyOnTheSameSide(t *testing.T) {
+	t.Parallel()
+	for _, vms := range []int{9, 27} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			c := qt.New(t)
+			check := func(protocol makeProtocol) []string {
+				s := settled(c, protocol, vms, 1)
+				s.setCut(simZones[0])
+				s.run(10 * time.Minute)
+				s.setCut("")
+				var wrong []string
+				s.watch(func(observer, subject *simVM) {
+					if (observer.zone == simZones[0]) == (subject.zone == simZones[0]) {
+						wrong = append(wrong, observer.name+" took "+subject.name+" for dead")
+					}
+				}, nil)
+				s.run(healBound(DefaultConfig(), vms))
+				return wrong
+			}
+			c.Assert(check(makeMachine), qt.HasLen, 0)
+			c.Assert(check(makeCredulous(Config{})), qt.Not(qt.HasLen), 0,
+				qt.Commentf("the oracle must reject a version that believes claims from the other side"))
+		})
+	}
+}
+
+func TestRestartedMemberIsKnownByItsNewContact(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name string
+		skew time.Duration
+	}{
+		{name: "with a clock that goes forward"},
+		{name: "with a clock set back by an hour", skew: time.Hour},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := settled(c, makeMachine, 9, 1)
+			subject := s.vms[0]
+			s.crash(subject)
+			s.run(time.Second)
+			s.startVM(subject, test.skew)
+			_, err := s.runUntil(slowDeathBound(DefaultConfig(), 9), s.converged)
+			c.Assert(err, qt.IsNil)
+		})
+	}
+}
+
+func TestSuspicionShortensWithConfirmations(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	m := New(Config{}, Member{VM: "self"}, newRandom(1), simStart)
+	m.live = 8
+	s := m.newSuspicion(simStart, "a")
+	deadlines := []time.Duration{s.deadline.Sub(simStart)}
+	for _, accuser := range []string{"b", "c", "d"} {
+		c.Assert(s.confirm(accuser), qt.IsTrue)
+		c.Assert(s.confirm(accuser), qt.IsFalse, qt.Commentf("an accuser counts once"))
+		deadlines = append(deadlines, s.deadline.Sub(simStart))
+	}
+	c.Assert(s.confirm("e"), qt.IsFalse)
+	c.Assert(deadlines, qt.DeepEquals, []time.Duration{9 * time.Second, 6 * time.Second, deadlines[2], 3 * time.Second})
+	c.Assert(deadlines[2] < deadlines[1] && deadlines[2] > deadlines[3], qt.IsTrue)
+}
--- a/member/machine.go
+++ b/member/machine.go
@@ -45,6 +45,8 @@
 	nextRejoin time.Time
 	// nextMeet is when the next unknown or dead sender may cause a comparison of states.
 	nextMeet time.Time
+	// resumed is when this VM was last found to have been paused.
+	resumed time.Time
 	// quiet is true while claims are merged that need not be spread further.
 	quiet   bool
 	actions []Action
@@ -199,6 +201,8 @@
 	}
 	clear(m.relays)
 	m.probe.abandon(now)
+	m.resumed = now
+	m.nextSync = now
 }
 
 // degrade worsens the local health score.
--- /dev/null
+++ b/member/proof_test.go
@@ -0,0 +1,293 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// faultKind is a kind of disturbance.
+type faultKind string
+
+const (
+	faultNone      faultKind = "none"
+	faultCrash     faultKind = "crash"
+	faultRestart   faultKind = "restart"
+	faultLeave     faultKind = "leave"
+	faultPause     faultKind = "pause"
+	faultResume    faultKind = "resume"
+	faultCut       faultKind = "cut"
+	faultHeal      faultKind = "heal"
+	faultLoss      faultKind = "loss"
+	faultClockBack faultKind = "restart with the clock set back"
+)
+
+// fault is one step of a schedule.
+type fault struct {
+	Kind faultKind
+	// VM and Zone are indexes.
+	VM, Zone int
+	// Loss is the share of datagrams lost from now on.
+	Loss float64
+	// For is the time until the next step.
+	For time.Duration
+}
+
+// schedule is one simulated history.
+type schedule struct {
+	VMs    int
+	Seed   uint64
+	Faults []fault
+}
+
+var anyFault = rapid.Custom(func(t *rapid.T) fault {
+	return fault{
+		Kind: rapid.SampledFrom([]faultKind{
+			faultNone, faultCrash, faultRestart, faultRestart, faultLeave, faultPause, faultResume, faultResume,
+			faultCut, faultHeal, faultHeal, faultLoss, faultClockBack,
+		}).Draw(t, "kind"),
+		VM:   rapid.IntRange(0, 26).Draw(t, "vm"),
+		Zone: rapid.IntRange(0, 2).Draw(t, "zone"),
+		Loss: rapid.SampledFrom([]float64{0, 0.01, 0.05}).Draw(t, "loss"),
+		For:  time.Duration(rapid.IntRange(10, 40_000).Draw(t, "milliseconds")) * time.Millisecond,
+	}
+})
+
+var anySchedule = rapid.Custom(func(t *rapid.T) schedule {
+	return schedule{
+		VMs:    rapid.SampledFrom([]int{3, 3, 9, 9, 27}).Draw(t, "vms"),
+		Seed:   rapid.Uint64().Draw(t, "seed"),
+		Faults: rapid.SliceOfN(anyFault, 1, 20).Draw(t, "faults"),
+	}
+})
+
+// replay runs a schedule against a protocol and checks it with the oracle:
+// a VM that runs and could be reached for long is not taken for dead by anyone, and
+// some time after the last fault all views are right.
+func replay(protocol makeProtocol, plan schedule) error {
+	cfg := DefaultConfig()
+	s := newSim(protocol, plan.VMs, plan.Seed)
+	if _, err := s.runUntil(healBound(cfg, plan.VMs), s.converged); err != nil {
+		return fmt.Errorf("never joined: %w", err)
+	}
+	var falseDeath error
+	s.watch(func(observer, subject *simVM) {
+		if falseDeath == nil && !s.isDisturbed(subject, staleBound(cfg, plan.VMs)) {
+			falseDeath = fmt.Errorf("at %v %s took %s for dead, which was undisturbed since %v",
+				s.now.Sub(simStart), observer.name, subject.name, subject.disturbed.Sub(simStart))
+		}
+	}, nil)
+	for _, f := range plan.Faults {
+		s.apply(f)
+		s.run(f.For)
+	}
+	s.endFaults()
+	if _, err := s.runUntil(healBound(cfg, plan.VMs), s.converged); err != nil {
+		return fmt.Errorf("not healed: %w", err)
+	}
+	return falseDeath
+}
+
+func (s *sim) apply(f fault) {
+	v := s.vms[f.VM%len(s.vms)]
+	switch f.Kind {
+	case faultCrash:
+		s.crash(v)
+	case faultRestart:
+		s.crash(v)
+		s.startVM(v, 0)
+	case faultClockBack:
+		s.crash(v)
+		s.startVM(v, time.Hour)
+	case faultLeave:
+		if v.running && !v.paused {
+			s.leave(v)
+		}
+	case faultPause:
+		if v.running {
+			s.pause(v)
+		}
+	case faultResume:
+		s.resume(v)
+	case faultCut:
+		s.setCut(simZones[f.Zone])
+	case faultHeal:
+		s.setCut("")
+	case faultLoss:
+		s.loss = f.Loss
+	}
+}
+
+func (s *sim) endFaults() {
+	s.setCut("")
+	s.loss = 0
+	for _, v := range s.vms {
+		s.resume(v)
+	}
+}
+
+func TestViewsAreRightAfterAnyFaults(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		if err := replay(makeMachine, anySchedule.Draw(t, "schedule")); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// maxNaiveVMs bounds the fleets that the naive versions are run on: they are slow to fail.
+const maxNaiveVMs = 27
+
+// pauseUnderLoss pauses one VM after another on a network that loses datagrams.
+func pauseUnderLoss(vms int, seed uint64) schedule {
+	plan := schedule{VMs: vms, Seed: seed, Faults: []fault{{Kind: faultLoss, Loss: 0.05, For: time.Second}}}
+	for vm := range 3 {
+		plan.Faults = append(plan.Faults,
+			fault{Kind: faultPause, VM: vm, For: 40 * time.Second},
+			fault{Kind: faultResume, VM: vm, For: 20 * time.Second})
+	}
+	plan.Faults = append(plan.Faults, fault{Kind: faultNone, For: 4 * time.Minute})
+	return plan
+}
+
+func TestPauseAndLossKillNobodyForGood(t *testing.T) {
+	t.Parallel()
+	for _, vms := range []int{3, 9, 27, 81} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			c := qt.New(t)
+			plan := pauseUnderLoss(vms, 1)
+			c.Assert(replay(makeMachine, plan), qt.IsNil)
+			if vms <= maxNaiveVMs {
+				c.Assert(replay(makeNaiveProber, plan), qt.IsNotNil,
+					qt.Commentf("the oracle must reject a version without suspicion and refutation"))
+			}
+		})
+	}
+}
+
+func TestCutAvailabilityZoneHeals(t *testing.T) {
+	t.Parallel()
+	for _, vms := range []int{3, 9, 27, 81} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			c := qt.New(t)
+			plan := schedule{VMs: vms, Seed: 1, Faults: []fault{
+				{Kind: faultCut, Zone: 1, For: 5 * time.Minute},
+				{Kind: faultHeal, For: time.Second},
+			}}
+			c.Assert(replay(makeMachine, plan), qt.IsNil)
+			if vms <= maxNaiveVMs {
+				c.Assert(replay(makeNaiveProber, plan), qt.IsNotNil,
+					qt.Commentf("the oracle must reject a version that never revives a member"))
+			}
+		})
+	}
+}
+
+func TestCrashedMemberIsDeadEverywhereInTime(t *testing.T) {
+	t.Parallel()
+	cfg := DefaultConfig()
+	for _, vms := range []int{3, 9, 27, 81} {
+		for _, loss := range []float64{0, 0.05} {
+			t.Run(fmt.Sprintf("%d VMs with loss %v", vms, loss), func(t *testing.T) {
+				c := qt.New(t)
+				for seed := range uint64(5) {
+					s := newSim(makeMachine, vms, seed)
+					_, err := s.runUntil(healBound(cfg, vms), s.converged)
+					c.Assert(err, qt.IsNil)
+					s.loss = loss
+					bound := deathBound(cfg, vms)
+					if loss > 0 {
+						bound = slowDeathBound(cfg, vms)
+					}
+					subject := s.vms[int(seed)%vms]
+					s.crash(subject)
+					_, err = s.runUntil(bound, func() error { return s.goneEverywhere(subject) })
+					c.Assert(err, qt.IsNil)
+				}
+			})
+		}
+	}
+}
+
+func TestLeavingMemberIsGoneEverywhereInTime(t *testing.T) {
+	t.Parallel()
+	cfg := DefaultConfig()
+	for _, vms := range []int{3, 9, 27, 81} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			c := qt.New(t)
+			s := newSim(makeMachine, vms, 1)
+			_, err := s.runUntil(healBound(cfg, vms), s.converged)
+			c.Assert(err, qt.IsNil)
+			s.leave(s.vms[0])
+			bound := time.Duration(spreadPeriods(vms)) * cfg.Period
+			_, err = s.runUntil(bound, func() error { return s.goneEverywhere(s.vms[0]) })
+			c.Assert(err, qt.IsNil)
+		})
+	}
+}
+
+func TestRevisionReachesAllMembersInTime(t *testing.T) {
+	t.Parallel()
+	cfg := DefaultConfig()
+	for _, vms := range []int{3, 9, 27, 81} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			c := qt.New(t)
+			s := newSim(makeMachine, vms, 1)
+			_, err := s.runUntil(healBound(cfg, vms), s.converged)
+			c.Assert(err, qt.IsNil)
+			s.feed(s.vms[0], RevisionKnown{Revision: 7})
+			_, err = s.runUntil(time.Duration(spreadPeriods(vms))*cfg.Period, func() error {
+				for _, v := range s.vms[1:] {
+					if v.revision != 7 {
+						return fmt.Errorf("%s knows revision %d", v.name, v.revision)
+					}
+				}
+				return nil
+			})
+			c.Assert(err, qt.IsNil)
+		})
+	}
+}
+
+// messagesPerPeriod measures the messages that a VM sends in one period without faults, on average.
+func messagesPerPeriod(protocol makeProtocol, vms int) float64 {
+	const periods = 60
+	s := newSim(protocol, vms, 1)
+	s.run(2 * time.Minute)
+	for _, v := range s.vms {
+		v.messages = 0
+	}
+	s.run(periods * time.Second)
+	total := 0
+	for _, v := range s.vms {
+		total += v.messages
+	}
+	return float64(total) / float64(vms) / periods
+}
+
+func TestCostOfAVMDoesNotGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	naive := 0.0
+	for _, vms := range []int{3, 9, 27, 81} {
+		c.Check(messagesPerPeriod(makeMachine, vms) <= maxMessagesPerPeriod, qt.IsTrue, qt.Commentf("%d VMs", vms))
+		if vms <= maxNaiveVMs {
+			naive = messagesPerPeriod(makeNaiveHeartbeats, vms)
+		}
+	}
+	c.Assert(naive > maxMessagesPerPeriod, qt.IsTrue, qt.Commentf("the oracle must reject heartbeats from all to all"))
+}
+
+func TestBacklogOfAPauseIsNotBelieved(t *testing.T) {
+	t.Parallel()
+	// While vm-000 is paused, its socket takes in claims that vm-003 is dead, and its return.
+	err := replay(makeMachine, schedule{VMs: 9, Faults: []fault{
+		{Kind: faultCrash, VM: 3, For: 10 * time.Millisecond},
+		{Kind: faultPause, VM: 0, For: 5749 * time.Millisecond},
+		{Kind: faultRestart, VM: 3, For: 40 * time.Second},
+	}})
+	qt.Assert(t, err, qt.IsNil)
+}
--- a/member/sync.go
+++ b/member/sync.go
@@ -64,7 +64,9 @@
 	case member.VM == m.self.VM:
 		m.applyToSelf(u)
 	case member.State == Dead:
-		m.dispute(member)
+		if e := m.members[member.VM]; e != nil {
+			m.dispute(e, member.Incarnation)
+		}
 	case member.State == Suspect:
 		u.Accuser = from
 		m.apply(now, u)
@@ -76,12 +78,11 @@
 // dispute checks a death that this VM has not heard of in time, or that comes from the other side of
 // a partition. The member is probed soon and told of the claim, so that it refutes or is found dead;
 // taking the claim as it is would kill every member on this side when a partition heals.
-func (m *Machine) dispute(claim Member) {
-	e := m.members[claim.VM]
-	if e == nil || e.State == Dead || claim.Incarnation < e.Incarnation || e.accused >= claim.Incarnation {
+func (m *Machine) dispute(e *entry, incarnation uint64) {
+	if e.State == Dead || incarnation < e.Incarnation || e.accused >= incarnation {
 		return
 	}
-	e.accused = claim.Incarnation
+	e.accused = incarnation
 	m.probeSoon(e.VM)
 }
 
--- a/member/update.go
+++ b/member/update.go
@@ -51,6 +51,9 @@
 		return
 	}
 	switch {
+	case u.State == Dead && now.Sub(m.resumed) < m.cfg.Period:
+		// The claim may have waited in this VM's socket during its pause, and be refuted by now.
+		m.dispute(e, u.Incarnation)
 	case u.Incarnation > e.Incarnation:
 		m.advance(now, e, u)
 	case u.Incarnation == e.Incarnation && u.State == Suspect:
