--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,20 @@
 GO ?= go
 BINARIES := rosemary rosemary-entry rosemary-batch rosemary-operator rosemary-standin rosemary-load
 
-.PHONY: build test lint unit
+.PHONY: build test lint unit up demo bench capacity
 
 build:
 	mkdir -p bin
 	$(GO) build -o bin/ ./cmd/...
 
+# Starts stand-ins and three entry VMs on 127.0.0.1, in the foreground until Ctrl-C.
+up: build
+	@exec ./scripts/fleet.sh
+
+# Shows the main job on a local fleet of its own. Ends with status 0 only if all of it held.
+demo: build
+	@./scripts/demo.sh
+
 test: lint unit
 
 lint:
@@ -17,3 +25,13 @@
 
 unit:
 	GO="$(GO)" ./scripts/unit.sh
+
+# Long runs of all policies: table, JSON report and plots under docs/bench.
+bench:
+	mkdir -p docs/bench
+	ROSEMARYDYKE_REPORT=$(CURDIR)/docs/bench $(GO) test -count=1 -run TestWriteReport ./internal/experiment
+	$(GO) run ./cmd/rosemary-load report docs/bench/report.json --plots docs/bench
+
+# Measurements at several sizes, from which docs/CAPACITY.md is worked out.
+capacity:
+	ROSEMARYDYKE_CAPACITY=$(CURDIR)/docs/capacity $(GO) test -count=1 -p 1 -run 'TestWrite.*Cost' ./...
