--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -54,7 +54,6 @@
 		stream.CancelRead(streamCancelled)
 		return &UnansweredError{Cause: err}
 	}
-	sentBytes.Add(len(message))
 	if _, err := stream.Write(message); err != nil {
 		return unanswered(ctx, err)
 	}
@@ -64,7 +63,7 @@
 }
 
 func (n *Node) readAnswer(ctx context.Context, c *connection, stream *quic.Stream, response any) error {
-	decoder := newDecoder(countingReader{stream}, n.cfg.MaxMessageBytes)
+	decoder := newDecoder(stream, n.cfg.MaxMessageBytes)
 	var a answer
 	if err := decoder.decode(&a); err != nil {
 		return unanswered(ctx, err)
@@ -117,7 +116,7 @@
 
 // serveStream reads the header of a stream that the peer opened and hands it to its handler.
 func (n *Node) serveStream(c *connection, stream *quic.Stream) {
-	decoder := newDecoder(countingReader{stream}, n.cfg.MaxMessageBytes)
+	decoder := newDecoder(stream, n.cfg.MaxMessageBytes)
 	var h header
 	_ = stream.SetReadDeadline(time.Now().Add(headerTimeout))
 	if err := decoder.decode(&h); err != nil {
@@ -191,7 +190,6 @@
 	if err != nil {
 		message, _ = encode(n.cfg.MaxMessageBytes, answer{Error: asRemoteError(err)})
 	}
-	sentBytes.Add(len(message))
 	_, _ = stream.Write(message)
 	_ = stream.Close()
 	stream.CancelRead(streamCancelled)
@@ -207,13 +205,3 @@
 		span.SetStatus(codes.Error, err.Error())
 	}
 }
-
-// countingReader counts the bytes that arrive.
-type countingReader struct{ reader io.Reader }
-
-// Read implements io.Reader.
-func (r countingReader) Read(p []byte) (int, error) {
-	count, err := r.reader.Read(p)
-	receivedBytes.Add(count)
-	return count, err
-}
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,10 @@
 	heard atomic.Int64
 	// checking is true while a liveness check runs.
 	checking atomic.Bool
+
+	mu sync.Mutex
+	// accounted is the traffic that the metrics contain.
+	accounted quic.ConnectionStats
 }
 
 // epoch is the origin of the monotonic times in connection.heard.
@@ -33,6 +38,23 @@
 	return time.Since(epoch) - time.Duration(c.heard.Load())
 }
 
+// needsCheck reports whether calls or streams depend on a connection from which nothing came for a while.
+func (c *connection) needsCheck(silence time.Duration) bool {
+	return c.active.Load() > 0 && c.silence() >= silence
+}
+
+// account adds the traffic since the last call to the metrics.
+func (c *connection) account() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	stats := c.quic.ConnectionStats()
+	sentBytes.Add(int(stats.BytesSent - c.accounted.BytesSent))
+	receivedBytes.Add(int(stats.BytesReceived - c.accounted.BytesReceived))
+	sentPackets.Add(int(stats.PacketsSent - c.accounted.PacketsSent))
+	receivedPackets.Add(int(stats.PacketsReceived - c.accounted.PacketsReceived))
+	c.accounted = stats
+}
+
 // abandon closes a connection whose other end does not answer.
 func (c *connection) abandon() { _ = c.quic.CloseWithError(codeUnreachable, "no answer") }
 
@@ -73,9 +95,12 @@
 // connectTo returns a connection to an address, dialing if there is none that works.
 func (n *Node) connectTo(ctx context.Context, to netip.AddrPort) (*connection, error) {
 	if c := n.cached(to); c != nil {
-		if c.silence() < n.cfg.VerifyAfter || n.verify(c) {
+		if c.silence() < n.cfg.VerifyAfter || n.verify(ctx, c) {
 			return c, nil
 		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
 	}
 	return n.dial(ctx, to)
 }
@@ -90,22 +115,34 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.closed {
-		n.tasks.Go(func() { n.verify(c) })
+		n.tasks.Go(func() { n.verify(n.ctx, c) })
 	}
 }
 
-func (n *Node) verify(c *connection) bool {
-	_, err, _ := n.flights.Do(fmt.Sprintf("verify %p", c), func() (any, error) {
-		return nil, c.ping(n.ctx, n.cfg.VerifyTimeout)
+// verify reports whether a connection answers. Concurrent callers share one ping.
+func (n *Node) verify(ctx context.Context, c *connection) bool {
+	result := n.flights.DoChan(fmt.Sprintf("verify %p", c), func() (any, error) {
+		err := c.ping(n.ctx, n.cfg.VerifyTimeout)
+		if err != nil {
+			n.giveUp(c)
+		}
+		return nil, err
 	})
-	if err == nil {
-		return true
+	select {
+	case <-ctx.Done():
+		return false
+	case r := <-result:
+		return r.Err == nil
 	}
+}
+
+// giveUp takes a connection that does not answer out of use, and closes it unless calls or streams
+// still wait on it: those are left to the liveness check, which is more patient.
+func (n *Node) giveUp(c *connection) {
 	n.forget(c)
 	if c.active.Load() == 0 {
 		c.abandon()
 	}
-	return false
 }
 
 // dial makes a connection. Concurrent callers share one handshake.
@@ -178,6 +215,7 @@
 	}
 	_ = c.quic.CloseWithError(codeClosed, "closed")
 	n.forget(c)
+	c.account()
 	n.mu.Lock()
 	delete(n.all, c)
 	n.mu.Unlock()
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -41,7 +41,6 @@
 
 func (c *connection) sendDatagram(payload []byte) error {
 	sentDatagrams.Inc()
-	sentBytes.Add(len(payload))
 	return c.quic.SendDatagram(payload)
 }
 
@@ -53,7 +52,6 @@
 		}
 		c.touch()
 		receivedDatagrams.Inc()
-		receivedBytes.Add(len(payload))
 		if n.datagrams != nil {
 			n.datagrams(c.peer, payload)
 		}
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -8,8 +8,11 @@
 )
 
 var (
+	// Bytes are QUIC packets, without IP and UDP headers.
 	sentBytes         = metrics.NewCounter("rosemarydyke_peer_sent_bytes_total")
 	receivedBytes     = metrics.NewCounter("rosemarydyke_peer_received_bytes_total")
+	sentPackets       = metrics.NewCounter("rosemarydyke_peer_sent_packets_total")
+	receivedPackets   = metrics.NewCounter("rosemarydyke_peer_received_packets_total")
 	sentDatagrams     = metrics.NewCounter("rosemarydyke_peer_sent_datagrams_total")
 	receivedDatagrams = metrics.NewCounter("rosemarydyke_peer_received_datagrams_total")
 	droppedDatagrams  = metrics.NewCounter("rosemarydyke_peer_dropped_datagrams_total")
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -186,8 +186,8 @@
 	return true
 }
 
-// watch checks connections that carry calls or streams, so that the loss of a process ends them
-// within Config.LivenessPeriod plus Config.LivenessTimeout.
+// watch checks silent connections that carry calls or streams, so that the loss of a process ends
+// them within twice Config.LivenessPeriod plus Config.LivenessTimeout.
 func (n *Node) watch() {
 	ticker := time.NewTicker(n.cfg.LivenessPeriod)
 	defer ticker.Stop()
@@ -198,7 +198,8 @@
 		case <-ticker.C:
 		}
 		for _, c := range n.allConnections() {
-			if c.active.Load() > 0 && c.checking.CompareAndSwap(false, true) {
+			c.account()
+			if c.needsCheck(n.cfg.LivenessPeriod) && c.checking.CompareAndSwap(false, true) {
 				n.tasks.Go(func() { n.checkLiveness(c) })
 			}
 		}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -35,7 +35,7 @@
 		quic:    stream,
 		conn:    c,
 		limit:   n.cfg.MaxMessageBytes,
-		decoder: newDecoder(countingReader{stream}, n.cfg.MaxMessageBytes),
+		decoder: newDecoder(stream, n.cfg.MaxMessageBytes),
 	}
 	stop := cancelOnEnd(ctx, stream)
 	s.onClose = func() {
@@ -57,7 +57,6 @@
 	}
 	s.sendMu.Lock()
 	defer s.sendMu.Unlock()
-	sentBytes.Add(len(encoded))
 	_, err = s.quic.Write(encoded)
 	return err
 }
