--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BINARIES := rosemary rosemary-entry rosemary-batch rosemary-operator rosemary-standin rosemary-load
 
-.PHONY: build test lint unit up demo bench capacity
+.PHONY: build test lint unit up demo bench capacity fuzz
 
 build:
 	mkdir -p bin
@@ -35,3 +35,11 @@
 # Measurements at several sizes, from which docs/CAPACITY.md is worked out.
 capacity:
 	ROSEMARYDYKE_CAPACITY=$(CURDIR)/docs/capacity $(GO) test -count=1 -p 1 -run 'TestWrite.*Cost' ./...
+
+# Stateful fuzzing with a fresh seed. The seed is printed, and repeats a failure when it is set.
+FUZZ_CHECKS ?= 5000
+fuzz:
+	@seed=$${ROSEMARYDYKE_FUZZ_SEED:-$$(date +%s)}; echo "ROSEMARYDYKE_FUZZ_SEED=$$seed"; \
+	ROSEMARYDYKE_FUZZ_SEED=$$seed ROSEMARYDYKE_FUZZ_CHECKS=$(FUZZ_CHECKS) $(GO) test -count=1 -timeout 60m \
+		./dispatch ./idempotency ./internal/callerapi ./internal/idempotency ./internal/jobstore ./internal/settingstore \
+		./job ./lease ./member ./quarantine ./target
--- a/internal/settingstore/store_test.go
+++ b/internal/settingstore/store_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,28 +14,20 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/faulty"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
+	"github.com/rosemarydyke/rosemarydyke/internal/rapidtest"
 	"github.com/rosemarydyke/rosemarydyke/settings"
 )
 
 // exampleRuns is how many generated runs a naive version gets to break the oracle.
 const exampleRuns = 300
 
+// fuzzChecks is the number of generated runs of each property.
+const fuzzChecks = 300
+
 // commitTimeout lets a commit settle about three lost replies.
 const commitTimeout = 3 * time.Second / 20
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	setFuzz("rapid.seed", "ROSEMARYDYKE_FUZZ_SEED", "1")
-	setFuzz("rapid.checks", "ROSEMARYDYKE_FUZZ_CHECKS", "300")
-	os.Exit(m.Run())
-}
-
-func setFuzz(name, env, value string) {
-	if override := os.Getenv(env); override != "" {
-		value = override
-	}
-	_ = flag.Set(name, value)
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, fuzzChecks) }
 
 // step is one action of a generated run.
 type step struct {
