--- /dev/null
+++ b/internal/fleettest/faults_test.go
@@ -0,0 +1,115 @@
+package fleettest
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/standin/batching"
+	"github.com/rosemarydyke/rosemarydyke/internal/standin/fault"
+	"github.com/rosemarydyke/rosemarydyke/internal/standin/platformserver"
+)
+
+// speed makes a job of jobItems last for some seconds.
+var speed = batching.Config{Slots: 4, StepBase: 10 * time.Millisecond}
+
+const (
+	jobItems = 300
+	// cancelledItems is the size of a job that is never finished.
+	cancelledItems = 3000
+	// pause is longer than a lease of a small fleet, which is 8 s, and the time in which others notice.
+	pause = 12 * time.Second
+	// outage is how long the table is down.
+	outage = 5 * time.Second
+	// settleBound is the time after which a cancelled job dispatches nothing new.
+	settleBound = 3 * time.Second
+)
+
+// TestEveryItemHasOneResult lets a fault strike when a third of a job is done.
+func TestEveryItemHasOneResult(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name   string
+		strike func(f *fleet, job string)
+	}{
+		{"a VM is killed", func(f *fleet, _ string) { f.kill(f.vms[1]) }},
+		{"a runner is paused past its lease and resumes", func(f *fleet, _ string) {
+			f.signal(f.vms[1], syscall.SIGSTOP, batchDaemon)
+			time.Sleep(pause)
+			f.signal(f.vms[1], syscall.SIGCONT, batchDaemon)
+		}},
+		{"a runner resumes when others have finished its items", func(f *fleet, job string) {
+			f.signal(f.vms[1], syscall.SIGSTOP, batchDaemon)
+			f.awaitDone(f.vms[0], job, jobItems)
+			f.signal(f.vms[1], syscall.SIGCONT, batchDaemon)
+			time.Sleep(settleBound)
+		}},
+		{"a VM is paused past its leases and resumes", func(f *fleet, _ string) {
+			f.signal(f.vms[1], syscall.SIGSTOP, entryDaemon, batchDaemon, operatorDaemon)
+			time.Sleep(pause)
+			f.signal(f.vms[1], syscall.SIGCONT, entryDaemon, batchDaemon, operatorDaemon)
+		}},
+		{"the table is down, then loses replies", func(f *fleet, _ string) {
+			f.inject(fault.Fault{Subject: platformserver.SubjectTable, Kind: fault.Down, DurationMS: outage.Milliseconds()})
+			time.Sleep(outage)
+			f.inject(fault.Fault{Subject: platformserver.SubjectTable, Kind: fault.LoseReplies, Count: 20})
+		}},
+		{"a VM is killed while the table is slow and loses replies", func(f *fleet, _ string) {
+			f.inject(fault.Fault{Subject: platformserver.SubjectTable, Kind: fault.Slow, DelayMS: 300, DurationMS: outage.Milliseconds()})
+			f.inject(fault.Fault{Subject: platformserver.SubjectTable, Kind: fault.LoseReplies, Count: 20})
+			f.kill(f.vms[1])
+		}},
+		{"an engine crashes and another loses replies", func(f *fleet, _ string) {
+			f.inject(fault.Fault{Subject: engineName(2), Kind: fault.LoseReplies, Count: 3})
+			f.standin.Engines[0].Crash(time.Second)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, speed)
+			job := f.submit(f.vms[0], jobItems)
+			f.awaitDone(f.vms[0], job.ID, jobItems/3)
+			test.strike(f, job.ID)
+			f.checkResults(f.vms[2], job.ID, jobItems)
+		})
+	}
+}
+
+func (f *fleet) inject(fault fault.Fault) {
+	f.t.Helper()
+	qt.Assert(f.t, f.standin.Inject(fault), qt.IsNil)
+}
+
+func TestACancelledJobDispatchesNothingNewEvenFromARunnerThatWasPaused(t *testing.T) {
+	tests := []struct {
+		name   string
+		cancel bool
+	}{
+		{"the job is cancelled", true},
+		// Without a cancel the check must fail.
+		{"the job goes on", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, speed)
+			job := f.submit(f.vms[0], cancelledItems)
+			f.awaitDone(f.vms[0], job.ID, jobItems/10)
+			f.signal(f.vms[1], syscall.SIGSTOP, batchDaemon)
+			if test.cancel {
+				client := f.client(f.vms[0])
+				_, err := client.Batches.Cancel(t.Context(), job.ID)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			time.Sleep(settleBound)
+			settled := f.standin.Executions("").Started
+			f.signal(f.vms[1], syscall.SIGCONT, batchDaemon)
+			time.Sleep(2 * settleBound)
+			qt.Assert(t, settled < cancelledItems, qt.IsTrue)
+			qt.Assert(t, f.standin.Executions("").Started == settled, qt.Equals, test.cancel)
+		})
+	}
+}
