--- a/member/update.go
+++ b/member/update.go
@@ -51,6 +51,9 @@
 		return
 	}
 	switch {
+	case u.State == Dead && now.Sub(m.resumed) < m.cfg.Period:
+		// The claim may have waited in this VM's socket during its pause, and be refuted by now.
+		m.dispute(e, u.Incarnation)
 	case u.Incarnation > e.Incarnation:
 		m.advance(now, e, u)
 	case u.Incarnation == e.Incarnation && u.State == Suspect:
@@ -139,10 +142,11 @@
 	case u.Incarnation < m.self.Incarnation:
 		m.repeatRefutation(u)
 		return
+	case m.isFormerLife(u):
 	case u.Incarnation == m.self.Incarnation && u.State != Suspect && u.State != Dead:
 		return
 	}
-	if startOf(u.Incarnation) != startOf(m.self.Incarnation) {
+	if m.isFormerLife(u) {
 		m.self.Incarnation = nextStart(u.Incarnation)
 	} else {
 		m.self.Incarnation = u.Incarnation + 1
@@ -153,6 +157,14 @@
 	m.announceSelf()
 }
 
+// isFormerLife reports whether a claim about this VM stems from an earlier start of its process, whose
+// incarnation is not below this one because the clock was set back in between. Two starts that were
+// both set back can even have the same incarnation; their contacts tell them apart.
+func (m *Machine) isFormerLife(u Update) bool {
+	return startOf(u.Incarnation) > startOf(m.self.Incarnation) ||
+		u.Incarnation == m.self.Incarnation && u.Contact != nil && *u.Contact != *contactOf(m.self)
+}
+
 // repeatRefutation answers a claim that was refuted already: the sender missed the refutation.
 func (m *Machine) repeatRefutation(u Update) {
 	if u.State != Suspect && u.State != Dead {
