Headroom of a sixteenth, wider ratios for the pacer; notes brought up to date

Cause: headroom was always at its bound and took an eighth of all slots; the pacer cut batch work for the noise of single first tokens. Change: bounds of a sixteenth, 2 and 1.5.

--- a/target/ledger.go
+++ b/target/ledger.go
@@ -16,7 +16,7 @@
 	// Settle is how long a new owner grants no batch slots, so that holders can report what they
 	// run already. Default 3s.
 	Settle time.Duration
-	// MaxHeadroom bounds the slots kept free of batch work, as a share of the target's slots. Default 0.125.
+	// MaxHeadroom bounds the slots kept free of batch work, as a share of the target's slots. Default 0.0625.
 	MaxHeadroom float64
 }
 
@@ -24,7 +24,7 @@
 	c.TTL = cmp.Or(c.TTL, 6*time.Second)
 	c.Drain = cmp.Or(c.Drain, 15*time.Second)
 	c.Settle = cmp.Or(c.Settle, 3*time.Second)
-	c.MaxHeadroom = cmp.Or(c.MaxHeadroom, 0.125)
+	c.MaxHeadroom = cmp.Or(c.MaxHeadroom, 0.0625)
 	return c
 }
 
--- a/target/pacer.go
+++ b/target/pacer.go
@@ -8,9 +8,9 @@
 // PacerConfig configures a Pacer.
 type PacerConfig struct {
 	// High is the ratio of the present to the undisturbed first-token time or time between tokens above which
-	// batch work is cut. Default 1.5.
+	// batch work is cut. Default 2.
 	High float64
-	// Low is the ratio below which batch work may grow again. The gap to High is the hysteresis. Default 1.2.
+	// Low is the ratio below which batch work may grow again. The gap to High is the hysteresis. Default 1.5.
 	Low float64
 	// Cut is the factor by which the limit is cut. Default 0.7.
 	Cut float64
@@ -21,8 +21,8 @@
 }
 
 func (c PacerConfig) withDefaults() PacerConfig {
-	c.High = cmp.Or(c.High, 1.5)
-	c.Low = cmp.Or(c.Low, 1.2)
+	c.High = cmp.Or(c.High, 2)
+	c.Low = cmp.Or(c.Low, 1.5)
 	c.Cut = cmp.Or(c.Cut, 0.7)
 	c.Interval = cmp.Or(c.Interval, 500*time.Millisecond)
 	c.Fresh = cmp.Or(c.Fresh, 5*time.Second)
