--- a/settings/parse.go
+++ b/settings/parse.go
@@ -6,11 +6,9 @@
 	"net/netip"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
-	"github.com/go-playground/validator/v10"
-	"github.com/goccy/go-yaml"
+	"github.com/rosemarydyke/rosemarydyke/internal/strictyaml"
 )
 
 // Defaults of documents.
@@ -24,10 +22,6 @@
 // idempotentMethods are the methods that RFC 9110 section 9.2.2 defines as idempotent.
 var idempotentMethods = []string{"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
 
-var documentValidator = sync.OnceValue(func() *validator.Validate {
-	return validator.New(validator.WithRequiredStructEnabled())
-})
-
 // attach parses a document of the kind at loc and adds it to the snapshot's parsed form.
 func (s *Snapshot) attach(loc location, document string) error {
 	switch loc.kind {
@@ -48,7 +42,7 @@
 
 func (s *Snapshot) attachClient(loc location, document string) error {
 	client := &Client{Name: loc.name, Owner: loc.owner, Weight: defaultWeight, Deadline: defaultDeadline}
-	if err := parse(document, client); err != nil {
+	if err := strictyaml.Decode([]byte(document), client); err != nil {
 		return err
 	}
 	if _, taken := s.Clients[loc.name]; taken {
@@ -66,7 +60,7 @@
 
 func (s *Snapshot) attachModel(name, document string) error {
 	model := &Model{Name: name, MaxTokens: defaultMaxTokens}
-	if err := parse(document, model); err != nil {
+	if err := strictyaml.Decode([]byte(document), model); err != nil {
 		return err
 	}
 	s.Models[name] = model
@@ -75,7 +69,7 @@
 
 func (s *Snapshot) attachTarget(name, document string) error {
 	target := &Target{Name: name}
-	if err := parse(document, target); err != nil {
+	if err := strictyaml.Decode([]byte(document), target); err != nil {
 		return err
 	}
 	if (target.Model == "") == (target.Service == "") {
@@ -90,7 +84,7 @@
 
 func (s *Snapshot) attachService(loc location, document string) error {
 	service := &Service{Name: loc.name, Owner: loc.owner, Timeout: defaultServiceTimeout, IdempotentMethods: idempotentMethods}
-	if err := parse(document, service); err != nil {
+	if err := strictyaml.Decode([]byte(document), service); err != nil {
 		return err
 	}
 	if _, taken := s.Services[loc.name]; taken {
@@ -102,7 +96,7 @@
 
 func (s *Snapshot) attachOperator(name, document string) error {
 	operator := &Operator{Name: name}
-	if err := parse(document, operator); err != nil {
+	if err := strictyaml.Decode([]byte(document), operator); err != nil {
 		return err
 	}
 	if err := CheckPath(operator.Path); err != nil {
@@ -117,16 +111,6 @@
 	return nil
 }
 
-// parse decodes a document strictly: an unknown key, a wrong type or a missing value is an error
-// that names the line and the key.
-func parse(document string, out any) error {
-	decoder := yaml.NewDecoder(strings.NewReader(document), yaml.Strict(), yaml.Validator(documentValidator()))
-	if err := decoder.Decode(out); err != nil {
-		return errors.New(strings.TrimSpace(yaml.FormatError(err, false, false)))
-	}
-	return nil
-}
-
 // checkReferences reports documents that name others which do not exist.
 func (s *Snapshot) checkReferences() []Problem {
 	var problems []Problem
