Membership: claims of death about another start are checked by a probe

Change: a claim of death about another start of the process than the known one is disputed like those after a pause; claims of death carry no contact. Conclusion: TestBacklogOfAPauseIsNotBelieved has the schedule and fails without the change.

--- a/member/dissemination.go
+++ b/member/dissemination.go
@@ -22,7 +22,7 @@
 // contact, which not all members have received yet.
 func (q *queue) add(u Update) {
 	old := q.items[u.VM]
-	if old != nil && u.Contact == nil && startOf(u.Incarnation) == startOf(old.Incarnation) {
+	if old != nil && u.State != Dead && u.Contact == nil && startOf(u.Incarnation) == startOf(old.Incarnation) {
 		u.Contact = old.Contact
 	}
 	q.items[u.VM] = &queued{Update: u}
--- a/member/proof_test.go
+++ b/member/proof_test.go
@@ -309,6 +309,13 @@
 			{Kind: faultPause, VM: 1, For: 10 * time.Millisecond},
 			{Kind: faultRestart, VM: 2, For: 40 * time.Second},
 		}}},
+		{"a former life with a later clock has left during the pause", schedule{VMs: 3, Faults: []fault{
+			{Kind: faultLeave, VM: 1, For: 10 * time.Millisecond},
+			{Kind: faultCrash, VM: 0, For: 10 * time.Millisecond},
+			{Kind: faultClockBack, VM: 1, For: 20 * time.Millisecond},
+			{Kind: faultPause, VM: 2, For: 12 * time.Millisecond},
+			{Kind: faultRestart, VM: 0, For: 21_967 * time.Millisecond},
+		}}},
 		{"a partition heals during the pause", schedule{VMs: 9, Faults: []fault{
 			{Kind: faultCut, Zone: 1, For: 4040 * time.Millisecond},
 			{Kind: faultPause, VM: 0, For: 10 * time.Millisecond},
--- a/member/update.go
+++ b/member/update.go
@@ -46,14 +46,15 @@
 		m.add(now, u)
 		return
 	}
+	if u.State == Dead && m.mayBeOutdated(now, e, u) {
+		m.dispute(e, u.Incarnation)
+		return
+	}
 	if u.Contact == nil && startOf(u.Incarnation) != startOf(e.Incarnation) {
 		// The contact of that start is not known here. Comparing states brings it.
 		return
 	}
 	switch {
-	case u.State == Dead && now.Sub(m.resumed) < m.cfg.Period:
-		// The claim may have waited in this VM's socket during its pause, and be refuted by now.
-		m.dispute(e, u.Incarnation)
 	case u.Incarnation > e.Incarnation:
 		m.advance(now, e, u)
 	case u.Incarnation == e.Incarnation && u.State == Suspect:
@@ -65,6 +66,13 @@
 	}
 }
 
+// mayBeOutdated reports whether a claim of death may be refuted by now: it has waited in this VM's
+// socket during a pause, or concerns another start of the process than the one known here, whose
+// clock may have been set back since.
+func (m *Machine) mayBeOutdated(now time.Time, e *entry, u Update) bool {
+	return now.Sub(m.resumed) < m.cfg.Period || startOf(u.Incarnation) != startOf(e.Incarnation)
+}
+
 // add takes in a member that was unknown. Claims of death are not kept: nobody here holds the member for alive.
 func (m *Machine) add(now time.Time, u Update) {
 	if u.State == Dead || u.Contact == nil {
@@ -182,7 +190,7 @@
 
 func (m *Machine) selfUpdate() Update {
 	u := Update{VM: m.self.VM, Incarnation: m.self.Incarnation, State: m.self.State}
-	if u.Incarnation == startOf(u.Incarnation)<<refutationBits {
+	if u.State != Dead && u.Incarnation == startOf(u.Incarnation)<<refutationBits {
 		u.Contact = contactOf(m.self)
 	}
 	return u
