Steady online requests do not stop batch work; short items are not held up

Change: starts are two first-token times apart and not spread without online requests; at most half of the items give way while their prompt is processed; an item is kept back for twelve first-token times at most.

--- a/internal/admission/controller/batch.go
+++ b/internal/admission/controller/batch.go
@@ -12,8 +12,7 @@
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
 )
 
-// batchFillTime is the time in which a target's slots are filled with batch work. Spreading the starts keeps
-// the prompts of many items from being processed before that of an online request.
+// batchFillTime bounds the time in which a target's slots are filled with batch work.
 const batchFillTime = time.Second
 
 // batchState is the entry's side of the batch slots.
@@ -240,6 +239,13 @@
 	return best
 }
 
+// batchSpacing is the time between the starts of two batch items, about that of processing a prompt, so
+// that the prompts of many items are not processed before that of an online request. It is zero while
+// there are no online requests.
+func (t *targetState) batchSpacing() time.Duration {
+	return min(2*t.pacer.FirstToken(), batchFillTime/time.Duration(t.settings.Slots))
+}
+
 // fillLater grants batch slots again when the target may be given the next item.
 func (c *Controller) fillLater(t *targetState, now time.Time) {
 	if t.fillPlanned {
@@ -265,7 +271,8 @@
 // grantBatch hands a slot out and returns its id.
 func (c *Controller) grantBatch(slot batchSlot, now time.Time) uint64 {
 	slot.target.batchStarted = now
-	slot.target.nextBatch = now.Add(batchFillTime / time.Duration(slot.target.settings.Slots))
+	slot.target.batchStarts = min(slot.target.batchStarts+1, maxBatchStarts)
+	slot.target.nextBatch = now.Add(slot.target.batchSpacing())
 	c.batch.lastSlot++
 	id := c.batch.lastSlot
 	c.batch.slots[id] = slot
--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -75,8 +75,9 @@
 	// ledger and pacer are set on the owner only.
 	ledger *target.Ledger
 	pacer  *target.Pacer
-	// batchStarted is when the last batch item started.
+	// batchStarted is when the last batch item started, and batchStarts how many did, less those that gave way.
 	batchStarted time.Time
+	batchStarts  int
 	// nextBatch is when the next batch item may start, and fillPlanned says that a timer waits for it.
 	nextBatch   time.Time
 	fillPlanned bool
--- a/internal/admission/controller/owner.go
+++ b/internal/admission/controller/owner.go
@@ -83,6 +83,17 @@
 // maxBusy bounds the time for which a batch item's prompt is taken to be processed.
 const maxBusy = 100 * time.Millisecond
 
+const (
+	// startsPerYield is the number of batch items that start on a target for each that gives way while its
+	// prompt is processed. Without it, a steady stream of online requests would let no item finish.
+	startsPerYield = 2
+	// maxBatchStarts bounds the starts that are counted, and with them how many items may give way in a row.
+	maxBatchStarts = 8
+	// maxBatchDelay bounds, in first-token times, how long after the last start online requests can keep the
+	// next batch item back.
+	maxBatchDelay = 12
+)
+
 // busyFor returns for how long the owned target will process the prompt of the batch item that started last: about
 // one and a half first-token times after its start, since batch prompts are longer.
 func (t *targetState) busyFor(now time.Time) time.Duration {
@@ -93,11 +104,15 @@
 // quieten keeps prompts of batch items from delaying the first token of an online request that is about to
 // start: it takes back the slot of an item whose prompt is being processed, and keeps the next item back.
 func (c *Controller) quieten(t *targetState, now time.Time) {
-	if t.isBusy(now) {
-		t.batchStarted = time.Time{}
+	if t.isBusy(now) && t.batchStarts >= startsPerYield {
+		t.batchStarts -= startsPerYield
 		c.revoke(t.ledger.RevokeBatch(1))
 	}
-	until := now.Add(min(t.pacer.FirstToken()*3/2, maxBusy))
+	firstToken := min(t.pacer.FirstToken(), maxBusy)
+	until := now.Add(firstToken * 3 / 2)
+	if latest := t.batchStarted.Add(firstToken * maxBatchDelay); until.After(latest) {
+		until = latest
+	}
 	if until.After(t.nextBatch) {
 		t.nextBatch = until
 	}
