--- a/internal/callerapi/gate.go
+++ b/internal/callerapi/gate.go
@@ -22,12 +22,12 @@
 	// limit bounds the requests in progress.
 	limit int
 
-	mu       sync.Mutex
-	leaving  bool
-	closed   bool
-	running  int
-	drained  chan struct{}
-	isClosed bool
+	mu        sync.Mutex
+	leaving   bool
+	closed    bool
+	running   int
+	drained   chan struct{}
+	signalled bool
 }
 
 // enter admits one request. The returned function must be called when it has ended.
@@ -59,8 +59,8 @@
 
 // signal closes drained once nothing runs behind a closed gate. The lock must be held.
 func (g *gate) signal() {
-	if g.closed && g.running == 0 && g.drained != nil && !g.isClosed {
-		g.isClosed = true
+	if g.closed && g.running == 0 && g.drained != nil && !g.signalled {
+		g.signalled = true
 		close(g.drained)
 	}
 }
