--- a/settings/parse.go
+++ b/settings/parse.go
@@ -75,6 +75,12 @@
 	if (target.Model == "") == (target.Service == "") {
 		return errors.New("exactly one of model and service must be set")
 	}
+	if target.Managed && target.Model == "" {
+		return errors.New("only a target with a model can be managed")
+	}
+	if !target.Managed && (len(target.Adapters) > 0 || target.Version != "" || target.Role != "") {
+		return errors.New("adapters, version and role are for managed targets")
+	}
 	if _, err := netip.ParseAddrPort(target.Address); err != nil {
 		return fmt.Errorf("address must be IP:port: %w", err)
 	}
--- a/settings/types.go
+++ b/settings/types.go
@@ -39,6 +39,15 @@
 	Service string `yaml:"service"`
 	// Slots is the number of requests that the target runs at once.
 	Slots int `yaml:"slots" validate:"required,min=1"`
+	// Managed says that the system orders the engine to load its model, adapters and version and to take its role. Such
+	// a target gets no requests before that is done.
+	Managed bool `yaml:"managed"`
+	// Adapters are the adapters that a managed engine should have.
+	Adapters []string `yaml:"adapters"`
+	// Version is the version of the model that a managed engine should have; empty for any.
+	Version string `yaml:"version"`
+	// Role is the role that a managed engine should have; empty for any.
+	Role string `yaml:"role"`
 	// ChecksFencing says that the target refuses an order with an old fencing number.
 	ChecksFencing bool `yaml:"checks_fencing"`
 }
