Batch: a quarantined item ends also while it waits for its next try

Change: quarantined suspects end whether or not they are due. A resumed item has the text and usage of an uninterrupted one.

--- a/internal/batchapi/errors.go
+++ b/internal/batchapi/errors.go
@@ -105,7 +105,7 @@
 	case verdict.CodeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case verdict.CodeIdempotencyMismatch:
-		return http.StatusConflict
+		return http.StatusUnprocessableEntity
 	case verdict.CodePlatformUnavailable, verdict.CodeStaleSettings:
 		return http.StatusServiceUnavailable
 	case verdict.CodeInternal:
--- a/internal/runner/cancel_test.go
+++ b/internal/runner/cancel_test.go
@@ -11,11 +11,13 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/internal/jobstore"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/faulty"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
+	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
 
 // linkedEntry also carries calls between runners.
@@ -132,3 +134,40 @@
 		qt.Assert(t, ok, qt.IsTrue)
 	})
 }
+
+func TestAQuarantinedSuspectEndsAlsoWhileItWaitsForItsNextTry(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		order func(r *Runner, t try)
+	}{
+		{"while it waits", func(r *Runner, t try) {
+			r.finish(t, cutOutcome(), nil)
+			r.quarantine([]uint64{t.fingerprint})
+		}},
+		{"while it runs", func(r *Runner, t try) {
+			r.quarantine([]uint64{t.fingerprint})
+			r.finish(t, cutOutcome(), nil)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := memory.New()
+			store := jobstore.New(p, p.Objects())
+			createJob(t, store, 1, plainLine)
+			r := newTestRunner(store, &fakeEntry{}, &fakeItems{dispatches: map[string]int{}})
+			r.renew(context.Background(), time.Hour, 1)
+			_, err := r.discover(context.Background(), false)
+			qt.Assert(t, err, qt.IsNil)
+			r.askJobs(context.Background())
+			sent, ok := r.nextTry(grantOf(model), nil)
+			qt.Assert(t, ok, qt.IsTrue)
+			test.order(r, sent)
+			results := sent.chunk.run.Collect().Results
+			qt.Assert(t, results, qt.HasLen, 1)
+			qt.Assert(t, results[0].Error.Code, qt.Equals, verdict.CodeQuarantined)
+		})
+	}
+}
+
+func cutOutcome() ItemOutcome {
+	return ItemOutcome{End: admission.EndCut, Err: &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeTargetFailed}}
+}
--- /dev/null
+++ b/internal/runner/engine_test.go
@@ -0,0 +1,69 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/admission"
+	"github.com/rosemarydyke/rosemarydyke/internal/engine"
+	"github.com/rosemarydyke/rosemarydyke/internal/standin/batching"
+	standin "github.com/rosemarydyke/rosemarydyke/internal/standin/engine"
+	"github.com/rosemarydyke/rosemarydyke/verdict"
+)
+
+const longBody = `{"model":"m","max_tokens":40,"messages":[{"role":"user","content":"write a summary of the repair"}]}`
+
+func startEngine(t *testing.T, step time.Duration) *standin.Engine {
+	e, err := standin.Start(context.Background(), standin.Config{
+		Name: "engine", Model: "m", MeanTokens: 40, Speed: batching.Config{StepBase: step},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(e.Stop)
+	return e
+}
+
+func decodeCompletion(t *testing.T, o ItemOutcome) completion {
+	qt.Assert(t, o.Err == nil, qt.IsTrue, qt.Commentf("%v", o.Err))
+	qt.Assert(t, o.Status, qt.Equals, 200)
+	var c completion
+	qt.Assert(t, json.Unmarshal(o.Body, &c), qt.IsNil)
+	return c
+}
+
+func TestAResumedItemHasTheSameAnswerAsAnUninterruptedOne(t *testing.T) {
+	// Forty steps take far longer than the item is left to run.
+	e := startEngine(t, 20*time.Millisecond)
+	items := NewEngine(engine.New(engine.Config{}))
+	call := ItemCall{Address: e.Address(), RequestID: "r", Path: chatPath, Body: []byte(longBody)}
+	whole := decodeCompletion(t, items.RunItem(context.Background(), call))
+
+	var stopped ItemOutcome
+	for call.Partial.Tokens == 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), 60*time.Millisecond)
+		stopped = items.RunItem(ctx, call)
+		cancel()
+		qt.Assert(t, stopped.Err != nil, qt.IsTrue)
+		call.Partial = stopped.Partial
+	}
+	qt.Assert(t, stopped.End, qt.Equals, admission.EndCancelled)
+	resumed := decodeCompletion(t, items.RunItem(context.Background(), call))
+	qt.Assert(t, resumed.Choices, qt.DeepEquals, whole.Choices)
+	qt.Assert(t, resumed.Usage, qt.DeepEquals, whole.Usage)
+}
+
+func TestAnItemThatReachedNoTargetWasNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := listener.Addr().String()
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	o := NewEngine(engine.New(engine.Config{})).RunItem(context.Background(), ItemCall{Address: address, Path: chatPath, Body: []byte(longBody)})
+	qt.Assert(t, o.Err.Verdict, qt.Equals, verdict.NotRun)
+	qt.Assert(t, o.End, qt.Equals, admission.EndUnreachable)
+	qt.Assert(t, errors.Is(o.Err, context.Canceled), qt.IsFalse)
+}
--- a/internal/runner/slots.go
+++ b/internal/runner/slots.go
@@ -170,15 +170,22 @@
 func (r *Runner) quarantine(fingerprints []uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
 	for _, f := range fingerprints {
 		r.quarantined[f] = struct{}{}
 		for _, h := range r.held {
-			for index, ok := h.takeSuspect(f, now); ok; index, ok = h.takeSuspect(f, now) {
-				h.run.Failed(index, errQuarantined, now)
-				h.events.add(index, "refused: quarantined")
-				wake(r.settleSoon)
-			}
+			r.endQuarantined(h, f)
+		}
+	}
+}
+
+// endQuarantined ends the chunk's waiting suspects with the fingerprint, also those that wait for
+// their next try: the entry grants them no slot any more. The caller holds the lock.
+func (r *Runner) endQuarantined(h *heldChunk, fingerprint uint64) {
+	for _, index := range h.suspects[fingerprint] {
+		if h.run.IsPending(index) {
+			h.run.Failed(index, errQuarantined, time.Now())
+			h.events.add(index, "refused: quarantined")
+			wake(r.settleSoon)
 		}
 	}
 }
@@ -324,6 +331,9 @@
 			t.chunk.suspect(t)
 		}
 		run.Failed(t.index, o.Err, now)
+		if _, ok := r.quarantined[t.fingerprint]; ok {
+			r.endQuarantined(t.chunk, t.fingerprint)
+		}
 		wasted = o.Partial.Tokens
 		t.chunk.events.add(t.index, "failed on target "+t.target+": "+o.Err.Message)
 	}
--- a/job/run.go
+++ b/job/run.go
@@ -188,6 +188,9 @@
 // is never sent beside others that would be cut off with it.
 func (r *Run) Suspect(index int) { r.items[index].isSuspect = true }
 
+// IsPending reports whether the item waits for a dispatch now or later.
+func (r *Run) IsPending(index int) bool { return r.items[index].state == itemPending }
+
 // IsReadySuspect reports whether TakeSuspect would succeed.
 func (r *Run) IsReadySuspect(index int, now time.Time) bool {
 	return !r.stopped && r.items[index].isSuspect && r.isReady(index, now)
