--- a/internal/admission/controller/credits.go
+++ b/internal/admission/controller/credits.go
@@ -15,7 +15,11 @@
 	ask.Holder, ask.Session = c.config.VM, c.session
 	answer, revoke := t.ledger.Request(now, ask)
 	t.holder.Answered(ask.Sequence, answer)
+	if answer.Granted > ask.Held {
+		c.quieten(t, now)
+	}
 	c.revoke(revoke)
+	c.recallIdle(t, now)
 }
 
 // unmet is the number of credits that waiting requests of this VM want from its own ledger.
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -54,7 +54,6 @@
 		stream.CancelRead(streamCancelled)
 		return &UnansweredError{Cause: err}
 	}
-	sentBytes.Add(len(message))
 	if _, err := stream.Write(message); err != nil {
 		return unanswered(ctx, err)
 	}
@@ -64,7 +63,7 @@
 }
 
 func (n *Node) readAnswer(ctx context.Context, c *connection, stream *quic.Stream, response any) error {
-	decoder := newDecoder(countingReader{stream}, n.cfg.MaxMessageBytes)
+	decoder := newDecoder(stream, n.cfg.MaxMessageBytes)
 	var a answer
 	if err := decoder.decode(&a); err != nil {
 		return unanswered(ctx, err)
@@ -117,12 +116,11 @@
 
 // serveStream reads the header of a stream that the peer opened and hands it to its handler.
 func (n *Node) serveStream(c *connection, stream *quic.Stream) {
-	decoder := newDecoder(countingReader{stream}, n.cfg.MaxMessageBytes)
+	decoder := newDecoder(stream, n.cfg.MaxMessageBytes)
 	var h header
 	_ = stream.SetReadDeadline(time.Now().Add(headerTimeout))
 	if err := decoder.decode(&h); err != nil {
-		stream.CancelRead(streamFailed)
-		stream.CancelWrite(streamFailed)
+		refuse(stream)
 		return
 	}
 	_ = stream.SetReadDeadline(time.Time{})
@@ -130,12 +128,6 @@
 		n.writeAnswer(stream, answer{})
 		return
 	}
-	if !n.enter() {
-		stream.CancelRead(streamFailed)
-		stream.CancelWrite(streamFailed)
-		return
-	}
-	defer n.handlers.Done()
 	c.active.Add(1)
 	defer c.active.Add(-1)
 	ctx, cancel := serverContext(stream, h)
@@ -149,11 +141,16 @@
 	case kindStream:
 		endSpan(span, n.serveMessages(ctx, c, stream, h.Method, decoder))
 	default:
-		stream.CancelRead(streamFailed)
-		stream.CancelWrite(streamFailed)
+		refuse(stream)
 	}
 }
 
+// refuse resets a stream in both directions.
+func refuse(stream *quic.Stream) {
+	stream.CancelRead(streamFailed)
+	stream.CancelWrite(streamFailed)
+}
+
 // serverContext ends when the caller gives up, its timeout passes or the connection breaks.
 func serverContext(stream *quic.Stream, h header) (context.Context, context.CancelFunc) {
 	if h.Timeout > 0 {
@@ -163,6 +160,11 @@
 }
 
 func (n *Node) serveCall(ctx context.Context, c *connection, stream *quic.Stream, method Method, decoder *decoder) error {
+	if !n.enter() {
+		refuse(stream)
+		return ErrClosed
+	}
+	defer n.running.Done()
 	response, err := n.handle(ctx, c.peer, method, decoder)
 	if err != nil {
 		n.writeAnswer(stream, answer{Error: asRemoteError(err)})
@@ -191,7 +193,6 @@
 	if err != nil {
 		message, _ = encode(n.cfg.MaxMessageBytes, answer{Error: asRemoteError(err)})
 	}
-	sentBytes.Add(len(message))
 	_, _ = stream.Write(message)
 	_ = stream.Close()
 	stream.CancelRead(streamCancelled)
@@ -207,13 +208,3 @@
 		span.SetStatus(codes.Error, err.Error())
 	}
 }
-
-// countingReader counts the bytes that arrive.
-type countingReader struct{ reader io.Reader }
-
-// Read implements io.Reader.
-func (r countingReader) Read(p []byte) (int, error) {
-	count, err := r.reader.Read(p)
-	receivedBytes.Add(count)
-	return count, err
-}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -35,7 +35,7 @@
 		quic:    stream,
 		conn:    c,
 		limit:   n.cfg.MaxMessageBytes,
-		decoder: newDecoder(countingReader{stream}, n.cfg.MaxMessageBytes),
+		decoder: newDecoder(stream, n.cfg.MaxMessageBytes),
 	}
 	stop := cancelOnEnd(ctx, stream)
 	s.onClose = func() {
@@ -57,7 +57,6 @@
 	}
 	s.sendMu.Lock()
 	defer s.sendMu.Unlock()
-	sentBytes.Add(len(encoded))
 	_, err = s.quic.Write(encoded)
 	return err
 }
@@ -87,10 +86,13 @@
 func (n *Node) serveMessages(ctx context.Context, c *connection, stream *quic.Stream, method Method, decoder *decoder) error {
 	handler, ok := n.streams[method]
 	if !ok {
-		stream.CancelRead(streamFailed)
-		stream.CancelWrite(streamFailed)
+		refuse(stream)
 		return &RemoteError{Code: CodeUnknownMethod, Message: string(method)}
 	}
+	if n.isClosed() {
+		refuse(stream)
+		return ErrClosed
+	}
 	s := &messageStream{quic: stream, conn: c, limit: n.cfg.MaxMessageBytes, decoder: decoder, onClose: func() {}}
 	err := handler(ctx, c.peer, s)
 	if err != nil {
--- /dev/null
+++ b/member/cost_test.go
@@ -0,0 +1,117 @@
+package member
+
+import (
+	"os"
+	"testing"
+	"time"
+)
+
+// cost is what one VM spends on membership, on average, in one second.
+type cost struct {
+	messages float64
+	// bytes are encoded messages and states, without what the transport adds.
+	bytes float64
+	// cpu is the time in Machine.Handle.
+	cpu time.Duration
+}
+
+// costPhase is a stretch of a simulated history.
+type costPhase struct {
+	name  string
+	setUp func(*sim)
+	// settle is the time before the measurement, measure that of the measurement.
+	settle, measure time.Duration
+}
+
+var costPhases = []costPhase{
+	{name: "steady", setUp: func(*sim) {}, settle: 20 * time.Minute, measure: 5 * time.Minute},
+	{name: "one VM crashes", setUp: func(s *sim) { s.crash(s.vms[0]) }, measure: time.Minute},
+	{name: "it restarts", setUp: func(s *sim) { s.startVM(s.vms[0], 0) }, settle: 10 * time.Second, measure: 5 * time.Minute},
+	{name: "zone cut off", setUp: func(s *sim) { s.setCut(simZones[0]) }, measure: 5 * time.Minute},
+	{name: "zone healed", setUp: func(s *sim) { s.setCut("") }, measure: time.Minute},
+}
+
+// TestMembershipCost prints what one VM spends. It asserts nothing: TestCostOfAVMDoesNotGrowWithTheFleet does.
+func TestMembershipCost(t *testing.T) {
+	if os.Getenv("ROSEMARYDYKE_COST") == "" {
+		t.Skip("set ROSEMARYDYKE_COST=1 to print the table")
+	}
+	t.Logf("%5s  %-16s %12s %10s %12s", "VMs", "phase", "messages/s", "bytes/s", "CPU us/s")
+	for _, vms := range []int{3, 9, 27, 81, 243, 360} {
+		s := newSim(makeMachine, vms, 1)
+		s.countBytes = true
+		for _, p := range costPhases {
+			got := s.measure(p)
+			t.Logf("%5d  %-16s %12.2f %10.0f %12d", vms, p.name, got.messages, got.bytes, got.cpu.Microseconds())
+		}
+	}
+}
+
+func (s *sim) measure(p costPhase) cost {
+	p.setUp(s)
+	s.run(p.settle)
+	for _, v := range s.vms {
+		v.messages, v.bytes, v.cpu = 0, 0, 0
+	}
+	s.run(p.measure)
+	var sum cost
+	for _, v := range s.vms {
+		sum.messages += float64(v.messages)
+		sum.bytes += float64(v.bytes)
+		sum.cpu += v.cpu
+	}
+	share := float64(len(s.vms)) * p.measure.Seconds()
+	return cost{sum.messages / share, sum.bytes / share, time.Duration(float64(sum.cpu) / share)}
+}
+
+// timedChange is a change whose spreading is timed.
+type timedChange struct {
+	name  string
+	setUp func(*sim)
+}
+
+var timedChanges = []timedChange{
+	{"start of all", func(*sim) {}},
+	{"crash", func(s *sim) { s.crash(s.vms[0]) }},
+	{"restart", func(s *sim) { s.startVM(s.vms[0], 0) }},
+	{"leave", func(s *sim) { s.leave(s.vms[1]) }},
+	{"resume after 30 s", func(s *sim) {
+		s.pause(s.vms[2])
+		s.run(30 * time.Second)
+		s.resume(s.vms[2])
+	}},
+	{"heal after 5 min", func(s *sim) {
+		s.setCut(simZones[0])
+		s.run(5 * time.Minute)
+		s.setCut("")
+	}},
+}
+
+// TestMembershipTimes prints how long changes take until all views are right. It asserts nothing:
+// the tests of the bounds do.
+func TestMembershipTimes(t *testing.T) {
+	if os.Getenv("ROSEMARYDYKE_COST") == "" {
+		t.Skip("set ROSEMARYDYKE_COST=1 to print the table")
+	}
+	const seeds = 10
+	t.Logf("%5s  %-18s %10s %10s", "VMs", "change", "mean s", "longest s")
+	for _, vms := range []int{3, 9, 27, 81} {
+		sum, longest := make([]time.Duration, len(timedChanges)), make([]time.Duration, len(timedChanges))
+		for seed := range uint64(seeds) {
+			s := newSim(makeMachine, vms, seed)
+			for i, change := range timedChanges {
+				change.setUp(s)
+				took, err := s.runUntil(healBound(DefaultConfig(), vms), s.converged)
+				if err != nil {
+					t.Fatal(err)
+				}
+				sum[i] += took
+				longest[i] = max(longest[i], took)
+				s.run(time.Minute)
+			}
+		}
+		for i, change := range timedChanges {
+			t.Logf("%5d  %-18s %10.1f %10.1f", vms, change.name, (sum[i] / seeds).Seconds(), longest[i].Seconds())
+		}
+	}
+}
--- a/member/machine.go
+++ b/member/machine.go
@@ -45,6 +45,8 @@
 	nextRejoin time.Time
 	// nextMeet is when the next unknown or dead sender may cause a comparison of states.
 	nextMeet time.Time
+	// resumed is when this VM was last found to have been paused.
+	resumed time.Time
 	// quiet is true while claims are merged that need not be spread further.
 	quiet   bool
 	actions []Action
@@ -185,20 +187,21 @@
 }
 
 // notePause detects that this VM was paused since its last event: its timers are then late for a
-// reason that says nothing of other members, so they are moved by the length of the pause.
+// reason that says nothing of other members, so they start again.
 func (m *Machine) notePause(now time.Time) {
-	late := now.Sub(m.wake)
-	if late < m.cfg.Period/2 {
+	if now.Sub(m.wake) < m.cfg.Period/2 {
 		return
 	}
 	m.degrade(m.cfg.MaxHealthScore)
 	for _, e := range m.members {
 		if e.suspicion != nil {
-			e.suspicion.delay(late)
+			e.suspicion.restart(now)
 		}
 	}
 	clear(m.relays)
 	m.probe.abandon(now)
+	m.resumed = now
+	m.nextSync = now
 }
 
 // degrade worsens the local health score.
--- a/member/sync.go
+++ b/member/sync.go
@@ -11,7 +11,7 @@
 )
 
 // Digest is equal on two VMs that hold the same members for alive or leaving, in the same
-// incarnations. Suspicions and dead members do not count: they come and go at different times.
+// incarnations and at the same addresses. Suspicions and dead members do not count: they come and go at different times.
 func (m *Machine) Digest() uint64 {
 	hash := xxhash.New()
 	for _, member := range m.Members() {
@@ -22,6 +22,10 @@
 			leaving = 1
 		}
 		_, _ = hash.Write([]byte{0, leaving})
+		for _, address := range []string{member.Callers, member.EntryPeers, member.BatchPeers, member.OperatorPeers} {
+			_, _ = hash.WriteString(address)
+			_, _ = hash.Write([]byte{0})
+		}
 	}
 	return hash.Sum64()
 }
@@ -64,7 +68,9 @@
 	case member.VM == m.self.VM:
 		m.applyToSelf(u)
 	case member.State == Dead:
-		m.dispute(member)
+		if e := m.members[member.VM]; e != nil {
+			m.dispute(e, member.Incarnation)
+		}
 	case member.State == Suspect:
 		u.Accuser = from
 		m.apply(now, u)
@@ -76,12 +82,11 @@
 // dispute checks a death that this VM has not heard of in time, or that comes from the other side of
 // a partition. The member is probed soon and told of the claim, so that it refutes or is found dead;
 // taking the claim as it is would kill every member on this side when a partition heals.
-func (m *Machine) dispute(claim Member) {
-	e := m.members[claim.VM]
-	if e == nil || e.State == Dead || claim.Incarnation < e.Incarnation || e.accused >= claim.Incarnation {
+func (m *Machine) dispute(e *entry, incarnation uint64) {
+	if e.State == Dead || incarnation < e.Incarnation || e.accused >= incarnation {
 		return
 	}
-	e.accused = claim.Incarnation
+	e.accused = incarnation
 	m.probeSoon(e.VM)
 }
 
--- a/member/update.go
+++ b/member/update.go
@@ -46,6 +46,10 @@
 		m.add(now, u)
 		return
 	}
+	if u.State == Dead && m.mayBeOutdated(now, e, u) {
+		m.dispute(e, u.Incarnation)
+		return
+	}
 	if u.Contact == nil && startOf(u.Incarnation) != startOf(e.Incarnation) {
 		// The contact of that start is not known here. Comparing states brings it.
 		return
@@ -62,6 +66,13 @@
 	}
 }
 
+// mayBeOutdated reports whether a claim of death may be refuted by now: it has waited in this VM's
+// socket during a pause, or concerns another start of the process than the one known here, whose
+// clock may have been set back since.
+func (m *Machine) mayBeOutdated(now time.Time, e *entry, u Update) bool {
+	return now.Sub(m.resumed) < m.cfg.Period || startOf(u.Incarnation) != startOf(e.Incarnation)
+}
+
 // add takes in a member that was unknown. Claims of death are not kept: nobody here holds the member for alive.
 func (m *Machine) add(now time.Time, u Update) {
 	if u.State == Dead || u.Contact == nil {
@@ -139,10 +150,11 @@
 	case u.Incarnation < m.self.Incarnation:
 		m.repeatRefutation(u)
 		return
+	case m.isFormerLife(u):
 	case u.Incarnation == m.self.Incarnation && u.State != Suspect && u.State != Dead:
 		return
 	}
-	if startOf(u.Incarnation) != startOf(m.self.Incarnation) {
+	if m.isFormerLife(u) {
 		m.self.Incarnation = nextStart(u.Incarnation)
 	} else {
 		m.self.Incarnation = u.Incarnation + 1
@@ -153,6 +165,14 @@
 	m.announceSelf()
 }
 
+// isFormerLife reports whether a claim about this VM stems from an earlier start of its process, whose
+// incarnation is not below this one because the clock was set back in between. Two starts that were
+// both set back can even have the same incarnation; their contacts tell them apart.
+func (m *Machine) isFormerLife(u Update) bool {
+	return startOf(u.Incarnation) > startOf(m.self.Incarnation) ||
+		u.Incarnation == m.self.Incarnation && u.Contact != nil && *u.Contact != *contactOf(m.self)
+}
+
 // repeatRefutation answers a claim that was refuted already: the sender missed the refutation.
 func (m *Machine) repeatRefutation(u Update) {
 	if u.State != Suspect && u.State != Dead {
@@ -170,7 +190,7 @@
 
 func (m *Machine) selfUpdate() Update {
 	u := Update{VM: m.self.VM, Incarnation: m.self.Incarnation, State: m.self.State}
-	if u.Incarnation == startOf(u.Incarnation)<<refutationBits {
+	if u.State != Dead && u.Incarnation == startOf(u.Incarnation)<<refutationBits {
 		u.Contact = contactOf(m.self)
 	}
 	return u
