--- a/internal/runner/discover.go
+++ b/internal/runner/discover.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// scanRows is the number of open chunks read at once.
-	scanRows = 32
+	// scanRows is the number of open chunks read at once, fedScanRows by a runner that has enough items of its models.
+	scanRows    = 32
+	fedScanRows = 8
 	// maxScans bounds the reads of one search for work.
 	maxScans = 4
 	// searchesPerStart is the number of searches after which the start of the open work is read again.
@@ -61,12 +62,12 @@
 	if !r.wantsWork() {
 		return false, nil
 	}
-	scans := maxScans
+	scans, rows := maxScans, scanRows
 	if isFed {
-		scans = 1
+		scans, rows = 1, fedScanRows
 	}
 	for range scans {
-		work, err := r.nextWork(ctx)
+		work, err := r.nextWork(ctx, rows)
 		if err != nil || len(work) == 0 {
 			return false, err
 		}
@@ -119,11 +120,11 @@
 }
 
 // nextWork reads the open work after the cursor, and from the start once the end is reached.
-func (r *Runner) nextWork(ctx context.Context) ([]*jobstore.Work, error) {
-	work, err := r.config.Store.OpenWork(ctx, r.cursor, scanRows)
+func (r *Runner) nextWork(ctx context.Context, rows int) ([]*jobstore.Work, error) {
+	work, err := r.config.Store.OpenWork(ctx, r.cursor, rows)
 	if err == nil && len(work) == 0 && r.cursor != "" {
 		r.cursor = ""
-		work, err = r.config.Store.OpenWork(ctx, "", scanRows)
+		work, err = r.config.Store.OpenWork(ctx, "", rows)
 	}
 	if len(work) == 0 {
 		return nil, err
--- a/internal/runner/slots.go
+++ b/internal/runner/slots.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
@@ -19,8 +21,10 @@
 	// demandInterval is the longest time between statements of the demand, demandGap the shortest.
 	demandInterval = time.Second
 	demandGap      = 50 * time.Millisecond
-	// reconnectDelay is the wait before the stream to the entry is opened again.
-	reconnectDelay = 200 * time.Millisecond
+	// reconnectDelay is the wait before the stream to the entry is opened again. It grows to maxReconnectDelay
+	// while the entry stays away.
+	reconnectDelay    = 200 * time.Millisecond
+	maxReconnectDelay = 2 * time.Second
 	// maxWantedSlots bounds the demand for one model.
 	maxWantedSlots = 512
 )
@@ -34,11 +38,18 @@
 
 // slotLoop keeps the stream to the entry open.
 func (r *Runner) slotLoop(ctx context.Context) error {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval = reconnectDelay
+	delays.MaxInterval = maxReconnectDelay
 	for {
+		opened := time.Now()
 		if err := r.useSlots(ctx); err != nil && ctx.Err() == nil {
 			r.config.Log.Warn().Err(err).Msg("no slots: the stream to the entry ended")
 		}
-		if !tick(ctx, reconnectDelay, nil) {
+		if time.Since(opened) > maxReconnectDelay {
+			delays.Reset()
+		}
+		if !tick(ctx, delays.NextBackOff(), nil) {
 			return nil
 		}
 	}
--- a/job/run.go
+++ b/job/run.go
@@ -7,42 +7,6 @@
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
 
-// Policy holds the bounds of a run. The zero value of a field stands for its default.
-type Policy struct {
-	// MaxTries bounds the dispatches of an item that may have run each time. Default 4.
-	MaxTries int
-	// MaxRefusals bounds the dispatches of an item that were not run. Default 100.
-	MaxRefusals int
-	// RetryDelay is the wait before the second try; it doubles with each try. Default 500ms.
-	RetryDelay time.Duration
-	// MaxRetryDelay bounds the wait between tries. Default 30s.
-	MaxRetryDelay time.Duration
-	// SegmentItems is the number of results that are written together. Default 64.
-	SegmentItems int
-	// SegmentAge is the longest time that a result waits to be written. Default 10s.
-	SegmentAge time.Duration
-	// IntentItems is the number of non-idempotent items whose intents are written together. Default 16.
-	IntentItems int
-}
-
-// WithDefaults returns the policy with its defaults filled in.
-func (p Policy) WithDefaults() Policy {
-	setDefault(&p.MaxTries, 4)
-	setDefault(&p.MaxRefusals, 100)
-	setDefault(&p.RetryDelay, 500*time.Millisecond)
-	setDefault(&p.MaxRetryDelay, 30*time.Second)
-	setDefault(&p.SegmentItems, 64)
-	setDefault(&p.SegmentAge, 10*time.Second)
-	setDefault(&p.IntentItems, 16)
-	return p
-}
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 type itemState uint8
 
 const (
@@ -154,16 +118,6 @@
 	return indexes
 }
 
-// WithIntents returns the row that records intents.
-func (r *Run) WithIntents(indexes []int, operation string) *Chunk {
-	c := r.chunk.Clone()
-	c.Operation = operation
-	for _, i := range indexes {
-		c.Intents.Set(i)
-	}
-	return c
-}
-
 // Next picks an item to dispatch and marks it as running.
 func (r *Run) Next(now time.Time) (Dispatch, bool) {
 	if r.stopped {
@@ -184,35 +138,6 @@
 	return Dispatch{Index: index, Line: r.lines[index], Partial: r.items[index].partial}
 }
 
-// Suspect marks an item that was cut off on a target. Next passes over it from then on, so that it
-// is never sent beside others that would be cut off with it.
-func (r *Run) Suspect(index int) { r.items[index].isSuspect = true }
-
-// IsPending reports whether the item waits for a dispatch now or later.
-func (r *Run) IsPending(index int) bool { return r.items[index].state == itemPending }
-
-// IsReadySuspect reports whether TakeSuspect would succeed.
-func (r *Run) IsReadySuspect(index int, now time.Time) bool {
-	return !r.stopped && r.items[index].isSuspect && r.isReady(index, now)
-}
-
-// TakeSuspect marks a suspect as running, if it can be sent now.
-func (r *Run) TakeSuspect(index int, now time.Time) bool {
-	if !r.IsReadySuspect(index, now) {
-		return false
-	}
-	r.items[index].state = itemRunning
-	return true
-}
-
-func (r *Run) isReady(i int, now time.Time) bool {
-	it := &r.items[i]
-	if it.state != itemPending || it.notBefore.After(now) {
-		return false
-	}
-	return r.lines[i].IsIdempotent() || r.chunk.Intents.Has(i)
-}
-
 // Ready returns the number of items that Next would hand out. Suspects are not among them.
 func (r *Run) Ready(now time.Time) int {
 	if r.stopped {
@@ -349,45 +274,6 @@
 	return b
 }
 
-// WithBatch returns the row that adds a segment with the results of b.
-func (r *Run) WithBatch(b Batch, segment Segment, operation string) *Chunk {
-	c := r.chunk.Clone()
-	c.Operation = operation
-	c.Segments = append(c.Segments, segment)
-	for _, i := range b.indexes {
-		c.Done.Set(i)
-		c.Intents.Clear(i)
-	}
-	return c
-}
-
-// Committed adopts a row that has taken effect.
-func (r *Run) Committed(row *Chunk, now time.Time) {
-	r.chunk = row
-	r.oldest = time.Time{}
-	for i := range r.items {
-		switch {
-		case row.Done.Has(i):
-			r.items[i] = item{state: itemDone}
-		case r.items[i].state == itemResolved && r.oldest.IsZero():
-			r.oldest = now
-		}
-	}
-}
-
-// Released returns the row that hands the chunk back. Intents of items that were not dispatched are removed.
-func (r *Run) Released(operation string) *Chunk {
-	c := r.chunk.Clone()
-	c.Operation = operation
-	c.Holder = ""
-	for i := range r.items {
-		if r.items[i].state == itemPending {
-			c.Intents.Clear(i)
-		}
-	}
-	return c
-}
-
 // ResolveIntents ends every non-idempotent item that may have been dispatched, and still has no
 // result, as may-have-run. It is called before a chunk of a cancelled job is closed.
 func (r *Run) ResolveIntents(now time.Time) {
@@ -402,13 +288,6 @@
 	}
 }
 
-// Unchanged returns the row under a new operation.
-func (r *Run) Unchanged(operation string) *Chunk {
-	c := r.chunk.Clone()
-	c.Operation = operation
-	return c
-}
-
 // Find returns the index of the item with a custom_id.
 func (r *Run) Find(customID string) (int, bool) {
 	for i, line := range r.lines {
--- /dev/null
+++ b/job/suspect.go
@@ -0,0 +1,32 @@
+package job
+
+import "time"
+
+// Suspect marks an item that was cut off on a target. Next passes over it from then on, so that it
+// is never sent beside others that would be cut off with it.
+func (r *Run) Suspect(index int) { r.items[index].isSuspect = true }
+
+// IsPending reports whether the item waits for a dispatch now or later.
+func (r *Run) IsPending(index int) bool { return r.items[index].state == itemPending }
+
+// IsReadySuspect reports whether TakeSuspect would succeed.
+func (r *Run) IsReadySuspect(index int, now time.Time) bool {
+	return !r.stopped && r.items[index].isSuspect && r.isReady(index, now)
+}
+
+// TakeSuspect marks a suspect as running, if it can be sent now.
+func (r *Run) TakeSuspect(index int, now time.Time) bool {
+	if !r.IsReadySuspect(index, now) {
+		return false
+	}
+	r.items[index].state = itemRunning
+	return true
+}
+
+func (r *Run) isReady(i int, now time.Time) bool {
+	it := &r.items[i]
+	if it.state != itemPending || it.notBefore.After(now) {
+		return false
+	}
+	return r.lines[i].IsIdempotent() || r.chunk.Intents.Has(i)
+}
