Batch: each chunk has its own confirmation

Cause: a runner that was paused between reading a job and holding its chunk could take a confirmation about other chunks for one about this. Change: the time of the confirmation is kept for each chunk, and counts from before its job was read.

--- a/internal/runner/discover.go
+++ b/internal/runner/discover.go
@@ -187,6 +187,7 @@
 }
 
 func (r *Runner) load(ctx context.Context, w *jobstore.Work) (*heldChunk, error) {
+	asked := time.Now()
 	record, err := r.config.Store.GetAny(ctx, w.Chunk.Job)
 	if err != nil {
 		return nil, err
@@ -202,5 +203,5 @@
 	if record.Job.IsCancelled() {
 		run.Stop()
 	}
-	return &heldChunk{work: w, record: record, run: run, running: map[int]context.CancelCauseFunc{}, suspects: map[uint64][]int{}, events: newItemLog()}, nil
+	return &heldChunk{work: w, record: record, run: run, confirmedAt: asked, running: map[int]context.CancelCauseFunc{}, suspects: map[uint64][]int{}, events: newItemLog()}, nil
 }
--- a/internal/runner/explain.go
+++ b/internal/runner/explain.go
@@ -70,7 +70,7 @@
 	now := time.Now()
 	text := h.run.Describe(index, now)
 	switch {
-	case now.Sub(r.jobsAskedAt) > r.config.MaxJobAge:
+	case now.Sub(h.confirmedAt) > r.config.MaxJobAge:
 		return text + "; no item is sent until the table has been asked for cancels"
 	case r.buffered >= r.config.MaxBufferedBytes:
 		return text + "; no item is sent until waiting results are committed"
--- a/internal/runner/jobs.go
+++ b/internal/runner/jobs.go
@@ -51,14 +51,17 @@
 // after the last confirmation was asked for, so that a process which was paused or is cut off stops by itself.
 func (r *Runner) askJobs(ctx context.Context) {
 	asked := time.Now()
-	ids := r.heldJobs()
+	chunks, ids := r.heldJobs()
 	if !r.readJobs(ctx, ids) && !r.askPeers(ctx, ids) {
 		r.metrics.jobsUnconfirmed.Inc()
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.jobsAskedAt = asked
+	// A chunk that was taken meanwhile is not among those that were asked about.
+	for _, h := range chunks {
+		h.confirmedAt = asked
+	}
 	wake(r.demandSoon)
 }
 
@@ -137,19 +140,20 @@
 	return answer, nil
 }
 
-func (r *Runner) heldJobs() []string {
+// heldJobs returns the held chunks and the ids of their jobs.
+func (r *Runner) heldJobs() (chunks []*heldChunk, ids []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seen := map[string]struct{}{}
-	var ids []string
 	for _, h := range r.held {
+		chunks = append(chunks, h)
 		id := h.record.Job.ID
 		if _, ok := seen[id]; !ok {
 			seen[id] = struct{}{}
 			ids = append(ids, id)
 		}
 	}
-	return ids
+	return chunks, ids
 }
 
 // adopt takes in a job's present row. The caller holds the lock.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -90,8 +90,6 @@
 	mu          sync.Mutex
 	held        map[string]*heldChunk
 	quarantined map[uint64]struct{}
-	// jobsAskedAt is when the last confirmation that the held jobs are not cancelled was asked for.
-	jobsAskedAt time.Time
 	leaseHeld   *lease.Holder
 	watcher     *lease.Watcher
 	// cursor is where the search for open work goes on, earliest the key of the work that is due first.
@@ -125,6 +123,8 @@
 	run    *job.Run
 	// isSettling is set while a commit is in progress; there is never more than one for a chunk.
 	isSettling bool
+	// confirmedAt is when the last confirmation that the job is not cancelled was asked for.
+	confirmedAt time.Time
 	// running holds the cancel functions of the dispatched items by index.
 	running map[int]context.CancelCauseFunc
 	// suspects holds the items that were cut off on a target, by fingerprint.
--- a/internal/runner/slots.go
+++ b/internal/runner/slots.go
@@ -145,8 +145,8 @@
 // mayDispatch reports whether items of the chunk may be sent now. The caller holds the lock.
 func (r *Runner) mayDispatch(h *heldChunk, now time.Time) bool {
 	// A process that was paused must learn of cancels before it sends anything.
-	asked := now.Sub(r.jobsAskedAt) <= r.config.MaxJobAge
-	return asked && !r.draining && !h.record.Job.IsCancelled() && r.buffered < r.config.MaxBufferedBytes
+	isConfirmed := now.Sub(h.confirmedAt) <= r.config.MaxJobAge
+	return isConfirmed && !r.draining && !h.record.Job.IsCancelled() && r.buffered < r.config.MaxBufferedBytes
 }
 
 // slotLink is the runner's side of one stream.
