--- a/internal/runner/slots.go
+++ b/internal/runner/slots.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
@@ -19,8 +21,10 @@
 	// demandInterval is the longest time between statements of the demand, demandGap the shortest.
 	demandInterval = time.Second
 	demandGap      = 50 * time.Millisecond
-	// reconnectDelay is the wait before the stream to the entry is opened again.
-	reconnectDelay = 200 * time.Millisecond
+	// reconnectDelay is the wait before the stream to the entry is opened again. It grows to maxReconnectDelay
+	// while the entry stays away.
+	reconnectDelay    = 200 * time.Millisecond
+	maxReconnectDelay = 2 * time.Second
 	// maxWantedSlots bounds the demand for one model.
 	maxWantedSlots = 512
 )
@@ -34,11 +38,18 @@
 
 // slotLoop keeps the stream to the entry open.
 func (r *Runner) slotLoop(ctx context.Context) error {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval = reconnectDelay
+	delays.MaxInterval = maxReconnectDelay
 	for {
+		opened := time.Now()
 		if err := r.useSlots(ctx); err != nil && ctx.Err() == nil {
 			r.config.Log.Warn().Err(err).Msg("no slots: the stream to the entry ended")
 		}
-		if !tick(ctx, reconnectDelay, nil) {
+		if time.Since(opened) > maxReconnectDelay {
+			delays.Reset()
+		}
+		if !tick(ctx, delays.NextBackOff(), nil) {
 			return nil
 		}
 	}
@@ -134,8 +145,8 @@
 // mayDispatch reports whether items of the chunk may be sent now. The caller holds the lock.
 func (r *Runner) mayDispatch(h *heldChunk, now time.Time) bool {
 	// A process that was paused must learn of cancels before it sends anything.
-	asked := now.Sub(r.jobsAskedAt) <= r.config.MaxJobAge
-	return asked && !r.draining && !h.record.Job.IsCancelled() && r.buffered < r.config.MaxBufferedBytes
+	isConfirmed := now.Sub(h.confirmedAt) <= r.config.MaxJobAge
+	return isConfirmed && !r.draining && !h.record.Job.IsCancelled() && r.buffered < r.config.MaxBufferedBytes
 }
 
 // slotLink is the runner's side of one stream.
@@ -170,15 +181,22 @@
 func (r *Runner) quarantine(fingerprints []uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
 	for _, f := range fingerprints {
 		r.quarantined[f] = struct{}{}
 		for _, h := range r.held {
-			for index, ok := h.takeSuspect(f, now); ok; index, ok = h.takeSuspect(f, now) {
-				h.run.Failed(index, errQuarantined, now)
-				h.events.add(index, "refused: quarantined")
-				wake(r.settleSoon)
-			}
+			r.endQuarantined(h, f)
+		}
+	}
+}
+
+// endQuarantined ends the chunk's waiting suspects with the fingerprint, also those that wait for
+// their next try: the entry grants them no slot any more. The caller holds the lock.
+func (r *Runner) endQuarantined(h *heldChunk, fingerprint uint64) {
+	for _, index := range h.suspects[fingerprint] {
+		if h.run.IsPending(index) {
+			h.run.Failed(index, errQuarantined, time.Now())
+			h.events.add(index, "refused: quarantined")
+			wake(r.settleSoon)
 		}
 	}
 }
@@ -324,6 +342,9 @@
 			t.chunk.suspect(t)
 		}
 		run.Failed(t.index, o.Err, now)
+		if _, ok := r.quarantined[t.fingerprint]; ok {
+			r.endQuarantined(t.chunk, t.fingerprint)
+		}
 		wasted = o.Partial.Tokens
 		t.chunk.events.add(t.index, "failed on target "+t.target+": "+o.Err.Message)
 	}
