Membership: a death is believed only after a suspicion that could be refuted

Change: another VM's claim of death counts as a suspicion unless this VM has held the member for suspect for half the shortest suspicion time; a VM's own farewell is believed at once. The oracle is the same. Conclusion: the schedule is in TestBacklogOfAPauseIsNotBelieved.

--- a/member/dissemination.go
+++ b/member/dissemination.go
@@ -96,9 +96,9 @@
 	case e == nil:
 		return Update{}, false
 	case e.State == Dead:
-		return Update{VM: vm, Incarnation: e.Incarnation, State: Dead}, true
+		return Update{VM: vm, Incarnation: e.Incarnation, State: Dead, Accuser: m.self.VM}, true
 	case e.accused >= e.Incarnation:
-		return Update{VM: vm, Incarnation: e.accused, State: Dead}, true
+		return Update{VM: vm, Incarnation: e.accused, State: Dead, Accuser: m.self.VM}, true
 	case e.State == Suspect:
 		return Update{VM: vm, Incarnation: e.Incarnation, State: Suspect, Accuser: m.self.VM}, true
 	}
--- a/member/message.go
+++ b/member/message.go
@@ -36,7 +36,7 @@
 	VM          string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
 	State       State  `cbor:"3,keyasint"`
-	// Accuser is the VM that suspects, in a claim of state Suspect.
+	// Accuser is the VM that suspects or has declared the death. In a claim of death it is the VM itself when it has left.
 	Accuser string `cbor:"4,keyasint,omitempty"`
 	// Contact is absent when receivers that know this start of the VM's process have it already.
 	Contact *Contact `cbor:"5,keyasint,omitempty"`
--- a/member/proof_test.go
+++ b/member/proof_test.go
@@ -316,6 +316,12 @@
 			{Kind: faultPause, VM: 2, For: 12 * time.Millisecond},
 			{Kind: faultRestart, VM: 0, For: 21_967 * time.Millisecond},
 		}}},
+		{"a VM that was cut off is paused before it has spread the deaths of the others", schedule{VMs: 3, Faults: []fault{
+			{Kind: faultNone, For: 10 * time.Millisecond},
+			{Kind: faultCut, Zone: 0, For: 10_221 * time.Millisecond},
+			{Kind: faultHeal, For: 20 * time.Millisecond},
+			{Kind: faultPause, VM: 0, For: 21_979 * time.Millisecond},
+		}}},
 		{"a partition heals during the pause", schedule{VMs: 9, Faults: []fault{
 			{Kind: faultCut, Zone: 1, For: 4040 * time.Millisecond},
 			{Kind: faultPause, VM: 0, For: 10 * time.Millisecond},
--- a/member/suspicion.go
+++ b/member/suspicion.go
@@ -57,6 +57,11 @@
 	s.deadline = s.since.Add(max(timeout, s.shortest))
 }
 
+// couldBeRefuted reports whether the suspicion has lasted long enough for a refutation to arrive.
+func (s *suspicion) couldBeRefuted(now time.Time) bool {
+	return s != nil && now.Sub(s.since) >= s.shortest/2
+}
+
 // restart begins the countdown again after a pause of this VM: the refutation may have come
 // during the pause, and a countdown that was about to end would not wait for it to be read.
 func (s *suspicion) restart(now time.Time) {
@@ -101,7 +106,7 @@
 	for _, e := range m.members {
 		if e.suspicion != nil && !now.Before(e.suspicion.deadline) {
 			m.die(now, e)
-			m.queue.add(Update{VM: e.VM, Incarnation: e.Incarnation, State: Dead})
+			m.queue.add(Update{VM: e.VM, Incarnation: e.Incarnation, State: Dead, Accuser: m.self.VM})
 		}
 	}
 }
--- a/member/update.go
+++ b/member/update.go
@@ -50,6 +50,10 @@
 		m.dispute(e, u.Incarnation)
 		return
 	}
+	if u.State == Dead && !isOwnWord(u) && !e.suspicion.couldBeRefuted(now) {
+		// The sender may have been cut off, and the member knows nothing of the claim.
+		u.State = Suspect
+	}
 	if u.Contact == nil && startOf(u.Incarnation) != startOf(e.Incarnation) {
 		// The contact of that start is not known here. Comparing states brings it.
 		return
@@ -66,6 +70,9 @@
 	}
 }
 
+// isOwnWord reports whether a VM's death was announced by the VM itself, when it had left.
+func isOwnWord(u Update) bool { return u.State == Dead && u.Accuser == u.VM }
+
 // mayBeOutdated reports whether a claim of death may be refuted by now: it has waited in this VM's
 // socket during a pause, or concerns another start of the process than the one known here, whose
 // clock may have been set back since.
@@ -109,6 +116,7 @@
 	e.suspicion = nil
 	if u.State == Dead {
 		m.die(now, e)
+		e.hasLeft = e.hasLeft || isOwnWord(u)
 		m.spread(u)
 		return
 	}
@@ -138,6 +146,7 @@
 		m.emit(Changed{})
 	case Dead:
 		m.die(now, e)
+		e.hasLeft = e.hasLeft || isOwnWord(u)
 	}
 	m.spread(u)
 }
@@ -193,6 +202,9 @@
 	if u.State != Dead && u.Incarnation == startOf(u.Incarnation)<<refutationBits {
 		u.Contact = contactOf(m.self)
 	}
+	if u.State == Dead {
+		u.Accuser = m.self.VM
+	}
 	return u
 }
 
