--- a/internal/peer/cost_test.go
+++ b/internal/peer/cost_test.go
@@ -115,3 +115,18 @@
 			float64(received.bytes-receivedOn(before).bytes)/probes, float64(received.packets-receivedOn(before).packets)/probes, cpu/probes)
 	}
 }
+
+// BenchmarkCall measures small calls on one connection.
+func BenchmarkCall(b *testing.B) {
+	c := qt.New(b)
+	dir := newKeys(c, "vm-1", "vm-2")
+	caller, called := startNode(c, dir, "vm-1", anyPort), startNode(c, dir, "vm-2", anyPort)
+	ctx := context.Background()
+	cpu := cpuTime()
+	for b.Loop() {
+		if err := caller.Call(ctx, called.Address(), "echo", text{"hello"}, &text{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(cpuTime()-cpu)/float64(b.N), "cpu-ns/op")
+}
