--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -36,6 +36,8 @@
 	prefixes   *dispatch.PrefixIndex
 	quarantine *quarantine.Tracker
 	listed     map[string]bool
+	// loaded holds the model that each managed target owned here serves.
+	loaded map[string]string
 	batch      batchState
 	// exchanges is the budget of exchanges of credits with other entries.
 	exchanges *rate.Limiter
@@ -103,6 +105,7 @@
 		prefixes:   index,
 		quarantine: quarantine.NewTracker(config.Quarantine),
 		listed:     make(map[string]bool),
+		loaded:     make(map[string]string),
 		batch:      newBatchState(),
 		exchanges:  rate.NewLimiter(rate.Limit(config.ExchangeRate), config.ExchangeBurst),
 	}
@@ -214,7 +217,11 @@
 	defer c.mu.Unlock()
 	infos := make([]explain.TargetInfo, 0, len(c.targets))
 	for _, name := range sortedNames(c.targets) {
-		infos = append(infos, c.targets[name].info())
+		info := c.targets[name].info()
+		if t := c.targets[name]; t.ledger != nil && c.slotsOf(t.settings) == 0 {
+			info.Reason = "model " + t.settings.Model + " is not loaded yet"
+		}
+		infos = append(infos, info)
 	}
 	return infos
 }
--- a/internal/admission/controller/layout.go
+++ b/internal/admission/controller/layout.go
@@ -115,7 +115,7 @@
 		if t.pool.serves == serves {
 			t.settings = next
 			if t.ledger != nil {
-				t.ledger.SetSlots(next.Slots)
+				t.ledger.SetSlots(c.slotsOf(next))
 				t.pacer.SetSlots(next.Slots)
 			}
 			return
@@ -184,7 +184,7 @@
 	}
 	t.holder.Immediate = true
 	if t.ledger == nil {
-		t.ledger = target.NewLedger(c.config.Ledger, t.settings.Slots, now)
+		t.ledger = target.NewLedger(c.config.Ledger, c.slotsOf(t.settings), now)
 		t.pacer = target.NewPacer(c.config.Pacer, t.settings.Slots)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,12 +23,14 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/idempotency"
 	"github.com/rosemarydyke/rosemarydyke/internal/jobstore"
 	"github.com/rosemarydyke/rosemarydyke/internal/membership"
+	"github.com/rosemarydyke/rosemarydyke/internal/orders"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/requestlog"
 	"github.com/rosemarydyke/rosemarydyke/internal/settingstore"
 	"github.com/rosemarydyke/rosemarydyke/internal/settingsync"
 	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/settings"
 )
 
 // Platform is what an entry uses of the platform.
@@ -36,6 +38,7 @@
 	Table() platform.Table
 	Objects() platform.Objects
 	VMs() platform.VMList
+	Weights() platform.Weights
 }
 
 // Config configures an Entry.
@@ -95,6 +98,7 @@
 	sweeper  *idempotency.Sweeper
 	evidence *evidence.Service
 	engine   *engine.Client
+	orders   *orders.Service
 	requests *requestlog.Log
 	api      *callerapi.Server
 	server   *http.Server
@@ -155,6 +159,15 @@
 	e.sweeper = idempotency.NewSweeper(idempotency.SweeperConfig{Table: table, Turn: e.isSweeper, Log: e.config.Log})
 	e.evidence = evidence.New(evidence.Config{Tracker: e.slots, Members: e.members, Caller: e.node, Table: table, Log: e.config.Log})
 	e.engine = engine.New(engine.Config{})
+	e.orders = orders.New(orders.Config{
+		VM:      vm.Name,
+		Table:   table,
+		Weights: e.config.Platform.Weights(),
+		Engine:  e.engine,
+		Owned:   e.managedTargets,
+		Ready:   e.slots,
+		Log:     e.config.Log,
+	})
 	e.requests = requestlog.New(requestlog.Config{VM: vm.Name})
 	e.api = callerapi.New(e.callersConfig())
 	e.server = &http.Server{Handler: e.api, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -182,6 +195,19 @@
 	}
 }
 
+// managedTargets returns the managed targets that this VM owns.
+func (e *Entry) managedTargets() []*settings.Target {
+	var owned []*settings.Target
+	current := e.watcher.Current()
+	for _, info := range e.slots.Targets() {
+		t := current.Targets[info.Name]
+		if t != nil && t.Managed && info.Owner == e.config.Settings.VM.Name {
+			owned = append(owned, t)
+		}
+	}
+	return owned
+}
+
 // announceCancel tells the batch processes of all VMs of a cancelled job, without keeping its caller waiting.
 func (e *Entry) announceCancel(ctx context.Context, id string) {
 	go jobstore.AnnounceCancel(ctx, e.node, e.members.Members(), id)
@@ -261,7 +287,9 @@
 	tasks.Go(func() { e.ledger.Run(running) })
 	tasks.Go(func() { e.sweeper.Run(running) })
 	tasks.Go(func() { e.evidence.Run(running) })
+	tasks.Go(func() { e.orders.Run(running) })
 	tasks.Go(func() { e.readLoads(running) })
+	tasks.Go(func() { e.orders.Run(running) })
 	serving := make(chan error, 1)
 	go func() { serving <- e.server.Serve(e.listener) }()
 	if err := e.watch(ctx, serving); err != nil {
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -37,6 +37,7 @@
 func (p memoryPlatform) Table() platform.Table     { return p.Platform }
 func (p memoryPlatform) Objects() platform.Objects { return p.Platform.Objects() }
 func (p memoryPlatform) VMs() platform.VMList      { return p.Platform }
+func (p memoryPlatform) Weights() platform.Weights { return p.Platform }
 
 // fleet is a set of entries in this process, with one platform.
 type fleet struct {
--- a/internal/orders/service.go
+++ b/internal/orders/service.go
@@ -122,7 +122,13 @@
 		}
 		k.want(t, now)
 	}
-	maps.DeleteFunc(s.keepers, func(name string, _ *keeper) bool { return !owned[name] })
+	for name := range s.keepers {
+		if !owned[name] {
+			delete(s.keepers, name)
+			// Another owner may change what the target serves.
+			s.config.Ready.SetLoaded(name, "")
+		}
+	}
 	return slices.Collect(maps.Values(s.keepers))
 }
 
@@ -137,7 +143,16 @@
 	case order.Send:
 		s.send(ctx, k, t, action.Order)
 	}
-	s.config.Ready.SetLoaded(t.Name, k.loaded())
+	if s.isKept(k) {
+		s.config.Ready.SetLoaded(t.Name, k.loaded())
+	}
+}
+
+// isKept reports whether the keeper's target is still owned.
+func (s *Service) isKept(k *keeper) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(slices.Collect(maps.Values(s.keepers)), k)
 }
 
 func (s *Service) read(ctx context.Context, k *keeper, t *settings.Target) {
--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -26,6 +26,7 @@
 	_ platform.Table   = (*Platform)(nil)
 	_ platform.Objects = Objects{}
 	_ platform.VMList  = (*Platform)(nil)
+	_ platform.Weights = (*Platform)(nil)
 )
 
 // New returns an empty platform.
@@ -115,6 +116,24 @@
 	p.vms = append([]platform.VM(nil), vms...)
 }
 
+// SetWeight stores the description of a model's weights.
+func (p *Platform) SetWeight(weight platform.Weight) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.weights[weight.Model] = weight
+}
+
+// Describe implements platform.Weights.
+func (p *Platform) Describe(_ context.Context, model string) (platform.Weight, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	weight, ok := p.weights[model]
+	if !ok {
+		return platform.Weight{}, platform.ErrNotFound
+	}
+	return weight, nil
+}
+
 // Objects returns the platform's object store.
 func (p *Platform) Objects() Objects { return Objects{p} }
 
