--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -38,7 +38,7 @@
 	listed     map[string]bool
 	// loaded holds the model that each managed target owned here serves.
 	loaded map[string]string
-	batch      batchState
+	batch  batchState
 	// exchanges is the budget of exchanges of credits with other entries.
 	exchanges *rate.Limiter
 }
