Transport: errors carry their context by oops; a close leaves no goroutine

Cause: the house style asks for oops in shells; nothing showed that Close ends all it began. Change: oops in internal/peer and internal/devkeys; TestCloseLeavesNoGoroutine.

--- a/internal/devkeys/devkeys.go
+++ b/internal/devkeys/devkeys.go
@@ -9,7 +9,6 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"errors"
-	"fmt"
 	"io/fs"
 	"math/big"
 	"net"
@@ -17,6 +16,8 @@
 	"os"
 	"path/filepath"
 	"time"
+
+	"github.com/samber/oops"
 )
 
 const (
@@ -44,18 +45,18 @@
 // into dir. The VM's name is the common name; 127.0.0.1 and ::1 are the IP addresses. Files that exist are kept.
 func Generate(dir string, vms []string) error {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return fmt.Errorf("make key directory: %w", err)
+		return oops.In("devkeys").Wrapf(err, "make key directory")
 	}
 	ca, err := loadAuthority(dir)
 	if errors.Is(err, fs.ErrNotExist) {
 		ca, err = newAuthority(dir)
 	}
 	if err != nil {
-		return fmt.Errorf("certificate authority in %s: %w", dir, err)
+		return oops.In("devkeys").Wrapf(err, "certificate authority in %s", dir)
 	}
 	for _, vm := range vms {
 		if err := ca.issue(dir, vm); err != nil {
-			return fmt.Errorf("certificate of VM %s: %w", vm, err)
+			return oops.In("devkeys").Wrapf(err, "certificate of VM %s", vm)
 		}
 	}
 	return nil
@@ -175,7 +176,7 @@
 	}
 	block, _ := pem.Decode(content)
 	if block == nil {
-		return nil, fmt.Errorf("%s holds no PEM block", path)
+		return nil, oops.In("devkeys").Errorf("%s holds no PEM block", path)
 	}
 	return block.Bytes, nil
 }
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"github.com/samber/oops"
 )
 
 // connection is a QUIC connection with what the node knows of it.
@@ -171,7 +172,7 @@
 	conn, err := n.transport.Dial(ctx, net.UDPAddrFromAddrPort(to), n.creds.tls, n.quicCfg)
 	if err != nil {
 		failedDials.Inc()
-		return nil, fmt.Errorf("dial %s: %w", to, err)
+		return nil, oops.In("peer").Wrapf(err, "dial %s", to)
 	}
 	return n.adopt(conn)
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"github.com/samber/oops"
 	"golang.org/x/sync/singleflight"
 )
 
@@ -60,11 +60,11 @@
 	}
 	address, err := netip.ParseAddrPort(cfg.Address)
 	if err != nil {
-		return nil, fmt.Errorf("parse peer address: %w", err)
+		return nil, oops.In("peer").Wrapf(err, "parse peer address")
 	}
 	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
-		return nil, fmt.Errorf("listen for peers: %w", err)
+		return nil, oops.In("peer").Wrapf(err, "listen for peers")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Node{
@@ -107,7 +107,7 @@
 func (n *Node) Start() error {
 	listener, err := n.transport.Listen(n.creds.tls, n.quicCfg)
 	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
+		return oops.In("peer").Wrapf(err, "listen for peers")
 	}
 	n.listener = listener
 	n.tasks.Go(n.accept)
@@ -172,7 +172,7 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("handlers still running: %w", ctx.Err())
+		return oops.In("peer").Wrapf(ctx.Err(), "handlers still running")
 	}
 }
 
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/goleak"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
 	"github.com/rosemarydyke/rosemarydyke/internal/devkeys"
@@ -366,3 +367,18 @@
 	c.Assert(<-closed, qt.IsNil)
 	c.Assert(<-result, qt.IsNil)
 }
+
+func TestCloseLeavesNoGoroutine(t *testing.T) {
+	c := qt.New(t)
+	before := goleak.IgnoreCurrent()
+	dir := newKeys(c, "vm-1", "vm-2")
+	a, b := startNode(c, dir, "vm-1", anyPort), startNode(c, dir, "vm-2", anyPort)
+	ctx := testContext(c)
+	c.Assert(a.Call(ctx, b.Address(), "echo", text{"hello"}, &text{}), qt.IsNil)
+	_, err := a.OpenStream(ctx, b.Address(), "echoes")
+	c.Assert(err, qt.IsNil)
+
+	c.Assert(a.Close(ctx), qt.IsNil)
+	c.Assert(b.Close(ctx), qt.IsNil)
+	goleak.VerifyNone(t, before)
+}
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -4,12 +4,11 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
-	"errors"
-	"fmt"
 	"net/netip"
 	"os"
 
 	"github.com/quic-go/quic-go"
+	"github.com/samber/oops"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
 )
@@ -28,19 +27,19 @@
 func loadCredentials(files config.TLS) (credentials, error) {
 	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
 	if err != nil {
-		return credentials{}, fmt.Errorf("load certificate: %w", err)
+		return credentials{}, oops.In("peer").Wrapf(err, "load certificate")
 	}
 	keyPEM, err := os.ReadFile(files.Key)
 	if err != nil {
-		return credentials{}, fmt.Errorf("read key: %w", err)
+		return credentials{}, oops.In("peer").Wrapf(err, "read key")
 	}
 	caPEM, err := os.ReadFile(files.CA)
 	if err != nil {
-		return credentials{}, fmt.Errorf("read certificate authority: %w", err)
+		return credentials{}, oops.In("peer").Wrapf(err, "read certificate authority")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(caPEM) {
-		return credentials{}, fmt.Errorf("read certificate authority: %s holds no certificate", files.CA)
+		return credentials{}, oops.In("peer").Errorf("read certificate authority: %s holds no certificate", files.CA)
 	}
 	return credentials{
 		tls: &tls.Config{
@@ -59,15 +58,15 @@
 func identityOf(conn *quic.Conn) (Identity, error) {
 	certificates := conn.ConnectionState().TLS.PeerCertificates
 	if len(certificates) == 0 {
-		return Identity{}, errors.New("peer sent no certificate")
+		return Identity{}, oops.In("peer").Errorf("peer sent no certificate")
 	}
 	vm := certificates[0].Subject.CommonName
 	if vm == "" {
-		return Identity{}, errors.New("peer's certificate has no common name")
+		return Identity{}, oops.In("peer").Errorf("peer's certificate has no common name")
 	}
 	address, err := netip.ParseAddrPort(conn.RemoteAddr().String())
 	if err != nil {
-		return Identity{}, fmt.Errorf("parse peer's address: %w", err)
+		return Identity{}, oops.In("peer").Wrapf(err, "parse peer's address")
 	}
 	return Identity{VM: vm, Address: netip.AddrPortFrom(address.Addr().Unmap(), address.Port())}, nil
 }
