Tests with real processes: progress is counted at the targets

Cause: a job's counts rise only when segments are committed, up to 10 s late, so faults struck late and the run took 116 s.

--- a/internal/fleettest/job_test.go
+++ b/internal/fleettest/job_test.go
@@ -111,7 +111,15 @@
 	return batch
 }
 
-// awaitDone waits until so many items are done.
+// awaitRuns waits until targets have answered so many requests.
+func (f *fleet) awaitRuns(requests int) {
+	f.t.Helper()
+	f.await(endBound, fmt.Sprintf("%d answers", requests), func() bool {
+		return f.standin.Executions("").Completed >= requests
+	})
+}
+
+// awaitDone waits until the results of so many items are committed.
 func (f *fleet) awaitDone(v *vm, id string, items int64) {
 	f.t.Helper()
 	f.await(endBound, fmt.Sprintf("%d items", items), func() bool {
