A chunk without slots is handed back; poison in a batch ends as one failed item

With more entry VMs than engines some VM always owns none. Change: a chunk whose model got no slot for 5 s is committed as far as it is and released; then one chunk of the model at a time is tried every 15 to 45 s, until a slot is granted. A job with one poison item among 400 runs beside a chatting client on six engines. Conclusion: the job ends; the wait of 5 s is the price for the chunk that was taken first.

--- a/internal/entry/batch_test.go
+++ b/internal/entry/batch_test.go
@@ -63,6 +63,27 @@
 	return lines.String()
 }
 
+// awaitBatch polls a job until it has ended.
+func (ef *engineFleet) awaitBatch(c *qt.C, batch *openai.Batch, meanwhile func()) *openai.Batch {
+	deadline := time.Now().Add(batchPatience)
+	for batch.Status != openai.BatchStatusCompleted {
+		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("status %s, counts %+v", batch.Status, batch.RequestCounts))
+		meanwhile()
+		var err error
+		batch, err = ef.client.Batches.Get(context.Background(), batch.ID)
+		c.Assert(err, qt.IsNil)
+	}
+	return batch
+}
+
+// results counts the lines of a result file by their custom_id.
+func (ef *engineFleet) results(c *qt.C, file string) map[string]int {
+	content, err := ef.client.Files.Content(context.Background(), file)
+	c.Assert(err, qt.IsNil)
+	defer content.Body.Close()
+	return customIDs(c, content.Body)
+}
+
 // customIDs counts the lines of a result file by their custom_id.
 func customIDs(c *qt.C, content io.Reader) map[string]int {
 	counts := map[string]int{}
@@ -97,21 +118,39 @@
 	c.Assert(err, qt.IsNil)
 	batch, err := ef.submit(file.ID)
 	c.Assert(err, qt.IsNil)
-	deadline := time.Now().Add(batchPatience)
-	for batch.Status != openai.BatchStatusCompleted {
-		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("status %s, counts %+v", batch.Status, batch.RequestCounts))
+	batch = ef.awaitBatch(c, batch, func() {
 		_, err := ef.client.Chat.Completions.New(context.Background(), params("where is the tractor"))
 		c.Assert(err, qt.IsNil)
-		batch, err = ef.client.Batches.Get(context.Background(), batch.ID)
-		c.Assert(err, qt.IsNil)
-	}
+	})
 	c.Assert(batch.RequestCounts.Completed, qt.Equals, int64(batchItems))
-	content, err := ef.client.Files.Content(context.Background(), batch.OutputFileID)
-	c.Assert(err, qt.IsNil)
-	defer content.Body.Close()
-	counts := customIDs(c, content.Body)
+	counts := ef.results(c, batch.OutputFileID)
 	c.Assert(counts, qt.HasLen, batchItems)
 	for id, count := range counts {
 		c.Assert(count, qt.Equals, 1, qt.Commentf("%s", id))
 	}
 }
+
+func TestAPoisonItemOfABatchEndsAsOneFailedItem(t *testing.T) {
+	c := qt.New(t)
+	ef := newEngineFleet(t, 6)
+	ef.startRunners()
+	input := batchInput()
+	input += strings.Replace(strings.Replace(input[:strings.Index(input, "\n")+1], "item-0", "bad", 1), "summary 0", poison, 1)
+	file, err := ef.upload(input)
+	c.Assert(err, qt.IsNil)
+	batch, err := ef.submit(file.ID)
+	c.Assert(err, qt.IsNil)
+	batch = ef.awaitBatch(c, batch, func() {
+		_, err := ef.client.Chat.Completions.New(context.Background(), params("where is the tractor"))
+		c.Assert(err, qt.IsNil)
+	})
+	crashes := 0
+	for _, e := range ef.engines {
+		crashes += e.Crashes()
+	}
+	c.Assert(crashes <= 2, qt.IsTrue, qt.Commentf("%d crashes", crashes))
+	c.Assert(batch.RequestCounts.Completed, qt.Equals, int64(batchItems))
+	c.Assert(batch.RequestCounts.Failed, qt.Equals, int64(1))
+	c.Assert(ef.results(c, batch.ErrorFileID), qt.DeepEquals, map[string]int{"bad": 1})
+	c.Assert(ef.results(c, batch.OutputFileID), qt.HasLen, batchItems)
+}
--- a/internal/entry/openai_test.go
+++ b/internal/entry/openai_test.go
@@ -30,7 +30,7 @@
 	ef := &engineFleet{}
 	var addresses []string
 	for i := range engines {
-		e, err := engine.Start(context.Background(), engine.Config{Name: engineName(i), Model: "m"})
+		e, err := engine.Start(context.Background(), engine.Config{Name: engineName(i), Model: "m", CrashPrompt: poison, RestartAfter: restartAfter})
 		qt.Assert(t, err, qt.IsNil)
 		t.Cleanup(e.Stop)
 		ef.engines = append(ef.engines, e)
--- a/internal/runner/discover.go
+++ b/internal/runner/discover.go
@@ -164,7 +164,8 @@
 	if w.Chunk.Holder != "" && w.Chunk.Holder != r.id && !r.watcher.Expired(w.Chunk.Holder) {
 		return false
 	}
-	return r.readyByModel()[w.Chunk.Model] < readyItems
+	model := w.Chunk.Model
+	return r.readyByModel()[model] < readyItems && r.starvation.mayTake(model, r.holdsModel(model), time.Now())
 }
 
 func (r *Runner) take(ctx context.Context, w *jobstore.Work) error {
@@ -203,5 +204,14 @@
 	if record.Job.IsCancelled() {
 		run.Stop()
 	}
-	return &heldChunk{work: w, record: record, run: run, confirmedAt: asked, running: map[int]context.CancelCauseFunc{}, suspects: map[uint64][]int{}, events: newItemLog()}, nil
+	return &heldChunk{
+		work:        w,
+		record:      record,
+		run:         run,
+		confirmedAt: asked,
+		takenAt:     time.Now(),
+		running:     map[int]context.CancelCauseFunc{},
+		suspects:    map[uint64][]int{},
+		events:      newItemLog(),
+	}, nil
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -97,6 +97,7 @@
 	searches         int
 	buffered         int
 	draining         bool
+	starvation       starvation
 }
 
 // New returns a runner that Run starts.
@@ -113,6 +114,7 @@
 		held:         map[string]*heldChunk{},
 		quarantined:  map[uint64]struct{}{},
 		watcher:      lease.NewWatcher(),
+		starvation:   newStarvation(),
 	}
 }
 
@@ -130,6 +132,8 @@
 	// suspects holds the items that were cut off on a target, by fingerprint.
 	suspects map[uint64][]int
 	events   *itemLog
+	// takenAt is when the chunk was taken.
+	takenAt time.Time
 }
 
 // stop ends dispatches and cancels what runs.
--- a/internal/runner/settle.go
+++ b/internal/runner/settle.go
@@ -50,7 +50,8 @@
 		h.run.ResolveIntents(now)
 		return r.commitBatch(h, h.run.Collect(), true)
 	}
-	if h.run.Due(now) || isLeaving {
+	isStarved := r.isStarved(h, now)
+	if h.run.Due(now) || isLeaving || isStarved {
 		if batch := h.run.Collect(); len(batch.Results) > 0 {
 			return r.commitBatch(h, batch, false)
 		}
@@ -58,6 +59,10 @@
 	if isLeaving {
 		return r.release(h)
 	}
+	if isStarved {
+		r.starvation.begin(h.run.Chunk().Model, now)
+		return r.release(h)
+	}
 	if indexes := h.run.Intents(); len(indexes) > 0 {
 		return r.commitIntents(h, indexes)
 	}
--- a/internal/runner/slots.go
+++ b/internal/runner/slots.go
@@ -260,6 +260,7 @@
 		}
 		if t, ok := r.nextOf(h, grant, now); ok {
 			h.running[t.index] = cancel
+			r.starvation.granted(grant.Model, now)
 			h.events.add(t.index, "sent to target "+grant.Target)
 			r.metrics.dispatched.Inc()
 			if r.readyByModel()[grant.Model] == readyItems-1 {
