--- a/internal/runner/discover.go
+++ b/internal/runner/discover.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// scanRows is the number of open chunks read at once.
-	scanRows = 32
+	// scanRows is the number of open chunks read at once, fedScanRows by a runner that has enough items of its models.
+	scanRows    = 32
+	fedScanRows = 8
 	// maxScans bounds the reads of one search for work.
 	maxScans = 4
 	// searchesPerStart is the number of searches after which the start of the open work is read again.
@@ -61,12 +62,12 @@
 	if !r.wantsWork() {
 		return false, nil
 	}
-	scans := maxScans
+	scans, rows := maxScans, scanRows
 	if isFed {
-		scans = 1
+		scans, rows = 1, fedScanRows
 	}
 	for range scans {
-		work, err := r.nextWork(ctx)
+		work, err := r.nextWork(ctx, rows)
 		if err != nil || len(work) == 0 {
 			return false, err
 		}
@@ -119,11 +120,11 @@
 }
 
 // nextWork reads the open work after the cursor, and from the start once the end is reached.
-func (r *Runner) nextWork(ctx context.Context) ([]*jobstore.Work, error) {
-	work, err := r.config.Store.OpenWork(ctx, r.cursor, scanRows)
+func (r *Runner) nextWork(ctx context.Context, rows int) ([]*jobstore.Work, error) {
+	work, err := r.config.Store.OpenWork(ctx, r.cursor, rows)
 	if err == nil && len(work) == 0 && r.cursor != "" {
 		r.cursor = ""
-		work, err = r.config.Store.OpenWork(ctx, "", scanRows)
+		work, err = r.config.Store.OpenWork(ctx, "", rows)
 	}
 	if len(work) == 0 {
 		return nil, err
@@ -163,7 +164,8 @@
 	if w.Chunk.Holder != "" && w.Chunk.Holder != r.id && !r.watcher.Expired(w.Chunk.Holder) {
 		return false
 	}
-	return r.readyByModel()[w.Chunk.Model] < readyItems
+	model := w.Chunk.Model
+	return r.readyByModel()[model] < readyItems && r.starvation.mayTake(model, r.holdsModel(model), time.Now())
 }
 
 func (r *Runner) take(ctx context.Context, w *jobstore.Work) error {
@@ -186,6 +188,7 @@
 }
 
 func (r *Runner) load(ctx context.Context, w *jobstore.Work) (*heldChunk, error) {
+	asked := time.Now()
 	record, err := r.config.Store.GetAny(ctx, w.Chunk.Job)
 	if err != nil {
 		return nil, err
@@ -201,5 +204,14 @@
 	if record.Job.IsCancelled() {
 		run.Stop()
 	}
-	return &heldChunk{work: w, record: record, run: run, running: map[int]context.CancelCauseFunc{}, suspects: map[uint64][]int{}, events: newItemLog()}, nil
+	return &heldChunk{
+		work:        w,
+		record:      record,
+		run:         run,
+		confirmedAt: asked,
+		takenAt:     time.Now(),
+		running:     map[int]context.CancelCauseFunc{},
+		suspects:    map[uint64][]int{},
+		events:      newItemLog(),
+	}, nil
 }
