Admission: a request finds a target of a revision that has just come into force

Change: a request applies a newer revision before it is judged. Measured: the new test fails before the change and passes after it.

--- a/internal/admission/controller/acquire.go
+++ b/internal/admission/controller/acquire.go
@@ -54,6 +54,7 @@
 func (c *Controller) enqueue(request admission.Request, now time.Time) (*waiter, *verdict.Error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.followRevision(now)
 	p, refusal := c.check(request)
 	if refusal != nil {
 		return nil, refusal
--- a/internal/admission/controller/controller_test.go
+++ b/internal/admission/controller/controller_test.go
@@ -97,3 +97,12 @@
 		qt.Assert(t, contains(err, "no_target_available (not-run)"), qt.IsTrue, qt.Commentf("%v", err))
 	})
 }
+
+func TestARequestFindsATargetOfARevisionThatHasJustComeIntoForce(t *testing.T) {
+	runFleet(t, 1, nil, func(f *fleet) {
+		time.Sleep(time.Second)
+		f.setTargets(engine("t1", "az-a", 1))
+		_, err := f.nodes["vm-1"].acquire("a", 2*time.Second)
+		qt.Assert(t, err, qt.IsNil)
+	})
+}
--- a/internal/admission/controller/layout.go
+++ b/internal/admission/controller/layout.go
@@ -73,6 +73,15 @@
 	c.applyOwners(now)
 }
 
+// followRevision applies a revision of the settings that came into force since the last tick, so that
+// no request is refused for a target that its caller knows already.
+func (c *Controller) followRevision(now time.Time) {
+	snapshot := c.config.Settings.Current()
+	if snapshot != nil && snapshot.Revision != c.layout.revision {
+		c.follow(now)
+	}
+}
+
 func (c *Controller) applyTargets(snapshot *settings.Snapshot) {
 	for name, t := range c.targets {
 		if snapshot.Targets[name] == nil {
