Test of a lost VM counts bookings only

Change: the target answers /load without counting it; every other request counts as before. Conclusion: no second dispatch had happened.

--- a/internal/entry/lost_vm_test.go
+++ b/internal/entry/lost_vm_test.go
@@ -15,6 +15,11 @@
 	arrived, release := make(chan struct{}), make(chan struct{})
 	var executions atomic.Int64
 	f := newFleet(t, 4, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/load" {
+			// The owner of the engine at this address asks for its load; that runs nothing.
+			http.NotFound(w, r)
+			return
+		}
 		_, _ = io.ReadAll(r.Body)
 		if executions.Add(1) == 1 {
 			close(arrived)
