--- a/internal/fleettest/faults_test.go
+++ b/internal/fleettest/faults_test.go
@@ -84,6 +84,7 @@
 }
 
 func TestACancelledJobDispatchesNothingNewEvenFromARunnerThatWasPaused(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name   string
 		cancel bool
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -37,7 +37,7 @@
 	endBound   = 3 * time.Minute
 	poll       = 50 * time.Millisecond
 	// maxFleets bounds the fleets that run at once: nine processes each.
-	maxFleets = 4
+	maxFleets = 5
 	// listLag is how late the platform's VM list is.
 	listLag = time.Second
 	// logTail is how much of each log a failed test prints.
--- a/internal/fleettest/leave_test.go
+++ b/internal/fleettest/leave_test.go
@@ -127,6 +127,7 @@
 }
 
 func TestALeavingTargetGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		leave func(f *fleet)
--- a/internal/fleettest/naive_test.go
+++ b/internal/fleettest/naive_test.go
@@ -59,6 +59,7 @@
 
 // TestTheOracleRejectsANaiveRunner shows that the oracle can fail, for each of its rules.
 func TestTheOracleRejectsANaiveRunner(t *testing.T) {
+	t.Parallel()
 	const items = 20
 	tests := []struct {
 		name string
--- a/internal/fleettest/settings_test.go
+++ b/internal/fleettest/settings_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestAcceptedSettingsAreInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	const key = "sk-night"
 	tests := []struct {
 		name   string
