Capacity: membership, its transport and calls are written by make capacity

Cause: their figures were printed by other commands; the page's figures must trace to files of make capacity.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 
 # Measurements at several sizes, from which docs/CAPACITY.md is worked out.
 capacity:
-	ROSEMARYDYKE_CAPACITY=$(CURDIR)/docs/capacity $(GO) test -count=1 -p 1 -run 'TestWrite.*Cost' ./...
+	ROSEMARYDYKE_CAPACITY=$(CURDIR)/docs/capacity $(GO) test -count=1 -p 1 -timeout 20m -run 'TestWrite.*Cost' ./...
 
 # Stateful fuzzing with a fresh seed. The seed is printed, and repeats a failure when it is set.
 FUZZ_CHECKS ?= 5000
--- a/internal/membership/cost_test.go
+++ b/internal/membership/cost_test.go
@@ -13,12 +13,16 @@
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/capacity"
 	"github.com/rosemarydyke/rosemarydyke/member"
 )
 
 // ipAndUDPBytes is the size of the IPv4 and UDP headers, which the metrics do not count.
 const ipAndUDPBytes = 28
 
+// capacityDirectory is the environment variable that names where capacity measurements are written.
+const capacityDirectory = "ROSEMARYDYKE_CAPACITY"
+
 // usage is what the process has spent so far.
 type usage struct {
 	bytes, packets float64
@@ -52,31 +56,49 @@
 	return 0
 }
 
-// TestServiceCost prints what one VM sends and computes for membership over the real transport. It asserts nothing.
-func TestServiceCost(t *testing.T) {
-	if os.Getenv("ROSEMARYDYKE_COST") == "" {
-		t.Skip("set ROSEMARYDYKE_COST=1 to print the table")
+// TestWriteServiceCost writes what one VM sends and computes for membership over the real transport. It asserts nothing.
+func TestWriteServiceCost(t *testing.T) {
+	directory := os.Getenv(capacityDirectory)
+	if directory == "" {
+		t.Log("set " + capacityDirectory + " to write the cost of membership over the real transport")
+		return
 	}
-	const measure = 30 * time.Second
-	for _, vms := range []int{3, 9, 27} {
-		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
-			c := qt.New(t)
-			var names, want []string
-			for i := range vms {
-				names = append(names, fmt.Sprintf("vm-%02d", i))
-				want = append(want, names[i]+" alive")
-			}
-			f, fleet := newFleetWith(c, member.Config{}, DefaultSeedPeriod, names...)
-			f.eventuallyAllSee(fleet, want...)
-			// By then each VM has probed each other one, and all connections exist.
-			time.Sleep(2 * time.Duration(vms) * time.Second)
-			before := usageNow()
-			time.Sleep(measure)
-			after := usageNow()
-			share := measure.Seconds() * float64(vms)
-			packets := (after.packets - before.packets) / share
-			t.Logf("sent %.0f bytes/s in %.2f packets/s, CPU %.2f ms/s, for each VM",
-				(after.bytes-before.bytes)/share+packets*ipAndUDPBytes, packets, (after.cpu-before.cpu).Seconds()*1000/share)
-		})
+	series := func(name string) capacity.Series {
+		return capacity.Series{
+			Name: name, SizeUnit: "entry VMs",
+			Command: capacityDirectory + "=DIR go test -count=1 -run TestWriteServiceCost ./internal/membership",
+		}
+	}
+	sent := series("membership: bytes sent a second and entry VM, with IP and UDP headers")
+	cpu := series("membership: milliseconds of processor time a second and entry VM")
+	for _, vms := range []int{3, 9, 18, 27} {
+		bytes, millis := serviceCost(t, vms)
+		sent.Points = append(sent.Points, capacity.Point{Size: float64(vms), Value: bytes})
+		cpu.Points = append(cpu.Points, capacity.Point{Size: float64(vms), Value: millis})
 	}
+	qt.Assert(t, capacity.Write(directory, "membership-transport.json", []capacity.Series{sent, cpu}), qt.IsNil)
+}
+
+// serviceCost returns the bytes sent and the milliseconds of processor time of one VM in a second.
+func serviceCost(t *testing.T, vms int) (sentBytes, cpuMillis float64) {
+	const measure = 30 * time.Second
+	t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+		c := qt.New(t)
+		var names, want []string
+		for i := range vms {
+			names = append(names, fmt.Sprintf("vm-%02d", i))
+			want = append(want, names[i]+" alive")
+		}
+		f, fleet := newFleetWith(c, member.Config{}, DefaultSeedPeriod, names...)
+		f.eventuallyAllSee(fleet, want...)
+		// By then each VM has probed each other one, and all connections exist.
+		time.Sleep(2 * time.Duration(vms) * time.Second)
+		before := usageNow()
+		time.Sleep(measure)
+		after := usageNow()
+		share := measure.Seconds() * float64(vms)
+		sentBytes = (after.bytes - before.bytes + (after.packets-before.packets)*ipAndUDPBytes) / share
+		cpuMillis = (after.cpu - before.cpu).Seconds() * 1000 / share
+	})
+	return sentBytes, cpuMillis
 }
--- a/internal/peer/cost_test.go
+++ b/internal/peer/cost_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"os"
 	"runtime"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/quic-go/quic-go"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/capacity"
 )
 
 // ipAndUDPBytes is the size of the IPv4 and UDP headers, which quic-go does not count.
@@ -45,7 +48,8 @@
 // TestTransportCost prints what connections and probes cost. It asserts nothing.
 func TestTransportCost(t *testing.T) {
 	if os.Getenv("ROSEMARYDYKE_COST") == "" {
-		t.Skip("set ROSEMARYDYKE_COST=1 to print the table")
+		t.Log("set ROSEMARYDYKE_COST=1 to print the table")
+		return
 	}
 	const (
 		peers  = 100
@@ -130,3 +134,47 @@
 	}
 	b.ReportMetric(float64(cpuTime()-cpu)/float64(b.N), "cpu-ns/op")
 }
+
+// capacityDirectory is the environment variable that names where capacity measurements are written.
+const capacityDirectory = "ROSEMARYDYKE_CAPACITY"
+
+// callGap separates the measured calls, as those of an entry are.
+const callGap = 20 * time.Millisecond
+
+// TestWriteCallCost writes what numbers of separate small calls cost both ends together. It asserts nothing.
+func TestWriteCallCost(t *testing.T) {
+	directory := os.Getenv(capacityDirectory)
+	if directory == "" {
+		t.Log("set " + capacityDirectory + " to write the cost of calls")
+		return
+	}
+	series := func(name string) capacity.Series {
+		return capacity.Series{
+			Name: name, SizeUnit: "calls", Command: capacityDirectory + "=DIR go test -count=1 -run TestWriteCallCost ./internal/peer",
+		}
+	}
+	sent := series("calls: bytes sent by the caller, with IP and UDP headers")
+	received := series("calls: bytes received by the caller, with IP and UDP headers")
+	cpu := series("calls: microseconds of processor time, both ends")
+	c := qt.New(t)
+	dir := newKeys(c, "vm-1", "vm-2")
+	caller, called := startNode(c, dir, "vm-1", anyPort), startNode(c, dir, "vm-2", anyPort)
+	ctx := context.Background()
+	// The encoded ask and answer of an exchange of credits have about this many bytes together.
+	message := text{strings.Repeat("x", 40)}
+	c.Assert(caller.Call(ctx, called.Address(), "echo", message, &text{}), qt.IsNil)
+	for _, calls := range []int{50, 100, 200, 400} {
+		before, spent := caller.cached(called.Address()).quic.ConnectionStats(), cpuTime()
+		for range calls {
+			c.Assert(caller.Call(ctx, called.Address(), "echo", message, &text{}), qt.IsNil)
+			time.Sleep(callGap)
+		}
+		spent = cpuTime() - spent
+		after := caller.cached(called.Address()).quic.ConnectionStats()
+		size := float64(calls)
+		sent.Points = append(sent.Points, capacity.Point{Size: size, Value: float64(sentOn(after).bytes - sentOn(before).bytes)})
+		received.Points = append(received.Points, capacity.Point{Size: size, Value: float64(receivedOn(after).bytes - receivedOn(before).bytes)})
+		cpu.Points = append(cpu.Points, capacity.Point{Size: size, Value: float64(spent.Microseconds())})
+	}
+	c.Assert(capacity.Write(directory, "calls.json", []capacity.Series{sent, received, cpu}), qt.IsNil)
+}
--- a/member/cost_test.go
+++ b/member/cost_test.go
@@ -4,8 +4,15 @@
 	"os"
 	"testing"
 	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/capacity"
 )
 
+// capacityDirectory is the environment variable that names where capacity measurements are written.
+const capacityDirectory = "ROSEMARYDYKE_CAPACITY"
+
 // cost is what one VM spends on membership, on average, in one second.
 type cost struct {
 	messages float64
@@ -31,20 +38,34 @@
 	{name: "zone healed", setUp: func(s *sim) { s.setCut("") }, measure: time.Minute},
 }
 
-// TestMembershipCost prints what one VM spends. It asserts nothing: TestCostOfAVMDoesNotGrowWithTheFleet does.
-func TestMembershipCost(t *testing.T) {
-	if os.Getenv("ROSEMARYDYKE_COST") == "" {
-		t.Skip("set ROSEMARYDYKE_COST=1 to print the table")
+// TestWriteMembershipCost writes what one VM spends. It asserts nothing: TestCostOfAVMDoesNotGrowWithTheFleet does.
+func TestWriteMembershipCost(t *testing.T) {
+	directory := os.Getenv(capacityDirectory)
+	if directory == "" {
+		t.Log("set " + capacityDirectory + " to write the cost of membership at several sizes")
+		return
+	}
+	var all []capacity.Series
+	for _, p := range costPhases {
+		for _, quantity := range []string{"messages", "bytes", "microseconds of processor time"} {
+			all = append(all, capacity.Series{
+				Name:     "membership, " + p.name + ": " + quantity + " a second and entry VM, simulated, without transport",
+				SizeUnit: "entry VMs",
+				Command:  capacityDirectory + "=DIR go test -count=1 -run TestWriteMembershipCost ./member",
+			})
+		}
 	}
-	t.Logf("%5s  %-16s %12s %10s %12s", "VMs", "phase", "messages/s", "bytes/s", "CPU us/s")
 	for _, vms := range []int{3, 9, 27, 81, 243, 360} {
 		s := newSim(makeMachine, vms, 1)
 		s.countBytes = true
-		for _, p := range costPhases {
+		for i, p := range costPhases {
 			got := s.measure(p)
-			t.Logf("%5d  %-16s %12.2f %10.0f %12d", vms, p.name, got.messages, got.bytes, got.cpu.Microseconds())
+			for j, value := range []float64{got.messages, got.bytes, float64(got.cpu.Microseconds())} {
+				all[3*i+j].Points = append(all[3*i+j].Points, capacity.Point{Size: float64(vms), Value: value})
+			}
 		}
 	}
+	qt.Assert(t, capacity.Write(directory, "membership.json", all), qt.IsNil)
 }
 
 func (s *sim) measure(p costPhase) cost {
@@ -91,7 +112,8 @@
 // the tests of the bounds do.
 func TestMembershipTimes(t *testing.T) {
 	if os.Getenv("ROSEMARYDYKE_COST") == "" {
-		t.Skip("set ROSEMARYDYKE_COST=1 to print the table")
+		t.Log("set ROSEMARYDYKE_COST=1 to print the table")
+		return
 	}
 	const seeds = 10
 	t.Logf("%5s  %-18s %10s %10s", "VMs", "change", "mean s", "longest s")
