Names: timeouts and targets in place of patience and lanes

Cause: a newcomer would not know these words for a timeout and for the one target at which a suspect waits. Change: names and comments only. Measured: the tests of the renamed packages pass.

--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -74,8 +74,8 @@
 }
 
 // RetryAfter returns when a refused caller may expect to be admitted: the time by which its wait
-// exceeded its patience, with jitter. The random number is from [0, 1).
-func RetryAfter(wait, patience time.Duration, random float64) time.Duration {
-	excess := min(max(wait-max(patience, 0), minRetryAfter), maxRetryAfter)
+// exceeded the allowed time, with jitter. The random number is from [0, 1).
+func RetryAfter(wait, allowed time.Duration, random float64) time.Duration {
+	excess := min(max(wait-max(allowed, 0), minRetryAfter), maxRetryAfter)
 	return excess + time.Duration(retryJitter*random*float64(excess))
 }
--- a/internal/admission/controller/acquire.go
+++ b/internal/admission/controller/acquire.go
@@ -21,8 +21,8 @@
 	item    *dispatch.Item
 	// granted receives the grant, or the refusal, at most once.
 	granted chan admitted
-	// lane is the target at which a suspect request waits to run alone among suspects.
-	lane *targetState
+	// suspectAt is the target at which a suspect request waits to run alone among suspects.
+	suspectAt *targetState
 	// position is the number of requests that were ahead at the start.
 	position int
 }
@@ -72,7 +72,7 @@
 		return w, c.judge(w, now)
 	}
 	// What the other owners can grant is learned by the asks that have just gone out.
-	time.AfterFunc(c.config.AskPatience, func() { c.judgeLater(w) })
+	time.AfterFunc(c.config.AskTimeout, func() { c.judgeLater(w) })
 	return w, nil
 }
 
@@ -174,14 +174,14 @@
 	if !known {
 		return nil
 	}
-	patience := w.request.Deadline.Sub(now) - w.pool.estimator.FirstToken(now)
-	if wait <= patience {
+	allowed := w.request.Deadline.Sub(now) - w.pool.estimator.FirstToken(now)
+	if wait <= allowed {
 		return nil
 	}
 	c.abandon(w)
 	message := fmt.Sprintf("%d requests wait ahead and a slot is expected in %s, after the deadline",
 		ahead, wait.Round(time.Millisecond))
-	return notRun(verdict.CodeOverloaded, message, dispatch.RetryAfter(wait, patience, rand.Float64()))
+	return notRun(verdict.CodeOverloaded, message, dispatch.RetryAfter(wait, allowed, rand.Float64()))
 }
 
 // capacity counts the slots that this VM uses or could have at once.
@@ -266,7 +266,7 @@
 func (c *Controller) refuseHopeless(p *pool, now time.Time) {
 	for _, item := range p.queue.Expired(now.Add(p.estimator.FirstToken(now))) {
 		w := item.Value.(*waiter)
-		c.leaveLane(w)
+		c.leaveSuspectTarget(w)
 		message := "the answer could not begin before the deadline"
 		w.granted <- admitted{err: notRun(verdict.CodeDeadlineExceeded, message, c.retryAfter(w))}
 	}
@@ -285,7 +285,7 @@
 
 // abandon reports whether the request was still waiting.
 func (c *Controller) abandon(w *waiter) bool {
-	c.leaveLane(w)
+	c.leaveSuspectTarget(w)
 	return w.pool.queue.Remove(w.item)
 }
 
--- a/internal/admission/controller/batch.go
+++ b/internal/admission/controller/batch.go
@@ -192,7 +192,7 @@
 		if session.suspects[fingerprint] || c.quarantine.Status(fingerprint) == quarantine.Quarantined {
 			continue
 		}
-		t := c.batchLane(p, fingerprint, now)
+		t := c.suspectTarget(p, fingerprint, now)
 		if t == nil {
 			continue
 		}
@@ -202,9 +202,9 @@
 	}
 }
 
-// batchLane returns the owned target with the highest rank for a suspect item, or nil. One that it
+// suspectTarget returns the owned target with the highest rank for a suspect item, or nil. One that it
 // has not crashed is preferred; a VM that owns no other has to use the same again.
-func (c *Controller) batchLane(p *pool, fingerprint uint64, now time.Time) *targetState {
+func (c *Controller) suspectTarget(p *pool, fingerprint uint64, now time.Time) *targetState {
 	crashed := c.quarantine.Targets(fingerprint)
 	var best *targetState
 	var bestRank uint64
--- a/internal/admission/controller/config.go
+++ b/internal/admission/controller/config.go
@@ -51,8 +51,8 @@
 	CallTimeout time.Duration
 	// AskWait is how long an owner holds an ask that it cannot meet yet. Default 250ms.
 	AskWait time.Duration
-	// AskPatience is how long a waiting request relies on one owner before others are asked too. Default 25ms.
-	AskPatience time.Duration
+	// AskTimeout is how long a waiting request relies on one owner before others are asked too. Default 25ms.
+	AskTimeout time.Duration
 	// ExchangeRate is the number of exchanges of credits per second, sent and received, above which unused
 	// credits are kept for a while instead of being returned at once. Default 12.
 	ExchangeRate float64
@@ -77,7 +77,7 @@
 	c.VMListInterval = cmp.Or(c.VMListInterval, 2*time.Second)
 	c.CallTimeout = cmp.Or(c.CallTimeout, time.Second)
 	c.AskWait = cmp.Or(c.AskWait, 250*time.Millisecond)
-	c.AskPatience = cmp.Or(c.AskPatience, 25*time.Millisecond)
+	c.AskTimeout = cmp.Or(c.AskTimeout, 25*time.Millisecond)
 	c.ExchangeRate = cmp.Or(c.ExchangeRate, 18)
 	c.ExchangeBurst = cmp.Or(c.ExchangeBurst, 120)
 	c.MinTargets = cmp.Or(c.MinTargets, 5)
--- a/internal/admission/controller/credits.go
+++ b/internal/admission/controller/credits.go
@@ -57,7 +57,7 @@
 	ask := t.holder.Ask(now, waiting)
 	t.asked, t.askedAt = waiting, now
 	if waiting > 0 {
-		time.AfterFunc(c.config.AskPatience, func() { c.askElsewhere(t.pool) })
+		time.AfterFunc(c.config.AskTimeout, func() { c.askElsewhere(t.pool) })
 	}
 	message := CreditsAsk{Session: c.session, Targets: []TargetAsk{t.newAsk(ask)}, Hold: hold}
 	go c.call(t.owner.Owner.EntryPeers, message, []*targetState{t})
--- a/internal/admission/controller/place.go
+++ b/internal/admission/controller/place.go
@@ -102,7 +102,7 @@
 
 func (c *Controller) grant(w *waiter, t *targetState, now time.Time) {
 	t.holder.Take(now)
-	suspect := w.lane == t
+	suspect := w.suspectAt == t
 	if suspect {
 		t.suspectRunning = true
 	}
@@ -121,7 +121,7 @@
 	if waited > 0 {
 		text = fmt.Sprintf("waited %s for a slot behind %d requests", waited.Round(time.Microsecond), w.position)
 	}
-	if w.lane == t {
+	if w.suspectAt == t {
 		return text + fmt.Sprintf("; runs on %s apart from other suspects, because a target broke off while running it", t.settings.Name)
 	}
 	return text + fmt.Sprintf("; %s was the best of the targets with a free slot by cached prefix, load and availability zone", t.settings.Name)
--- a/internal/admission/controller/plan.go
+++ b/internal/admission/controller/plan.go
@@ -21,8 +21,8 @@
 // requestCredits asks owners for credits for the waiting requests of a pool: first where slots can
 // be had at once, and else where one is freed soonest.
 func (c *Controller) requestCredits(p *pool, now time.Time) {
-	c.askForLanes(p, now)
-	missing := min(p.queue.Len(), maxPlanned) - c.pendingAsks(p, now.Add(-c.config.AskPatience))
+	c.askForSuspects(p, now)
+	missing := min(p.queue.Len(), maxPlanned) - c.pendingAsks(p, now.Add(-c.config.AskTimeout))
 	if missing <= 0 {
 		return
 	}
@@ -45,8 +45,8 @@
 	unmet []*waiter
 }
 
-// askForLanes asks for a credit on each target where a suspect waits to run.
-func (c *Controller) askForLanes(p *pool, now time.Time) {
+// askForSuspects asks for a credit on each target where a suspect waits to run.
+func (c *Controller) askForSuspects(p *pool, now time.Time) {
 	for _, t := range p.targets {
 		if t.holder.Suspect != 0 && !t.suspectRunning && t.holder.Free(now) == 0 {
 			c.askFor(t, 1, true, now)
@@ -69,7 +69,7 @@
 }
 
 // planAsks chooses a target whose owner can grant a credit for each of the first waiting requests.
-// Suspects have asks of their own, see askForLanes.
+// Suspects have asks of their own, see askForSuspects.
 func (c *Controller) planAsks(p *pool, missing int, now time.Time) askPlan {
 	candidates := c.askable(p, now)
 	plan := askPlan{counts: make([]int, len(candidates))}
--- a/internal/admission/controller/release.go
+++ b/internal/admission/controller/release.go
@@ -16,7 +16,7 @@
 	c.observe(t, w.request.Fingerprint, outcome, now)
 	if suspect {
 		t.suspectRunning = false
-		c.leaveLane(w)
+		c.leaveSuspectTarget(w)
 		c.askFor(t, 0, false, now)
 	}
 	c.returnCredits(t, now)
--- a/internal/admission/controller/suspects.go
+++ b/internal/admission/controller/suspects.go
@@ -35,7 +35,7 @@
 			return
 		}
 		w := item.Value.(*waiter)
-		c.leaveLane(w)
+		c.leaveSuspectTarget(w)
 		w.granted <- admitted{err: c.refuseQuarantined(w.request.Fingerprint)}
 	}
 }
@@ -45,26 +45,26 @@
 // All VMs send one fingerprint to the same target, whose owner lets one suspect at a time run there. So
 // two suspects never meet, and copies of one request that came through several VMs do not crash several targets.
 func (c *Controller) placeSuspect(w *waiter, now time.Time) *targetState {
-	lane := c.laneFor(w, now)
-	if w.lane != lane {
-		c.leaveLane(w)
+	t := c.suspectTargetFor(w, now)
+	if w.suspectAt != t {
+		c.leaveSuspectTarget(w)
 	}
-	if lane == nil {
+	if t == nil {
 		return nil
 	}
-	if lane.holder.Suspect == 0 {
-		lane.holder.Suspect = w.request.Fingerprint
-		w.lane = lane
-		c.askFor(lane, 1, true, now)
+	if t.holder.Suspect == 0 {
+		t.holder.Suspect = w.request.Fingerprint
+		w.suspectAt = t
+		c.askFor(t, 1, true, now)
 	}
-	if w.lane != lane || lane.suspectRunning || !lane.holder.MaySuspect(now, w.request.Fingerprint) {
+	if w.suspectAt != t || t.suspectRunning || !t.holder.MaySuspect(now, w.request.Fingerprint) {
 		return nil
 	}
-	return lane
+	return t
 }
 
-// laneFor returns the target with the highest rank for the fingerprint, of those that it has not been sent to.
-func (c *Controller) laneFor(w *waiter, now time.Time) *targetState {
+// suspectTargetFor returns the target with the highest rank for the fingerprint, of those that it has not been sent to.
+func (c *Controller) suspectTargetFor(w *waiter, now time.Time) *targetState {
 	crashed := c.quarantine.Targets(w.request.Fingerprint)
 	var best *targetState
 	var bestRank uint64
@@ -80,11 +80,11 @@
 	return best
 }
 
-// leaveLane gives up a suspect's claim on its target.
-func (c *Controller) leaveLane(w *waiter) {
-	if w.lane == nil || w.lane.suspectRunning {
+// leaveSuspectTarget gives up a suspect's claim on its target.
+func (c *Controller) leaveSuspectTarget(w *waiter) {
+	if w.suspectAt == nil || w.suspectAt.suspectRunning {
 		return
 	}
-	w.lane.holder.Suspect = 0
-	w.lane = nil
+	w.suspectAt.holder.Suspect = 0
+	w.suspectAt = nil
 }
--- a/internal/batchapi/batchapi.go
+++ b/internal/batchapi/batchapi.go
@@ -27,15 +27,15 @@
 	Settings settings.Source
 	// MaxFileBytes is the largest upload, in bytes. Default job.MaxInputBytes.
 	MaxFileBytes int64
-	// Patience bounds the wait for the platform in each of a request's operations. Default 5s.
-	Patience time.Duration
+	// PlatformTimeout bounds the wait for the platform in each of a request's operations. Default 5s.
+	PlatformTimeout time.Duration
 	// OnCancel is told of each cancelled job, so that runners hear of it before they next ask the table. Optional.
 	OnCancel func(ctx context.Context, id string)
 	// Log takes failures that the client cannot mend.
 	Log zerolog.Logger
 }
 
-const defaultPatience = 5 * time.Second
+const defaultPlatformTimeout = 5 * time.Second
 
 // maxValidations bounds the inputs that are checked at once, since each takes tens of megabytes of memory.
 const maxValidations = 2
@@ -51,15 +51,15 @@
 	if config.MaxFileBytes == 0 {
 		config.MaxFileBytes = job.MaxInputBytes
 	}
-	if config.Patience == 0 {
-		config.Patience = defaultPatience
+	if config.PlatformTimeout == 0 {
+		config.PlatformTimeout = defaultPlatformTimeout
 	}
 	if config.OnCancel == nil {
 		config.OnCancel = func(context.Context, string) {}
 	}
 	a := &api{
 		config:      config,
-		store:       jobstore.New(config.Table, config.Objects).WithPatience(config.Patience),
+		store:       jobstore.New(config.Table, config.Objects).WithTimeout(config.PlatformTimeout),
 		validations: semaphore.NewWeighted(maxValidations),
 	}
 	mux := http.NewServeMux()
--- a/internal/batchapi/batchapi_test.go
+++ b/internal/batchapi/batchapi_test.go
@@ -39,8 +39,8 @@
 	f := &fixture{C: qt.New(t), table: faulty.New(p)}
 	f.store = jobstore.New(f.table, p.Objects())
 	f.handler = New(Config{
-		Patience: 100 * time.Millisecond,
-		Table:    f.table, Objects: p.Objects(), MaxFileBytes: 1 << 20,
+		PlatformTimeout: 100 * time.Millisecond,
+		Table:           f.table, Objects: p.Objects(), MaxFileBytes: 1 << 20,
 		Settings: &fixedSettings{settings.Snapshot{Models: map[string]*settings.Model{"m": {Name: "m"}}}},
 		OnCancel: func(_ context.Context, id string) { f.told = append(f.told, id) },
 	})
--- a/internal/callerapi/fuzz_test.go
+++ b/internal/callerapi/fuzz_test.go
@@ -23,8 +23,8 @@
 
 const (
 	fuzzChecks = 200
-	// fuzzPatience is how long a frozen target is waited for. The oracle holds for any value.
-	fuzzPatience = 60 * time.Millisecond
+	// frozenTimeout is how long a frozen target is waited for. The oracle holds for any value.
+	frozenTimeout = 60 * time.Millisecond
 )
 
 func TestMain(m *testing.M) { rapidtest.Main(m, fuzzChecks) }
@@ -159,7 +159,7 @@
 
 func entryFront(t *testing.T, targets []http.Handler) func(string, http.Header) answer {
 	f := newFixture(t, "vm-1", memory.New(), func(c *callerapi.Config) {
-		c.FirstTokenTimeout = fuzzPatience
+		c.FirstTokenTimeout = frozenTimeout
 		c.TokenTimeout = time.Microsecond
 	}, targets...)
 	return func(body string, header http.Header) answer { return f.send(t, "POST", chat, body, header) }
@@ -173,7 +173,7 @@
 		t.Cleanup(server.Close)
 		urls = append(urls, server.URL)
 	}
-	client := &http.Client{Timeout: fuzzPatience}
+	client := &http.Client{Timeout: frozenTimeout}
 	return func(body string, _ http.Header) answer {
 		for _, url := range urls {
 			response, err := client.Post(url, "application/json", bytes.NewReader([]byte(body)))
--- a/internal/entry/batch_test.go
+++ b/internal/entry/batch_test.go
@@ -20,8 +20,8 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/runner"
 )
 
-// batchPatience is how long a test waits for a job that takes seconds.
-const batchPatience = time.Minute
+// batchTimeout is how long a test waits for a job that takes seconds.
+const batchTimeout = time.Minute
 
 // batchItems is the size of the job, more than one chunk.
 const batchItems = 400
@@ -65,7 +65,7 @@
 
 // awaitBatch polls a job until it has ended.
 func (ef *engineFleet) awaitBatch(c *qt.C, batch *openai.Batch, meanwhile func()) *openai.Batch {
-	deadline := time.Now().Add(batchPatience)
+	deadline := time.Now().Add(batchTimeout)
 	for batch.Status != openai.BatchStatusCompleted {
 		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("status %s, counts %+v", batch.Status, batch.RequestCounts))
 		meanwhile()
--- a/internal/jobstore/retry.go
+++ b/internal/jobstore/retry.go
@@ -35,26 +35,26 @@
 	return err
 }
 
-// putObject stores an object, trying until ctx or the store's patience ends. Objects are immutable, so a repeated put is harmless.
+// putObject stores an object, trying until ctx or the store's timeout ends. Objects are immutable, so a repeated put is harmless.
 func (s *Store) putObject(ctx context.Context, name string, content []byte) error {
 	_, err := backoff.Retry(ctx, func() (struct{}, error) {
 		return struct{}{}, permanentUnlessTemporary(s.objects.Put(ctx, name, content))
-	}, backoff.WithBackOff(retryDelays()), backoff.WithMaxElapsedTime(s.patience))
+	}, backoff.WithBackOff(retryDelays()), backoff.WithMaxElapsedTime(s.timeout))
 	return err
 }
 
-// openObject opens an object for reading, trying until ctx or the store's patience ends.
+// openObject opens an object for reading, trying until ctx or the store's timeout ends.
 func (s *Store) openObject(ctx context.Context, name string, offset, length int64) (io.ReadCloser, error) {
 	return backoff.Retry(ctx, func() (io.ReadCloser, error) {
 		object, err := s.objects.Get(ctx, name, offset, length)
 		return object, permanentUnlessTemporary(err)
-	}, backoff.WithBackOff(retryDelays()), backoff.WithMaxElapsedTime(s.patience))
+	}, backoff.WithBackOff(retryDelays()), backoff.WithMaxElapsedTime(s.timeout))
 }
 
-// getRows reads rows, trying until ctx or the store's patience ends.
+// getRows reads rows, trying until ctx or the store's timeout ends.
 func (s *Store) getRows(ctx context.Context, keys ...string) ([]platform.Row, error) {
 	return backoff.Retry(ctx, func() ([]platform.Row, error) {
 		rows, err := s.table.Get(ctx, keys...)
 		return rows, permanentUnlessTemporary(err)
-	}, backoff.WithBackOff(retryDelays()), backoff.WithMaxElapsedTime(s.patience))
+	}, backoff.WithBackOff(retryDelays()), backoff.WithMaxElapsedTime(s.timeout))
 }
--- a/internal/jobstore/store.go
+++ b/internal/jobstore/store.go
@@ -34,8 +34,8 @@
 	objects platform.Objects
 	now     func() time.Time
 	newID   func() string
-	// patience bounds the tries of one operation. Zero means no bound but the context's.
-	patience time.Duration
+	// timeout bounds the tries of one operation. Zero means no bound but the context's.
+	timeout time.Duration
 }
 
 // New returns a store on the platform's table and object store.
@@ -48,19 +48,19 @@
 	}
 }
 
-// WithPatience returns a store whose operations give up after the time, for callers that wait for an answer.
-func (s *Store) WithPatience(patience time.Duration) *Store {
-	patient := *s
-	patient.patience = patience
-	return &patient
+// WithTimeout returns a store whose operations give up after the time, for callers that wait for an answer.
+func (s *Store) WithTimeout(timeout time.Duration) *Store {
+	copied := *s
+	copied.timeout = timeout
+	return &copied
 }
 
 // commit applies txn, whatever happens to replies. It returns the version of the rows written.
 // The row of key must be among the conditions; isOurs reports whether its present row shows that txn took effect.
 func (s *Store) commit(ctx context.Context, txn platform.Txn, key string, isOurs func(platform.Row) bool) (uint64, error) {
-	if s.patience > 0 {
+	if s.timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, s.patience)
+		ctx, cancel = context.WithTimeout(ctx, s.timeout)
 		defer cancel()
 	}
 	recorder := &versionRecorder{Table: s.table, key: key}
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -18,8 +18,8 @@
 	"github.com/rosemarydyke/rosemarydyke/member"
 )
 
-// patience bounds waits that a broken service would make endless.
-const patience = 60 * time.Second
+// waitLimit bounds waits that a broken service would make endless.
+const waitLimit = 60 * time.Second
 
 // vm is one entry VM of a test.
 type vm struct {
@@ -94,10 +94,10 @@
 }
 
 func (f *fleet) eventually(what string, holds func() bool) {
-	deadline := time.Now().Add(patience)
+	deadline := time.Now().Add(waitLimit)
 	for !holds() {
 		if time.Now().After(deadline) {
-			f.c.Fatalf("not within %v: %s", patience, what)
+			f.c.Fatalf("not within %v: %s", waitLimit, what)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -138,7 +138,7 @@
 }
 
 // giveUp takes a connection that does not answer out of use, and closes it unless calls or streams
-// still wait on it: those are left to the liveness check, which is more patient.
+// still wait on it: those are left to the liveness check, which waits longer.
 func (n *Node) giveUp(c *connection) {
 	n.forget(c)
 	if c.active.Load() == 0 {
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -202,8 +202,8 @@
 	}
 }
 
-// impatient is a naive owner of a target that ignores fencing: it orders as soon as it has claimed.
-func impatient() *owner {
+// naiveOwner is a naive owner of a target that ignores fencing: it orders as soon as it has claimed.
+func naiveOwner() *owner {
 	config := testConfig
 	config.ChecksFencing = true
 	return &owner{reconciler: NewReconciler(config, State{Model: "a"})}
@@ -225,7 +225,7 @@
 	}
 	t.Run("the oracle rejects an owner that does not wait for the former holder", func(t *testing.T) {
 		rapidtest.MustFail(t, func(t *rapid.T) {
-			if overtaken, _ := play(t, newWorld(false, impatient)); overtaken > 0 {
+			if overtaken, _ := play(t, newWorld(false, naiveOwner)); overtaken > 0 {
 				t.Fatalf("%d orders took effect after an order with a higher number", overtaken)
 			}
 		})
