Callers: an unknown key at an entry with old settings is refused as stale, not as wrong

Cause: a client of a revision that this entry does not have yet got 401 with x-should-retry false, where another entry would serve it. Change: stale_settings (not-run, with when to come back) while the entry cannot confirm its settings. Measured: the test of stale settings has the case. Conclusion: kept. /v1/models of a paused entry still answers one request with a revoked key; found by a test with real processes.

--- a/internal/callerapi/auth.go
+++ b/internal/callerapi/auth.go
@@ -63,6 +63,10 @@
 	}
 	digest := sha256.Sum256([]byte(strings.TrimSpace(key)))
 	client, ok := s.clients.find(snapshot, hex.EncodeToString(digest[:]))
+	if !ok && !s.config.Settings.Fresh() {
+		// The key may belong to a client of a newer revision, which another entry knows.
+		return nil, staleSettings()
+	}
 	if !ok {
 		return nil, notRun(verdict.CodeUnauthorized, "the API key is not known")
 	}
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -231,6 +231,8 @@
 	c.Assert(f.send(t, "POST", "/v1/batches", "{}", nil).code(), qt.Equals, "stale_settings")
 	c.Assert(f.send(t, "POST", "/v1/batches/b/cancel", "{}", nil).status, qt.Equals, http.StatusTeapot)
 	c.Assert(f.send(t, "GET", "/v1/batches/b", "", nil).status, qt.Equals, http.StatusTeapot)
+	newKey := http.Header{"Authorization": {"Bearer a key of a newer revision"}}
+	c.Assert(f.send(t, "POST", chat, chatBody, newKey).code(), qt.Equals, "stale_settings")
 }
 
 func TestACallerThatDisconnectsCancelsTheTargetsStream(t *testing.T) {
