--- a/internal/admission/controller/batch.go
+++ b/internal/admission/controller/batch.go
@@ -150,7 +150,7 @@
 		return
 	}
 	t.notify()
-	c.pump(t.pool, now)
+	c.dispatchWaiting(t.pool, now)
 }
 
 // fillBatch grants batch slots on the targets that this VM owns.
--- a/internal/admission/controller/credits.go
+++ b/internal/admission/controller/credits.go
@@ -16,7 +16,7 @@
 	answer, revoke := t.ledger.Request(now, ask)
 	t.holder.Answered(ask.Sequence, answer)
 	if answer.Granted > ask.Held {
-		c.quieten(t, now)
+		c.protectFirstToken(t, now)
 	}
 	c.revoke(revoke)
 	c.recallIdle(t, now)
@@ -30,8 +30,8 @@
 	return t.ledger.Unmet(c.config.VM)
 }
 
-// collect takes the credits that have become free for earlier asks to this VM's own ledgers.
-func (c *Controller) collect(p *pool, now time.Time) {
+// collectCredits takes the credits that have become free for earlier asks to this VM's own ledgers.
+func (c *Controller) collectCredits(p *pool, now time.Time) {
 	for _, t := range p.active {
 		if unmet := c.unmet(t); unmet > 0 {
 			c.askLocal(t, unmet, now)
@@ -39,8 +39,8 @@
 	}
 }
 
-// dropWants takes back what nobody waits for any more, so that batch work can have the slots.
-func (c *Controller) dropWants(p *pool, now time.Time) {
+// withdrawUnusedAsks takes back what nobody waits for any more, so that batch work can have the slots.
+func (c *Controller) withdrawUnusedAsks(p *pool, now time.Time) {
 	for _, t := range p.active {
 		if c.unmet(t) > 0 {
 			c.askLocal(t, 0, now)
@@ -81,7 +81,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p.queue.Len() > 0 {
-		c.pump(p, time.Now())
+		c.dispatchWaiting(p, time.Now())
 	}
 }
 
@@ -110,7 +110,7 @@
 		return
 	}
 	for _, t := range targets {
-		c.pump(t.pool, now)
+		c.dispatchWaiting(t.pool, now)
 		if t.pool.queue.Len() == 0 {
 			c.returnCredits(t, now)
 		}
--- a/internal/admission/controller/layout.go
+++ b/internal/admission/controller/layout.go
@@ -45,20 +45,20 @@
 func (c *Controller) tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.follow(now)
+	c.applyChanges(now)
 	c.expireLedgers(now)
 	c.quarantine.Sweep(now)
 	for _, p := range c.pools {
-		c.narrow(p, now)
+		c.reduceTargets(p, now)
 		c.startProbes(p, now)
-		c.refuseHopeless(p, now)
-		c.pump(p, now)
+		c.refuseLateWaiters(p, now)
+		c.dispatchWaiting(p, now)
 	}
 	c.fillBatch(now)
 }
 
-// follow recomputes owners when the settings or the members have changed.
-func (c *Controller) follow(now time.Time) {
+// applyChanges recomputes owners when the settings or the members have changed.
+func (c *Controller) applyChanges(now time.Time) {
 	snapshot := c.config.Settings.Current()
 	if snapshot == nil {
 		return
@@ -78,7 +78,7 @@
 func (c *Controller) followRevision(now time.Time) {
 	snapshot := c.config.Settings.Current()
 	if snapshot != nil && snapshot.Revision != c.layout.revision {
-		c.follow(now)
+		c.applyChanges(now)
 	}
 }
 
@@ -215,8 +215,8 @@
 	t.changed = make(chan struct{})
 }
 
-// widen exchanges credits for twice as many targets, after those at hand had no free slot.
-func (c *Controller) widen(p *pool, now time.Time) {
+// addTargets exchanges credits for twice as many targets, after those at hand had no free slot.
+func (c *Controller) addTargets(p *pool, now time.Time) {
 	if len(p.active) == len(p.targets) || now.Sub(p.widenedAt) < widenInterval {
 		return
 	}
@@ -228,7 +228,8 @@
 	c.applyOwners(now)
 }
 
-func (c *Controller) narrow(p *pool, now time.Time) {
+// reduceTargets goes back to the configured number of targets after a while without a need for more.
+func (c *Controller) reduceTargets(p *pool, now time.Time) {
 	if p.minTargets > c.config.MinTargets && now.Sub(p.widenedAt) >= widenedFor {
 		p.minTargets = c.config.MinTargets
 		c.applyOwners(now)
--- a/internal/admission/controller/managed.go
+++ b/internal/admission/controller/managed.go
@@ -22,7 +22,7 @@
 	t.ledger.SetSlots(c.slotsOf(t.settings))
 	t.notify()
 	now := time.Now()
-	c.pump(t.pool, now)
+	c.dispatchWaiting(t.pool, now)
 	c.fillBatch(now)
 }
 
--- a/internal/admission/controller/owner.go
+++ b/internal/admission/controller/owner.go
@@ -70,7 +70,7 @@
 		c.revoke(revoke)
 		answers[i] = newTargetAnswer(t.pool.health.Refuses(ask.Target), answer)
 		if ask.Want > ask.Held && answer.Granted > ask.Held {
-			c.quieten(t, now)
+			c.protectFirstToken(t, now)
 		}
 		recalled := c.recallIdle(t, now)
 		if isShort(ask, answer) && (message.Hold || recalled || t.ledger.Coming(holder) > 0) {
@@ -84,10 +84,10 @@
 const maxBusy = 100 * time.Millisecond
 
 const (
-	// startsPerYield is the number of batch items that start on a target for each that gives way while its
+	// startsPerPreemption is the number of batch items that start on a target for each that is preempted while its
 	// prompt is processed. Without it, a steady stream of online requests would let no item finish.
-	startsPerYield = 2
-	// maxBatchStarts bounds the starts that are counted, and with them how many items may give way in a row.
+	startsPerPreemption = 2
+	// maxBatchStarts bounds the starts that are counted, and with them how many items may be preempted in a row.
 	maxBatchStarts = 8
 	// maxBatchDelay bounds, in first-token times, how long after the last start online requests can keep the
 	// next batch item back.
@@ -101,11 +101,11 @@
 	return max(0, prompt-now.Sub(t.batchStarted))
 }
 
-// quieten keeps prompts of batch items from delaying the first token of an online request that is about to
+// protectFirstToken keeps prompts of batch items from delaying the first token of an online request that is about to
 // start: it takes back the slot of an item whose prompt is being processed, and keeps the next item back.
-func (c *Controller) quieten(t *targetState, now time.Time) {
-	if t.isBusy(now) && t.batchStarts >= startsPerYield {
-		t.batchStarts -= startsPerYield
+func (c *Controller) protectFirstToken(t *targetState, now time.Time) {
+	if t.isBusy(now) && t.batchStarts >= startsPerPreemption {
+		t.batchStarts -= startsPerPreemption
 		c.revoke(t.ledger.RevokeBatch(1))
 	}
 	firstToken := min(t.pacer.FirstToken(), maxBusy)
--- a/internal/admission/controller/place.go
+++ b/internal/admission/controller/place.go
@@ -11,15 +11,15 @@
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
 )
 
-// pump places as many waiting requests as credits allow, and asks for credits for the rest.
-func (c *Controller) pump(p *pool, now time.Time) {
+// dispatchWaiting places as many waiting requests as credits allow, and asks for credits for the rest.
+func (c *Controller) dispatchWaiting(p *pool, now time.Time) {
 	c.refuseWaitingQuarantined(p)
 	if p.queue.Len() > 0 {
-		c.collect(p, now)
+		c.collectCredits(p, now)
 	}
 	c.placeWaiting(p, now)
 	if p.queue.Len() == 0 {
-		c.dropWants(p, now)
+		c.withdrawUnusedAsks(p, now)
 		return
 	}
 	c.requestCredits(p, now)
@@ -53,14 +53,14 @@
 		Local:   t.settings.AvailabilityZone == c.config.AvailabilityZone,
 		Healthy: share > 0,
 		Share:   share,
-		Free:    min(t.holder.Free(now), t.shareLeft(share)),
+		Free:    min(t.holder.Free(now), t.remainingShare(share)),
 		InUse:   t.holder.InUse(),
 		Slots:   t.settings.Slots,
 	}
 }
 
-// shareLeft is the number of further requests that the target's share allows, at least one in all.
-func (t *targetState) shareLeft(share float64) int {
+// remainingShare is the number of further requests that the target's share allows, at least one in all.
+func (t *targetState) remainingShare(share float64) int {
 	allowed := max(1, int(share*float64(t.settings.Slots)))
 	return max(0, allowed-t.holder.InUse())
 }
--- a/internal/admission/controller/plan.go
+++ b/internal/admission/controller/plan.go
@@ -98,7 +98,7 @@
 		candidates[i].Free = 0
 		if t.mayAsk(now) {
 			candidates[i].Idle = t.idle(now)
-			candidates[i].Free = min(t.worthAsking(now), t.shareLeft(candidates[i].Share))
+			candidates[i].Free = min(t.plannableCredits(now), t.remainingShare(candidates[i].Share))
 		}
 	}
 	return candidates
@@ -122,7 +122,7 @@
 
 // waitForCredits leaves asks with owners that have no free slot, and looks further afield.
 func (c *Controller) waitForCredits(p *pool, unmet []*waiter, now time.Time) {
-	c.widen(p, now)
+	c.addTargets(p, now)
 	held := 0
 	for _, t := range p.active {
 		if t.isWaiting() {
--- a/internal/admission/controller/release.go
+++ b/internal/admission/controller/release.go
@@ -20,7 +20,7 @@
 		c.askFor(t, 0, false, now)
 	}
 	c.returnCredits(t, now)
-	c.pump(t.pool, now)
+	c.dispatchWaiting(t.pool, now)
 	if t.ledger != nil {
 		c.fillBatch(now)
 	}
