--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -85,8 +85,7 @@
 func TestCloseEndsOpenStreams(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	dir := newKeys(c, "vm-1", "vm-2")
-	a, b := startNode(c, dir, "vm-1", anyPort), startNode(c, dir, "vm-2", anyPort)
+	a, b := startPair(c)
 	ctx := testContext(c)
 	stream, err := a.OpenStream(ctx, b.Address(), "echoes")
 	c.Assert(err, qt.IsNil)
@@ -114,8 +113,7 @@
 func TestCallReturnsTheAnswerOfTheOtherProcess(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	dir := newKeys(c, "vm-1", "vm-2")
-	a, b := startNode(c, dir, "vm-1", anyPort), startNode(c, dir, "vm-2", anyPort)
+	a, b := startPair(c)
 	ctx := testContext(c)
 
 	var response text
@@ -169,11 +167,16 @@
 	}
 }
 
+// startPair starts the nodes of vm-1 and vm-2.
+func startPair(c *qt.C) (a, b *Node) {
+	dir := newKeys(c, "vm-1", "vm-2")
+	return startNode(c, dir, "vm-1", anyPort), startNode(c, dir, "vm-2", anyPort)
+}
+
 func TestCallCarriesTheTrace(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	dir := newKeys(c, "vm-1", "vm-2")
-	a, b := startNode(c, dir, "vm-1", anyPort), startNode(c, dir, "vm-2", anyPort)
+	a, b := startPair(c)
 	traceID := trace.TraceID{1, 2, 3}
 	ctx := trace.ContextWithRemoteSpanContext(testContext(c), trace.NewSpanContext(trace.SpanContextConfig{
 		TraceID: traceID, SpanID: trace.SpanID{4}, TraceFlags: trace.FlagsSampled,
@@ -187,8 +190,7 @@
 func TestStreamCarriesMessagesUntilItIsClosed(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	dir := newKeys(c, "vm-1", "vm-2")
-	a, b := startNode(c, dir, "vm-1", anyPort), startNode(c, dir, "vm-2", anyPort)
+	a, b := startPair(c)
 	stream, err := a.OpenStream(testContext(c), b.Address(), "echoes")
 	c.Assert(err, qt.IsNil)
 
@@ -205,8 +207,7 @@
 func TestStreamEndsWhenTheOtherProcessIsKilled(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	dir := newKeys(c, "vm-1", "vm-2")
-	a, b := startNode(c, dir, "vm-1", anyPort), startNode(c, dir, "vm-2", anyPort)
+	a, b := startPair(c)
 	stream, err := a.OpenStream(testContext(c), b.Address(), "echoes")
 	c.Assert(err, qt.IsNil)
 	c.Assert(stream.Send(text{"one"}), qt.IsNil)
@@ -221,8 +222,7 @@
 func TestStreamOfAnUnknownMethodEnds(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	dir := newKeys(c, "vm-1", "vm-2")
-	a, b := startNode(c, dir, "vm-1", anyPort), startNode(c, dir, "vm-2", anyPort)
+	a, b := startPair(c)
 	stream, err := a.OpenStream(testContext(c), b.Address(), "nothing")
 	c.Assert(err, qt.IsNil)
 	err = stream.Receive(&text{})
@@ -371,8 +371,7 @@
 func TestCloseLeavesNoGoroutine(t *testing.T) {
 	c := qt.New(t)
 	before := goleak.IgnoreCurrent()
-	dir := newKeys(c, "vm-1", "vm-2")
-	a, b := startNode(c, dir, "vm-1", anyPort), startNode(c, dir, "vm-2", anyPort)
+	a, b := startPair(c)
 	ctx := testContext(c)
 	c.Assert(a.Call(ctx, b.Address(), "echo", text{"hello"}, &text{}), qt.IsNil)
 	_, err := a.OpenStream(ctx, b.Address(), "echoes")
