CommitSettled: the comment says what the code does

Cause: the comment told of a read before the repeat, and asked more of the conditions than is needed; chunk commits also require the job's row, which they do not write. Change: the comment.

--- a/internal/platform/settle.go
+++ b/internal/platform/settle.go
@@ -27,10 +27,10 @@
 
 // CommitSettled commits txn until its outcome is known or ctx ends.
 //
-// When a reply is lost, it reads the keys of txn's conditions and asks applied whether they show
-// this transaction's own operation id. The transaction is sent again only after that, which is
-// safe because its conditions can hold at most once. Every condition must name a row that
-// txn writes; otherwise repeating it could apply it twice.
+// When a reply is lost, it sends the transaction again under the same conditions. If that
+// conflicts, it reads the rows of the conditions and asks applied whether they show this
+// transaction's own operation id. At least one condition must name a row that txn writes: that
+// condition holds at most once, so a repeated transaction cannot apply twice.
 //
 // It returns nil when the transaction is in force, *ConflictError when it can no longer be, and
 // ErrOutcomeUnknown or ErrUnavailable when ctx ended first.
