--- /dev/null
+++ b/cmd/rosemary-ingress/main.go
@@ -0,0 +1,97 @@
+// Command rosemary-ingress serves clients on the users' platform: online requests, batch jobs, and
+// the question which VMs to use.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/boundedlog"
+	"github.com/rosemarydyke/rosemarydyke/internal/config"
+	"github.com/rosemarydyke/rosemarydyke/internal/node"
+	"github.com/rosemarydyke/rosemarydyke/internal/process"
+)
+
+const (
+	// exitUsage is the exit status for wrong arguments or settings.
+	exitUsage = 2
+	// memoryShare is the share of the VM's memory from which the garbage collector works harder.
+	memoryShare = 0.6
+)
+
+type flags struct {
+	Config  string           `required:"" env:"ROSEMARYDYKE_CONFIG" placeholder:"FILE" help:"YAML file with the settings of this process."`
+	Check   bool             `help:"Check the settings, print what is wrong, and exit."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("rosemary-ingress"), kong.Description("Serves clients on the users' platform."),
+		kong.Vars{"version": process.Version}, kong.UsageOnError())
+	settings, err := load(f.Config)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "rosemary-ingress: %v\n", err)
+		os.Exit(exitUsage)
+	}
+	if f.Check {
+		fmt.Printf("%s: settings are valid\n", f.Config)
+		return
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB<<20)))
+	output := boundedlog.NewWriter(os.Stdout)
+	err = run(settings, f.Config, output)
+	output.Close()
+	if err != nil {
+		os.Exit(1)
+	}
+}
+
+func load(path string) (*config.Ingress, error) {
+	var settings config.Ingress
+	if err := config.Load(path, &settings); err != nil {
+		return nil, err
+	}
+	settings.SetDefaults()
+	return &settings, nil
+}
+
+func run(settings *config.Ingress, path string, output *boundedlog.Writer) error {
+	level, err := zerolog.ParseLevel(settings.Log.Level)
+	if err != nil || settings.Log.Level == "" {
+		level = zerolog.InfoLevel
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(output).Level(level).With().Timestamp().Str("vm", settings.VM.Name).Logger()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	n, err := node.New(settings, log)
+	if err != nil {
+		log.Error().Err(err).Msg("process cannot start")
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go func() {
+		for range reload {
+			fresh, err := load(path)
+			if err != nil {
+				log.Error().Err(err).Msg("settings cannot be reloaded, the present ones stay in force")
+				continue
+			}
+			n.Reload(fresh)
+		}
+	}()
+	if err := n.Run(ctx); err != nil {
+		log.Error().Err(err).Msg("process failed")
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/batchjobs/item.go
@@ -0,0 +1,250 @@
+package batchjobs
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
+	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/routing"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+)
+
+const (
+	// itemSilence is how long a target may send nothing before another one goes on with an item.
+	itemSilence = time.Second
+	// itemRetryPause is the pause before an item is tried again.
+	itemRetryPause = 50 * time.Millisecond
+	// firstEventCount and firstEventInterval are the expected length of an item until some have been observed.
+	firstEventCount    = 200
+	firstEventInterval = 20 * time.Millisecond
+	// lengthWeight is the weight of one observation in the mean length.
+	lengthWeight = 0.1
+)
+
+// itemState is what an item has reached. It survives the loss of its target.
+type itemState struct {
+	position int64
+	events   int
+	text     []byte
+	failures int
+	tried    []string
+}
+
+// errYield says that a slot was taken back.
+var errYield = errors.New("slot was taken back")
+
+// lengthEstimator predicts the slot time of items.
+type lengthEstimator struct {
+	mu       sync.Mutex
+	events   float64
+	interval time.Duration
+}
+
+func (l *lengthEstimator) observe(events int, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	l.events += lengthWeight * (float64(events) - l.events)
+	if events > 0 {
+		l.interval += time.Duration(lengthWeight * float64(took/time.Duration(events)-l.interval))
+	}
+}
+
+func (l *lengthEstimator) init() {
+	if l.events == 0 {
+		l.events, l.interval = firstEventCount, firstEventInterval
+	}
+}
+
+// remaining returns the expected slot time of an item that has made some events.
+func (l *lengthEstimator) remaining(events int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	// An item that is longer than most is expected to need a tenth of the mean once more.
+	left := max(l.events-float64(events), l.events/10)
+	return time.Duration(left * float64(l.interval))
+}
+
+// runItem runs an item to its end, and reports whether it has one.
+func (s *Service) runItem(ctx context.Context, run *jobRun, index int, head *Head) (itemResult, bool) {
+	select {
+	case s.permits <- struct{}{}:
+		defer func() { <-s.permits }()
+	case <-ctx.Done():
+		return itemResult{}, false
+	}
+	state := &itemState{position: platform.NoEvent}
+	began := time.Now()
+	for ctx.Err() == nil {
+		route := s.route(head)
+		if route == nil && s.config.Configuration.Current() != nil || route != nil && s.expired(head, route) {
+			s.config.Log.Info().Str("job", run.job).Str("item", run.items[index].ID).Msg("item is given up: its route is gone or its time is over")
+			return itemResult{index: index, givenUp: true}, true
+		}
+		if route == nil {
+			pause(ctx)
+			continue
+		}
+		result, ended := s.tryItem(ctx, run, index, head, route, state)
+		if ended {
+			s.config.Log.Info().Str("job", run.job).Str("item", run.items[index].ID).Bool("given_up", result.givenUp).
+				Int("events", state.events).Int("failures", state.failures).Dur("took_ms", time.Since(began)).Msg("item ended")
+			itemTime.UpdateDuration(began)
+			return result, true
+		}
+	}
+	return itemResult{}, false
+}
+
+func (s *Service) expired(head *Head, route *routing.Route) bool {
+	return route.Retention > 0 && time.Now().After(s.givenUpAt(head, route))
+}
+
+// tryItem runs an item on one target, and reports whether that was its end.
+func (s *Service) tryItem(ctx context.Context, run *jobRun, index int, head *Head, route *routing.Route, state *itemState) (itemResult, bool) {
+	slot, err := s.config.Slots.Acquire(ctx, scheduler.Request{
+		Class:    scheduler.Item,
+		Service:  route.Pick(rand.Float64()),
+		Tried:    state.tried,
+		StartBy:  s.due(head, route),
+		Expires:  s.due(head, route),
+		Expected: s.lengths.remaining(state.events),
+	})
+	if err != nil {
+		pause(ctx)
+		return itemResult{}, false
+	}
+	began, before := time.Now(), state.events
+	status, firstEvent, err := s.send(ctx, slot, run.items[index], head, state)
+	outcome := outcomeOf(ctx, err)
+	slot.Release(outcome, firstEvent)
+	state.tried = nil
+	switch {
+	case err == nil && status/100 == 2:
+		s.lengths.observe(state.events, time.Since(began)*time.Duration(state.events)/time.Duration(max(state.events-before, 1)))
+		return itemResult{index: index, text: state.text}, true
+	case err == nil && status == http.StatusUnprocessableEntity:
+		return itemResult{index: index, givenUp: true}, true
+	case err == nil:
+		state.failures++
+		itemsFailed.Inc()
+		s.config.Log.Warn().Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).Int("status", status).Int("failures", state.failures).Msg("item failed at a target")
+		if state.failures >= route.MaxAttempts {
+			return itemResult{index: index, givenUp: true}, true
+		}
+	case errors.Is(err, errYield):
+		itemsYielded.Inc()
+	case ctx.Err() == nil:
+		state.tried = []string{slot.Target}
+		s.config.Log.Info().AnErr("cause", err).Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).
+			Int64("last_event", state.position).Msg("item goes on at another target")
+		pause(ctx)
+	}
+	return itemResult{}, false
+}
+
+func pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(itemRetryPause):
+	}
+}
+
+func outcomeOf(ctx context.Context, err error) scheduler.Outcome {
+	var failure *platform.TargetError
+	switch {
+	case err == nil:
+		return scheduler.Finished
+	case errors.Is(err, errYield), ctx.Err() != nil:
+		return scheduler.Abandoned
+	case errors.Is(err, context.DeadlineExceeded):
+		return scheduler.Silent
+	case !errors.As(err, &failure):
+		return scheduler.Cut
+	}
+	switch failure.Failure {
+	case platform.Unreachable:
+		return scheduler.Unreachable
+	case platform.Refused:
+		return scheduler.Refused
+	case platform.Replaced:
+		return scheduler.Replaced
+	default:
+		return scheduler.Cut
+	}
+}
+
+// send runs an item on the target of a slot from where it stands. It returns the status of a whole response.
+func (s *Service) send(ctx context.Context, slot *scheduling.Slot, item platform.JobItem, head *Head, state *itemState) (int, time.Duration, error) {
+	sending, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(itemSilence, func() { cancel(context.DeadlineExceeded) })
+	defer silence.Stop()
+	go func() {
+		select {
+		case <-slot.Yielded:
+			cancel(errYield)
+		case <-sending.Done():
+		}
+	}()
+	sent := time.Now()
+	var firstEvent time.Duration
+	status, err := s.receive(sending, slot, item, head, state, func() {
+		silence.Reset(itemSilence)
+		if firstEvent == 0 {
+			firstEvent = time.Since(sent)
+		}
+	})
+	if cause := context.Cause(sending); err != nil && cause != nil {
+		err = cause
+	}
+	return status, firstEvent, err
+}
+
+func (s *Service) receive(ctx context.Context, slot *scheduling.Slot, item platform.JobItem, head *Head, state *itemState, onEvent func()) (int, error) {
+	response, err := s.config.Targets.Send(ctx, &platform.TargetRequest{
+		Address:   slot.Address,
+		Instance:  slot.Target,
+		ID:        item.ID,
+		Method:    http.MethodPost,
+		Host:      head.Host,
+		URI:       item.Path,
+		Header:    item.Header,
+		Body:      item.Body,
+		LastEvent: state.position,
+	})
+	if err != nil {
+		return 0, err
+	}
+	defer response.Close()
+	if response.Status/100 != 2 {
+		_, err := response.Whole()
+		return response.Status, err
+	}
+	for {
+		event, err := response.Next()
+		if errors.Is(err, io.EOF) {
+			return response.Status, nil
+		}
+		if err != nil {
+			return 0, err
+		}
+		if state.position != platform.NoEvent && event.ID != state.position+1 {
+			return 0, &platform.TargetError{Failure: platform.Broken, Cause: errors.New("events do not follow each other")}
+		}
+		onEvent()
+		if state.events > 0 {
+			state.text = append(state.text, '\n')
+		}
+		state.text = append(state.text, event.Data...)
+		state.position = event.ID
+		state.events++
+	}
+}
--- /dev/null
+++ b/internal/batchjobs/service.go
@@ -0,0 +1,137 @@
+// Package batchjobs keeps batch jobs in the platform's store and runs their items in the slots that
+// online requests leave.
+//
+// A job has one owner among the VMs, which runs its items and lists their results. Ownership is not
+// a lease: it lasts until another VM takes the job over with a conditional write, after which
+// nothing that the former owner writes is accepted.
+package batchjobs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/follow"
+	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
+	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/routing"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+)
+
+const (
+	// staleAfter is the age of the copy of the table from which a call is answered from the store itself.
+	staleAfter = 2500 * time.Millisecond
+	// lookInterval is the time between two looks for jobs whose owner is gone.
+	lookInterval = 200 * time.Millisecond
+)
+
+var (
+	jobsAccepted   = metrics.NewCounter(`rosemarydyke_jobs_accepted_total`)
+	jobsRefused    = metrics.NewCounter(`rosemarydyke_jobs_refused_total`)
+	jobsTakenOver  = metrics.NewCounter(`rosemarydyke_jobs_taken_over_total`)
+	itemsCompleted = metrics.NewCounter(`rosemarydyke_items_completed_total`)
+	itemsGivenUp   = metrics.NewCounter(`rosemarydyke_items_given_up_total`)
+	itemsYielded   = metrics.NewCounter(`rosemarydyke_items_yielded_total`)
+	itemsFailed    = metrics.NewCounter(`rosemarydyke_item_runs_failed_total`)
+	itemTime       = metrics.NewHistogram(`rosemarydyke_item_seconds`)
+)
+
+// Configuration gives the configuration in force, or nil when none is known yet.
+type Configuration interface{ Current() *routing.Table }
+
+// Slots grants slots of targets.
+type Slots interface {
+	Acquire(ctx context.Context, request scheduler.Request) (*scheduling.Slot, error)
+}
+
+// Config configures a Service.
+type Config struct {
+	// VM is this VM's name.
+	VM            string
+	Rows          rowstore.Rows
+	Members       member.View
+	Configuration Configuration
+	Slots         Slots
+	Targets       *platform.Targets
+	Log           zerolog.Logger
+}
+
+// Service serves and runs batch jobs.
+type Service struct {
+	config   Config
+	store    store
+	follower *follow.Follower
+	view     *view
+	texts    *textCache
+	wake     chan struct{}
+	lengths  lengthEstimator
+
+	mu      sync.Mutex
+	runs    map[string]*jobRun
+	leaving bool
+	// kept are the items of jobs that were accepted here and do not run yet.
+	kept map[string][]platform.JobItem
+	// claiming are the jobs that are being taken over.
+	claiming map[string]bool
+	// unowned is since when the owner of a job has been missing.
+	unowned map[string]time.Time
+	tasks   sync.WaitGroup
+	permits chan struct{}
+	started time.Time
+}
+
+// New returns a service.
+func New(config Config) *Service {
+	s := &Service{
+		config:   config,
+		store:    store{rows: config.Rows},
+		view:     newView(),
+		texts:    newTextCache(),
+		wake:     make(chan struct{}, 1),
+		runs:     map[string]*jobRun{},
+		unowned:  map[string]time.Time{},
+		permits:  make(chan struct{}, maxItems),
+		kept:     map[string][]platform.JobItem{},
+		claiming: map[string]bool{},
+		started:  time.Now(),
+	}
+	s.follower = follow.New(follow.Config{
+		Rows: config.Rows, Table: tableHeads, Log: config.Log, Replace: s.replace, Change: s.change,
+	})
+	return s
+}
+
+// Run follows the table and runs the jobs of this VM until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	s.tasks.Go(func() { s.follower.Run(ctx) })
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.tasks.Wait()
+			return
+		case <-ticker.C:
+		case <-s.wake:
+		}
+		s.look(ctx)
+	}
+}
+
+func (s *Service) wakeRunner() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// fresh reports whether the copy of the table is young enough to answer from.
+func (s *Service) fresh() bool {
+	age, known := s.follower.Age()
+	return known && age < staleAfter
+}
--- /dev/null
+++ b/internal/batchjobs/textcache.go
@@ -0,0 +1,59 @@
+package batchjobs
+
+import (
+	"container/list"
+	"sync"
+)
+
+// textCacheBytes bounds the texts in memory: those of some hundred items.
+const textCacheBytes = 4 << 20
+
+type textCacheKey struct {
+	job      string
+	position int
+}
+
+type cachedText struct {
+	key  textCacheKey
+	text []byte
+}
+
+// textCache keeps the texts that were used last. Texts never change.
+type textCache struct {
+	mu    sync.Mutex
+	order *list.List
+	index map[textCacheKey]*list.Element
+	bytes int
+}
+
+func newTextCache() *textCache {
+	return &textCache{order: list.New(), index: map[textCacheKey]*list.Element{}}
+}
+
+func (c *textCache) get(key textCacheKey) ([]byte, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	element := c.index[key]
+	if element == nil {
+		return nil, false
+	}
+	c.order.MoveToFront(element)
+	return element.Value.(*cachedText).text, true
+}
+
+func (c *textCache) put(key textCacheKey, text []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.index[key] != nil {
+		return
+	}
+	c.index[key] = c.order.PushFront(&cachedText{key, text})
+	c.bytes += len(text)
+	for c.bytes > textCacheBytes {
+		last := c.order.Back()
+		old := last.Value.(*cachedText)
+		c.order.Remove(last)
+		delete(c.index, old.key)
+		c.bytes -= len(old.text)
+	}
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,170 @@
+// Package ingress serves clients' requests: it finds the route, waits for a slot, and passes the
+// request to a target and the response back.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
+	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/routing"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+)
+
+const (
+	// defaultBodyLimit bounds a request's body, in bytes, where the configuration sets no limit.
+	defaultBodyLimit = 4 << 20
+	// defaultTimeout bounds a request for which neither the client nor the route sets a bound.
+	defaultTimeout = 30 * time.Second
+	// noConfigRetry is when a client should come back while no configuration is known.
+	noConfigRetry = 500 * time.Millisecond
+)
+
+var (
+	requestsTotal   = metrics.NewCounter(`rosemarydyke_requests_total`)
+	completedTotal  = metrics.NewCounter(`rosemarydyke_requests_completed_total`)
+	refusedTotal    = metrics.NewCounter(`rosemarydyke_requests_refused_total`)
+	failedTotal     = metrics.NewCounter(`rosemarydyke_requests_failed_total`)
+	resumedTotal    = metrics.NewCounter(`rosemarydyke_streams_resumed_total`)
+	clientGoneTotal = metrics.NewCounter(`rosemarydyke_requests_client_gone_total`)
+	slotWait        = metrics.NewHistogram(`rosemarydyke_slot_wait_seconds`)
+	firstEventTime  = metrics.NewHistogram(`rosemarydyke_first_event_seconds`)
+	responseTime    = metrics.NewHistogram(`rosemarydyke_response_seconds`)
+)
+
+// Configuration gives the configuration in force, or nil when none is known yet.
+type Configuration interface {
+	Current() *routing.Table
+	Age() time.Duration
+}
+
+// Slots grants slots of targets.
+type Slots interface {
+	Acquire(ctx context.Context, request scheduler.Request) (*scheduling.Slot, error)
+}
+
+// Jobs serves the requests of batch routes and the calls about jobs.
+type Jobs interface {
+	// Submit takes a job that was sent to a batch route.
+	Submit(w http.ResponseWriter, r *http.Request, route *routing.Route, body []byte)
+	// Serve answers calls about jobs, and reports whether the request was one.
+	Serve(w http.ResponseWriter, r *http.Request) bool
+}
+
+// Config configures a Server.
+type Config struct {
+	Configuration Configuration
+	Slots         Slots
+	Targets       *platform.Targets
+	Jobs          Jobs
+	Log           zerolog.Logger
+}
+
+// Server is the handler of clients' requests.
+type Server struct {
+	config  Config
+	leaving atomic.Bool
+	returns returnDetector
+}
+
+// New returns a server.
+func New(config Config) *Server {
+	return &Server{config: config, returns: returnDetector{longest: map[string]time.Duration{}}}
+}
+
+// Leave makes the server ask clients to use other connections. Requests are still served.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		platform.CloseAfter(w)
+	}
+	table := s.config.Configuration.Current()
+	if table == nil {
+		refusedTotal.Inc()
+		platform.WriteRefusal(w, http.StatusServiceUnavailable, noConfigRetry, "no configuration is known yet")
+		return
+	}
+	if s.config.Jobs.Serve(w, r) {
+		return
+	}
+	route := table.Match(r.Host, r.URL.Path)
+	if route == nil {
+		s.config.Log.Info().Str("host", r.Host).Str("path", r.URL.Path).Uint64("config_version", table.Version).
+			Dur("config_age_ms", s.config.Configuration.Age()).Msg("no route matches the request")
+		platform.WriteText(w, http.StatusNotFound, "no route matches the host and path")
+		return
+	}
+	body, ok := s.readBody(w, r, table)
+	if !ok {
+		return
+	}
+	if route.Kind == routing.Batch {
+		s.config.Jobs.Submit(w, r, route, body)
+		return
+	}
+	s.serve(w, r, table, route, body)
+}
+
+// readBody reads the whole body, and answers the request if that fails.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, table *routing.Table) ([]byte, bool) {
+	limit := table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		platform.WriteText(w, http.StatusRequestEntityTooLarge, "the body exceeds the limit")
+		return nil, false
+	}
+	if err != nil {
+		s.config.Log.Info().Err(err).Str("path", r.URL.Path).Msg("request ended before its body was whole")
+		panic(http.ErrAbortHandler)
+	}
+	return body, true
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, table *routing.Table, route *routing.Route, body []byte) {
+	requestsTotal.Inc()
+	parsed, err := platform.ParseRequest(r.Header)
+	if err != nil {
+		platform.WriteText(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	now := time.Now()
+	timeout := route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if parsed.Patience > 0 {
+		timeout = min(timeout, parsed.Patience)
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), now.Add(timeout))
+	defer cancel()
+	e := &exchange{
+		server:   s,
+		writer:   w,
+		request:  r,
+		client:   parsed,
+		route:    route,
+		service:  route.Pick(rand.Float64()),
+		body:     body,
+		arrived:  now,
+		deadline: now.Add(timeout),
+		returned: s.returns.observe(route.Name, parsed.Patience),
+		position: parsed.LastEvent,
+		version:  table.Version,
+	}
+	e.run(ctx)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,284 @@
+// Package node assembles the process that serves clients on the users' platform.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/batchjobs"
+	"github.com/rosemarydyke/rosemarydyke/internal/config"
+	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
+	"github.com/rosemarydyke/rosemarydyke/internal/discovery"
+	"github.com/rosemarydyke/rosemarydyke/internal/ingress"
+	"github.com/rosemarydyke/rosemarydyke/internal/membership"
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
+	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/routing"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+)
+
+const (
+	// addressTTL is how long clients keep the addresses of VMs. Three times of it, for which some keep
+	// them, have to pass within the grace period of a stop.
+	addressTTL = 1500 * time.Millisecond
+	// keptTTLs is how many times the TTL some clients keep addresses.
+	keptTTLs = 3
+	// exitMargin is the part of the grace period that is left for the end of the process.
+	exitMargin = 700 * time.Millisecond
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes a client's connection that carries no request.
+	idleTimeout = 60 * time.Second
+	// farewellTimeout bounds the last messages to the other VMs.
+	farewellTimeout = 300 * time.Millisecond
+	// seedPeriod is the time between two readings of the VMs' rows in the store.
+	seedPeriod = 5 * time.Second
+)
+
+// Node is the process of one VM.
+type Node struct {
+	settings  *config.Ingress
+	log       zerolog.Logger
+	store     *platform.Store
+	transport *datagram.Node
+	members   *membership.Service
+	roster    *roster
+	slots     *scheduling.Service
+	discovery *discovery.Service
+	jobs      *batchjobs.Service
+	ingress   *ingress.Server
+	leaving   atomic.Bool
+	servers   []*http.Server
+	clients   *http.Server
+	listeners []net.Listener
+}
+
+// New opens the sockets and connects the parts. Nothing runs before Run.
+func New(settings *config.Ingress, log zerolog.Logger) (*Node, error) {
+	transport, err := datagram.Listen(settings.Peers, settings.VM.Name, log)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{settings: settings, log: log, transport: transport, store: platform.NewStore(settings.Store)}
+	n.assemble()
+	if err := n.listen(); err != nil {
+		return nil, errors.Join(err, transport.Close())
+	}
+	return n, nil
+}
+
+// protocol makes the members notice a lost VM within seconds: a VM that is still listed costs its clients
+// a connection that hangs.
+var protocol = member.Config{
+	Period:          500 * time.Millisecond,
+	AckTimeout:      150 * time.Millisecond,
+	SuspicionFactor: 2,
+	SuspicionSpread: 2,
+	Confirmations:   1,
+	GossipPeriod:    100 * time.Millisecond,
+	SyncPeriod:      5 * time.Second,
+	RejoinPeriod:    time.Second,
+}
+
+func (n *Node) assemble() {
+	s := n.settings
+	n.roster = &roster{rows: n.store, self: s.VM.Name, peers: s.Peers, zone: s.VM.AvailabilityZone}
+	n.members = membership.New(membership.Config{
+		Self: member.Member{
+			VM:               s.VM.Name,
+			AvailabilityZone: s.VM.AvailabilityZone,
+			Region:           s.VM.Region,
+			Callers:          s.Clients,
+			EntryPeers:       s.Peers,
+		},
+		Node:       n.transport,
+		VMs:        n.roster,
+		Seeds:      seedPeers(s),
+		SeedPeriod: seedPeriod,
+		Protocol:   protocol,
+		Log:        n.log,
+	})
+	process := s.VM.Name + "/" + strconv.FormatUint(uint64(rand.Uint32()), 36)
+	n.slots = scheduling.New(scheduling.Config{
+		Process:          process,
+		AvailabilityZone: s.VM.AvailabilityZone,
+		Node:             n.transport,
+		Members:          n.members,
+		Log:              n.log,
+	})
+	n.discovery = discovery.New(discovery.Config{Rows: n.store, OnTargets: n.setTargets, Log: n.log})
+	targets := platform.NewTargets()
+	n.jobs = batchjobs.New(batchjobs.Config{
+		VM:            s.VM.Name,
+		Rows:          n.store,
+		Members:       n.members,
+		Configuration: n.discovery,
+		Slots:         n.slots,
+		Targets:       targets,
+		Log:           n.log,
+	})
+	n.ingress = ingress.New(ingress.Config{
+		Configuration: n.discovery,
+		Slots:         n.slots,
+		Targets:       targets,
+		Jobs:          n.jobs,
+		Log:           n.log,
+	})
+}
+
+// seedPeers returns the peer addresses of the seeds, which listen on the same port as this VM.
+func seedPeers(s *config.Ingress) []string {
+	_, port, err := net.SplitHostPort(s.Peers)
+	if err != nil {
+		return nil
+	}
+	var peers []string
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if address := net.JoinHostPort(host, port); err == nil && address != s.Peers {
+			peers = append(peers, address)
+		}
+	}
+	return peers
+}
+
+func (n *Node) setTargets(targets []routing.Target) {
+	list := make([]scheduler.Target, 0, len(targets))
+	for _, t := range targets {
+		list = append(list, scheduler.Target(t))
+	}
+	n.slots.SetTargets(list)
+}
+
+func (n *Node) listen() error {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+platform.PathReady, n.serveReady)
+	directory := http.NewServeMux()
+	directory.HandleFunc("GET "+platform.PathResolve, n.serveDirectory)
+	status := http.NewServeMux()
+	status.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	handlers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.settings.Clients, n.ingress},
+		{n.settings.Ready, ready},
+		{n.settings.Directory, directory},
+		{n.settings.Metrics, status},
+	}
+	for _, h := range handlers {
+		if h.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp4", h.address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", h.address, err)
+		}
+		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+		n.servers = append(n.servers, server)
+		n.listeners = append(n.listeners, listener)
+		if h.address == n.settings.Clients {
+			n.clients = server
+		}
+	}
+	return nil
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if n.leaving.Load() || n.discovery.Current() == nil {
+		platform.WriteText(w, http.StatusServiceUnavailable, "not ready")
+		return
+	}
+	platform.WriteText(w, http.StatusOK, "ready")
+}
+
+// serveDirectory names the live VMs, this one too unless it is leaving.
+func (n *Node) serveDirectory(w http.ResponseWriter, _ *http.Request) {
+	var addresses []string
+	for _, m := range n.members.Members() {
+		if m.State != member.Alive || m.VM == n.settings.VM.Name && n.leaving.Load() {
+			continue
+		}
+		addresses = append(addresses, m.Callers)
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	addresses = addresses[:min(len(addresses), platform.MaxAddresses)]
+	if len(addresses) == 0 {
+		platform.WriteText(w, http.StatusServiceUnavailable, "no VM takes requests")
+		return
+	}
+	if err := platform.WriteAddresses(w, addresses, min(addressTTL, n.settings.MaxTTL)); err != nil {
+		n.log.Debug().Err(err).Msg("answer to a client's question for addresses not written")
+	}
+}
+
+// Reload adopts what may change in the settings while the process runs.
+func (n *Node) Reload(fresh *config.Ingress) {
+	n.store.SetAddress(fresh.Store)
+	n.log.Info().Str("store", fresh.Store).Strs("seeds", fresh.Seeds).Msg("settings reloaded")
+}
+
+// Run serves until ctx ends, and then leaves without cutting off a request in progress.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info().Str("clients", n.settings.Clients).Str("peers", n.settings.Peers).Str("store", n.settings.Store).
+		Str("availability_zone", n.settings.VM.AvailabilityZone).Msg("process started")
+	// The parts outlive ctx: they are needed until the last request has ended.
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	defer stop()
+	n.transport.Start()
+	n.members.Start(running)
+	tasks.Go(func() { n.roster.announce(running, n.log) })
+	tasks.Go(func() { n.slots.Run(running) })
+	tasks.Go(func() { n.discovery.Run(running) })
+	tasks.Go(func() { n.jobs.Run(running) })
+	failed := make(chan error, len(n.servers))
+	for i, server := range n.servers {
+		go func() { failed <- server.Serve(n.listeners[i]) }()
+	}
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	n.leave()
+	return nil
+}
+
+// leave ends the process in order. Clients that keep this VM's address are served until they ask again.
+func (n *Node) leave() {
+	began := time.Now()
+	n.log.Info().Dur("grace_ms", n.settings.StopGrace).Msg("process stops: no new addresses are given out")
+	n.leaving.Store(true)
+	n.ingress.Leave()
+	n.members.Leave(context.Background())
+	n.jobs.Leave(context.Background())
+	exit := n.settings.StopGrace - exitMargin
+	time.Sleep(min(keptTTLs*addressTTL, exit) - time.Since(began))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(exit))
+	defer cancel()
+	if err := n.clients.Shutdown(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("requests in progress are cut off")
+	}
+	farewell, end := context.WithTimeout(context.Background(), farewellTimeout)
+	defer end()
+	n.roster.remove(farewell)
+	n.members.Close(farewell)
+	if err := n.transport.Close(); err != nil {
+		n.log.Debug().Err(err).Msg("peer socket not closed")
+	}
+	n.log.Info().Dur("took_ms", time.Since(began)).Msg("process stopped")
+}
--- /dev/null
+++ b/internal/platform/rows.go
@@ -0,0 +1,98 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// ErrHistoryLost means that the changes after a version are not kept any more: the table has to be read again.
+var ErrHistoryLost = errors.New("platform: history of the table is not kept any more")
+
+// RowKey names a row of a partitioned table. All rows of one transaction share the partition.
+type RowKey struct {
+	Table, Part, Key string
+}
+
+// TableRow is one row of a partitioned table.
+type TableRow struct {
+	RowKey
+	Value []byte
+	// Version comes from one counter of the whole store, which rises with each transaction.
+	Version uint64
+	// Deleted marks a deleted row in a page of changes.
+	Deleted bool
+}
+
+// RowCondition requires a row to be at a version when a transaction is applied. Version zero requires its absence.
+type RowCondition struct {
+	RowKey
+	Version uint64
+}
+
+// RowWrite sets one row.
+type RowWrite struct {
+	RowKey
+	Value []byte
+}
+
+// RowTxn takes effect as a whole if all its conditions hold.
+type RowTxn struct {
+	Conditions []RowCondition
+	Writes     []RowWrite
+	Deletes    []RowKey
+}
+
+// KeyRange selects keys from From to To, without To. Empty ends are open. Limit zero means the store's own limit.
+type KeyRange struct {
+	From, To string
+	Limit    int
+}
+
+// Page is an answer about rows.
+type Page struct {
+	Rows []TableRow
+	// Version is the newest version of the store, which the rows reflect.
+	Version uint64
+	// Now is the store's steady clock.
+	Now time.Duration
+	// More says that the range holds further rows.
+	More bool
+}
+
+// RowConflictError reports that a condition did not hold. Nothing was written.
+type RowConflictError struct {
+	// Rows are the present rows of all conditions; absent rows are missing.
+	Rows []TableRow
+}
+
+// Error implements error.
+func (e *RowConflictError) Error() string {
+	if len(e.Rows) == 0 {
+		return "platform: transaction conflict on absent rows"
+	}
+	return fmt.Sprintf("platform: transaction conflict, %q is at version %d", e.Rows[0].Key, e.Rows[0].Version)
+}
+
+// Find returns the present row of a key, or nil when it is absent.
+func (e *RowConflictError) Find(key RowKey) *TableRow {
+	for i := range e.Rows {
+		if e.Rows[i].RowKey == key {
+			return &e.Rows[i]
+		}
+	}
+	return nil
+}
+
+// Rows is a store of partitioned tables whose changes can be followed.
+type Rows interface {
+	// Read returns the rows of a partition within a range, by key. It fails with ErrUnavailable.
+	Read(ctx context.Context, table, part string, keys KeyRange) (Page, error)
+	// Follow returns the changes of a table after a version, at the latest after the wait.
+	// It fails with ErrUnavailable or ErrHistoryLost.
+	Follow(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
+	// Apply applies a transaction and returns its version.
+	// It fails with *RowConflictError, ErrUnavailable or ErrOutcomeUnknown.
+	Apply(ctx context.Context, txn RowTxn) (uint64, error)
+}
--- /dev/null
+++ b/internal/scheduling/coordinator.go
@@ -0,0 +1,200 @@
+package scheduling
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+	"github.com/rosemarydyke/rosemarydyke/target"
+)
+
+// candidate is the VM that coordinates a service.
+type candidate struct {
+	VM      string
+	address netip.AddrPort
+}
+
+// coordinator returns the coordinator of a service: of the VMs that are not passed over, the one with the
+// highest rank. Suspects and leaving VMs are taken only if there is no other.
+func (s *Service) coordinator(now time.Time, service string) candidate {
+	self := s.config.Members.Self()
+	best := candidate{VM: self.VM}
+	bestTier, bestRank := tier(self), target.Rank(service, self.VM)
+	for _, m := range s.config.Members.Members() {
+		if m.VM == self.VM || s.distrusted(now, m.VM) {
+			continue
+		}
+		t, rank := tier(m), target.Rank(service, m.VM)
+		if t > bestTier || t == bestTier && rank <= bestRank {
+			continue
+		}
+		address, ok := peerAddress(m)
+		if !ok {
+			continue
+		}
+		best, bestTier, bestRank = candidate{VM: m.VM, address: address}, t, rank
+	}
+	return best
+}
+
+// tier orders members by how far they can be relied on, the best first.
+func tier(m member.Member) int {
+	switch m.State {
+	case member.Alive:
+		return 0
+	case member.Suspect:
+		return 1
+	default:
+		return 2
+	}
+}
+
+func (s *Service) distrusted(now time.Time, vm string) bool {
+	d := s.distrust[vm]
+	return d != nil && now.Before(d.until)
+}
+
+// passOver makes the next VM in rank the coordinator for a while.
+func (s *Service) passOver(now time.Time, vm string) {
+	d := s.distrust[vm]
+	if d == nil {
+		d = &distrust{next: distrustFor}
+		s.distrust[vm] = d
+	}
+	if now.Before(d.until) {
+		return
+	}
+	d.until = now.Add(d.next)
+	s.config.Log.Warn().Str("coordinator", vm).Dur("for_ms", d.next).Msg("coordinator does not answer, the next one is used")
+	d.next = min(2*d.next, maxDistrust)
+	s.sentReports[vm] = 0
+}
+
+// heardFrom notes that a coordinator answers.
+func (s *Service) heardFrom(vm string) {
+	s.sentReports[vm] = 0
+	if d := s.distrust[vm]; d != nil {
+		delete(s.distrust, vm)
+		s.config.Log.Info().Str("coordinator", vm).Msg("coordinator answers again")
+	}
+}
+
+func (s *Service) register() {
+	node := s.config.Node
+	node.HandleMessage(methodSubmit, s.handleSubmit)
+	node.HandleMessage(methodRelease, s.handleRelease)
+	node.HandleMessage(methodReport, s.handleReport)
+	node.HandleMessage(methodAlive, s.handleAlive)
+	node.HandleMessage(methodQueued, s.handleQueued)
+	node.HandleMessage(methodGrant, s.handleGrant)
+	node.HandleMessage(methodRefuse, s.handleRefuse)
+	node.HandleMessage(methodYield, s.handleYield)
+}
+
+// decoded decodes a message and reports whether that succeeded.
+func decoded[T any](s *Service, from peer.Identity, decode func(any) error, out *T) bool {
+	err := decode(out)
+	if err != nil {
+		s.config.Log.Warn().Err(err).Str("from", from.VM).Msgf("%T cannot be decoded", *out)
+	}
+	return err == nil
+}
+
+func (s *Service) handleSubmit(from peer.Identity, decode func(any) error) {
+	var m submitMessage
+	if !decoded(s, from, decode, &m) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.note(now, m.Ticket.VM, from.Address)
+	actions := s.scheduler.Submit(now, m.request(now))
+	if !concerns(actions, m.Ticket) {
+		s.send(from.Address, methodQueued, ticketMessage{Sequence: m.Ticket.Sequence})
+	}
+	s.carryOut(actions)
+}
+
+func concerns(actions []scheduler.Action, ticket scheduler.Ticket) bool {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case scheduler.Grant:
+			if a.Ticket == ticket {
+				return true
+			}
+		case scheduler.Refuse:
+			if a.Ticket == ticket {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// note keeps the address of a VM that uses this coordinator.
+func (s *Service) note(now time.Time, vm string, address netip.AddrPort) {
+	r := s.vms[vm]
+	if r == nil {
+		r = &reporter{}
+		s.vms[vm] = r
+	}
+	r.address, r.heard = address, now
+}
+
+func (s *Service) handleRelease(from peer.Identity, decode func(any) error) {
+	var m releaseMessage
+	if !decoded(s, from, decode, &m) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.carryOut(s.scheduler.Release(time.Now(), m.Ticket, m.Outcome, m.FirstEvent))
+}
+
+func (s *Service) handleReport(from peer.Identity, decode func(any) error) {
+	var m reportMessage
+	if !decoded(s, from, decode, &m) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.note(now, m.VM, from.Address)
+	s.carryOut(s.scheduler.Report(now, m.VM, m.Runs))
+	s.send(from.Address, methodAlive, aliveMessage{})
+}
+
+// carryOut tells the VMs what the scheduler has decided.
+func (s *Service) carryOut(actions []scheduler.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case scheduler.Grant:
+			message := grantMessage{Sequence: a.Ticket.Sequence, Target: a.Target, Address: a.Address}
+			s.tell(a.Ticket, methodGrant, message, func() { s.granted(s.config.Members.Self().VM, message) })
+		case scheduler.Refuse:
+			message := refuseMessage{Sequence: a.Ticket.Sequence, RetryAfter: a.RetryAfter, Reason: a.Reason}
+			s.tell(a.Ticket, methodRefuse, message, func() { s.refused(s.config.Members.Self().VM, message) })
+		case scheduler.Yield:
+			s.tell(a.Ticket, methodYield, ticketMessage{Sequence: a.Ticket.Sequence}, func() { s.yield(a.Ticket.Sequence) })
+		}
+	}
+}
+
+// tell sends a message to the VM of a ticket, or runs local if that is this one.
+func (s *Service) tell(ticket scheduler.Ticket, method peer.Method, message any, local func()) {
+	if ticket.VM == s.config.Process {
+		local()
+		return
+	}
+	if r := s.vms[ticket.VM]; r != nil {
+		s.send(r.address, method, message)
+	}
+}
+
+func peerAddress(m member.Member) (netip.AddrPort, bool) {
+	address, err := netip.ParseAddrPort(m.EntryPeers)
+	return address, err == nil
+}
--- /dev/null
+++ b/internal/scheduling/messages.go
@@ -0,0 +1,80 @@
+package scheduling
+
+import (
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+)
+
+// Messages between a VM that needs slots and the coordinator that grants them. Times are durations
+// from the sending, as the clocks of VMs differ.
+const (
+	methodSubmit  peer.Method = "slots.submit"
+	methodRelease peer.Method = "slots.release"
+	methodReport  peer.Method = "slots.report"
+	methodAlive   peer.Method = "slots.alive"
+	methodQueued  peer.Method = "slots.queued"
+	methodGrant   peer.Method = "slots.grant"
+	methodRefuse  peer.Method = "slots.refuse"
+	methodYield   peer.Method = "slots.yield"
+)
+
+// submitMessage asks for a slot, and is repeated until it is answered.
+type submitMessage struct {
+	Ticket           scheduler.Ticket `cbor:"1,keyasint"`
+	Class            scheduler.Class  `cbor:"2,keyasint,omitempty"`
+	Service          string           `cbor:"3,keyasint"`
+	AvailabilityZone string           `cbor:"4,keyasint"`
+	Tried            []string         `cbor:"5,keyasint,omitempty"`
+	StartIn          time.Duration    `cbor:"6,keyasint"`
+	ExpiresIn        time.Duration    `cbor:"7,keyasint"`
+	Expected         time.Duration    `cbor:"8,keyasint,omitempty"`
+	Returned         bool             `cbor:"9,keyasint,omitempty"`
+}
+
+func (m *submitMessage) request(now time.Time) scheduler.Request {
+	return scheduler.Request{
+		Ticket:           m.Ticket,
+		Class:            m.Class,
+		Service:          m.Service,
+		AvailabilityZone: m.AvailabilityZone,
+		Tried:            m.Tried,
+		StartBy:          now.Add(m.StartIn),
+		Expires:          now.Add(m.ExpiresIn),
+		Expected:         m.Expected,
+		Returned:         m.Returned,
+	}
+}
+
+// releaseMessage ends a run or a wait. If it is lost, the next report repairs the count.
+type releaseMessage struct {
+	Ticket     scheduler.Ticket  `cbor:"1,keyasint"`
+	Outcome    scheduler.Outcome `cbor:"2,keyasint,omitempty"`
+	FirstEvent time.Duration     `cbor:"3,keyasint,omitempty"`
+}
+
+// reportMessage tells a coordinator what a VM runs. It is answered with aliveMessage.
+type reportMessage struct {
+	VM   string          `cbor:"1,keyasint"`
+	Runs []scheduler.Run `cbor:"2,keyasint,omitempty"`
+}
+
+type aliveMessage struct{}
+
+// ticketMessage is queued or yield.
+type ticketMessage struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+}
+
+type grantMessage struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+	Target   string `cbor:"2,keyasint"`
+	Address  string `cbor:"3,keyasint"`
+}
+
+type refuseMessage struct {
+	Sequence   uint64           `cbor:"1,keyasint"`
+	RetryAfter time.Duration    `cbor:"2,keyasint"`
+	Reason     scheduler.Reason `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/internal/scheduling/slot.go
@@ -0,0 +1,258 @@
+package scheduling
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+)
+
+// Slot is the right to run one request on one target.
+type Slot struct {
+	// Target is the ID of the target, and Address where it takes requests.
+	Target, Address string
+	// Yielded is closed when the slot has to be given back.
+	Yielded <-chan struct{}
+
+	service  *Service
+	sequence uint64
+	request  scheduler.Request
+	yielded  chan struct{}
+	once     sync.Once
+}
+
+// RefusedError says that a request got no slot. It has not run.
+type RefusedError struct {
+	Reason scheduler.Reason
+	// RetryAfter is when the client should come back.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("no slot: %s, retry after %s", e.Reason, e.RetryAfter)
+}
+
+// Acquire waits for a slot. The request's ticket and availability zone are set here. It fails with
+// *RefusedError, or with the error of ctx.
+func (s *Service) Acquire(ctx context.Context, request scheduler.Request) (*Slot, error) {
+	p := &pending{answers: make(chan answer, 4)}
+	s.mu.Lock()
+	s.next++
+	sequence := s.next
+	s.pending[sequence] = p
+	s.mu.Unlock()
+	request.Ticket = scheduler.Ticket{VM: s.config.Process, Sequence: sequence}
+	request.AvailabilityZone = s.config.AvailabilityZone
+	slot, err := s.await(ctx, p, request)
+	s.mu.Lock()
+	delete(s.pending, sequence)
+	s.mu.Unlock()
+	if err != nil && ctx.Err() != nil {
+		s.release(request, scheduler.Abandoned, 0)
+	}
+	return slot, err
+}
+
+// await submits the request until a coordinator decides.
+func (s *Service) await(ctx context.Context, p *pending, request scheduler.Request) (*Slot, error) {
+	timer := time.NewTimer(submitInterval)
+	defer timer.Stop()
+	asked, unanswered := s.submit(request), 1
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case a := <-p.answers:
+			if a.from == asked {
+				unanswered = 0
+			}
+			if a.refuse != nil {
+				return nil, &RefusedError{Reason: a.refuse.Reason, RetryAfter: a.refuse.RetryAfter}
+			}
+			if a.grant != nil {
+				return s.slot(request, a.grant), nil
+			}
+			timer.Reset(renewInterval)
+		case <-timer.C:
+			if unanswered >= silentSends {
+				s.mu.Lock()
+				s.passOver(time.Now(), asked)
+				s.mu.Unlock()
+				unanswered = 0
+			}
+			previous := asked
+			if asked = s.submit(request); asked != previous {
+				unanswered = 0
+			}
+			unanswered++
+			timer.Reset(submitInterval)
+		}
+	}
+}
+
+func (s *Service) slot(request scheduler.Request, grant *grantMessage) *Slot {
+	yielded := make(chan struct{})
+	slot := &Slot{
+		Target:   grant.Target,
+		Address:  grant.Address,
+		Yielded:  yielded,
+		yielded:  yielded,
+		service:  s,
+		sequence: grant.Sequence,
+		request:  request,
+	}
+	s.mu.Lock()
+	s.runs[grant.Sequence] = slot
+	s.mu.Unlock()
+	return slot
+}
+
+// Release gives the slot back. FirstEvent is the time from the send to the first event, zero when none came.
+// Only the first call counts.
+func (s *Slot) Release(outcome scheduler.Outcome, firstEvent time.Duration) {
+	s.once.Do(func() {
+		s.service.mu.Lock()
+		delete(s.service.runs, s.sequence)
+		s.service.mu.Unlock()
+		s.service.release(s.request, outcome, firstEvent)
+	})
+}
+
+func (s *Service) release(request scheduler.Request, outcome scheduler.Outcome, firstEvent time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	c := s.coordinator(now, request.Service)
+	if c.VM == s.config.Members.Self().VM {
+		s.carryOut(s.scheduler.Release(now, request.Ticket, outcome, firstEvent))
+		return
+	}
+	s.send(c.address, methodRelease, releaseMessage{Ticket: request.Ticket, Outcome: outcome, FirstEvent: firstEvent})
+}
+
+// submit asks the present coordinator, and returns its name.
+func (s *Service) submit(request scheduler.Request) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	c := s.coordinator(now, request.Service)
+	if c.VM == s.config.Members.Self().VM {
+		actions := s.scheduler.Submit(now, request)
+		if !concerns(actions, request.Ticket) {
+			s.answer(request.Ticket.Sequence, answer{from: c.VM})
+		}
+		s.carryOut(actions)
+		return c.VM
+	}
+	s.send(c.address, methodSubmit, submitMessage{
+		Ticket:           request.Ticket,
+		Class:            request.Class,
+		Service:          request.Service,
+		AvailabilityZone: request.AvailabilityZone,
+		Tried:            request.Tried,
+		StartIn:          request.StartBy.Sub(now),
+		ExpiresIn:        request.Expires.Sub(now),
+		Expected:         request.Expected,
+		Returned:         request.Returned,
+	})
+	return c.VM
+}
+
+// answer passes an answer on, and reports whether its request still waits.
+func (s *Service) answer(sequence uint64, a answer) bool {
+	p := s.pending[sequence]
+	if p == nil {
+		return false
+	}
+	select {
+	case p.answers <- a:
+	default:
+		// A full channel holds answers that are not read yet; this one is repeated by the next submit.
+	}
+	return true
+}
+
+func (s *Service) granted(from string, m grantMessage) {
+	if s.answer(m.Sequence, answer{from: from, grant: &m}) || s.runs[m.Sequence] != nil {
+		return
+	}
+	// The request was given up: its slot goes back. The report in which it is missing frees it if this is lost.
+	ticket := scheduler.Ticket{VM: s.config.Process, Sequence: m.Sequence}
+	for _, mem := range s.config.Members.Members() {
+		if mem.VM != from || mem.VM == s.config.Members.Self().VM {
+			continue
+		}
+		if address, ok := peerAddress(mem); ok {
+			s.send(address, methodRelease, releaseMessage{Ticket: ticket, Outcome: scheduler.Abandoned})
+		}
+	}
+}
+
+func (s *Service) refused(from string, m refuseMessage) {
+	s.answer(m.Sequence, answer{from: from, refuse: &m})
+}
+
+func (s *Service) yield(sequence uint64) {
+	slot := s.runs[sequence]
+	if slot == nil {
+		return
+	}
+	select {
+	case <-slot.yielded:
+	default:
+		close(slot.yielded)
+	}
+}
+
+func (s *Service) handleAlive(from peer.Identity, _ func(any) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heardFrom(from.VM)
+}
+
+func (s *Service) handleQueued(from peer.Identity, decode func(any) error) {
+	var m ticketMessage
+	if !decoded(s, from, decode, &m) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heardFrom(from.VM)
+	s.answer(m.Sequence, answer{from: from.VM})
+}
+
+func (s *Service) handleGrant(from peer.Identity, decode func(any) error) {
+	var m grantMessage
+	if !decoded(s, from, decode, &m) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heardFrom(from.VM)
+	s.granted(from.VM, m)
+}
+
+func (s *Service) handleRefuse(from peer.Identity, decode func(any) error) {
+	var m refuseMessage
+	if !decoded(s, from, decode, &m) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heardFrom(from.VM)
+	s.refused(from.VM, m)
+}
+
+func (s *Service) handleYield(from peer.Identity, decode func(any) error) {
+	var m ticketMessage
+	if !decoded(s, from, decode, &m) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.yield(m.Sequence)
+}
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,129 @@
+// Package routing holds the operator's configuration and decides which route serves a request and
+// which service runs it.
+//
+// The package is pure. A Table is immutable.
+package routing
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated on a route.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	// Unsafe requests run at most once. It is the zero value, so that an unknown kind is never repeated.
+	Unsafe Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Streaming responses are series of events.
+	Streaming
+	// Batch routes take jobs whose items run later.
+	Batch
+)
+
+// Weighted is a service that gets a share of a route's requests.
+type Weighted struct {
+	Service string
+	Weight  float64
+}
+
+// Route says how requests of one host and path prefix are served.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       Kind
+	// Timeout is the longest time that a request may stay unanswered. Zero means no bound.
+	Timeout time.Duration
+	// Goal is the latency objective: to the whole response, of a stream to its first event, of a job to its acceptance.
+	Goal time.Duration
+	// GapGoal is the longest pause between events of a stream that still meets its objective.
+	GapGoal time.Duration
+	// MaxAttempts is the number of targets that may run one request, or one item of a job.
+	MaxAttempts int
+	// Priority ranks routes; 0 is the highest.
+	Priority int
+	// Resumable streams may be continued by another target.
+	Resumable bool
+	// Services are those that the requests are split between.
+	Services []Weighted
+	// JobGoal is the time from the submission of a job to the last result that still meets its objective.
+	JobGoal time.Duration
+	// Retention is the time from the submission of a job after which items may be given up.
+	Retention time.Duration
+	// TokenQuota bounds the tokens of items that wait on a batch route. Zero means no bound.
+	TokenQuota int64
+}
+
+// Repeatable reports whether a request may be sent to a second target after the first one may have run it.
+func (r *Route) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable }
+
+// Service is a group of targets that run the same requests.
+type Service struct {
+	Name string
+	// HealthPath is the path of the health check.
+	HealthPath string
+	// MaxConns is the number of connections that one target takes from all VMs together.
+	MaxConns int
+	// Slots is the number of requests that an engine of the service runs at once, if it is known.
+	Slots int
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes, BodyBytes int64
+	HeaderTimeout          time.Duration
+	IdleTimeout            time.Duration
+}
+
+// Table is one version of the configuration.
+type Table struct {
+	Version  uint64
+	Routes   []*Route
+	Services map[string]Service
+	Limits   Limits
+}
+
+// Match returns the route of a host with the longest prefix of the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	var best *Route
+	for _, r := range t.Routes {
+		if r.Host != host || !strings.HasPrefix(path, r.PathPrefix) {
+			continue
+		}
+		if best == nil || len(r.PathPrefix) > len(best.PathPrefix) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Pick returns the service for one request. The random number is from [0, 1).
+func (r *Route) Pick(random float64) string {
+	total := 0.0
+	for _, w := range r.Services {
+		total += max(w.Weight, 0)
+	}
+	if total == 0 {
+		if len(r.Services) == 0 {
+			return ""
+		}
+		return r.Services[0].Service
+	}
+	at := random * total
+	for _, w := range r.Services {
+		if at -= max(w.Weight, 0); at < 0 {
+			return w.Service
+		}
+	}
+	return r.Services[len(r.Services)-1].Service
+}
+
+// Uses reports whether the route may send requests to a service.
+func (r *Route) Uses(service string) bool {
+	return slices.ContainsFunc(r.Services, func(w Weighted) bool { return w.Service == service && w.Weight > 0 })
+}
--- /dev/null
+++ b/scheduler/admit.go
@@ -0,0 +1,149 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/target"
+)
+
+const (
+	// runWeight is the weight of one observation in the mean slot time.
+	runWeight = 0.05
+	// minRetryAfter keeps a refused client from coming back before a slot can have become free.
+	minRetryAfter = 100 * time.Millisecond
+	// returnWindow is how long after its time a client that was told to come back is still expected.
+	returnWindow = 300 * time.Millisecond
+	// returnShare is the share of a service's slots that is promised to clients that come back.
+	returnShare = 0.5
+)
+
+// admit decides whether an online request that found no slot may wait. Slots become free at a steady
+// rate, so its wait follows from the requests before it.
+func (s *Scheduler) admit(now time.Time, p *pool, w *waiting) (Refuse, bool) {
+	capacity := s.onlineSlots(now, p, w)
+	if capacity == 0 {
+		return Refuse{Ticket: w.Ticket, RetryAfter: s.jitter(s.config.NoTargetRetry), Reason: NoTarget}, true
+	}
+	interval := p.onlineRun / time.Duration(capacity)
+	allowed := w.StartBy.Sub(now)
+	ahead := p.ahead(now, w, allowed)
+	wait := time.Duration(ahead+1) * interval
+	if wait <= allowed {
+		return Refuse{}, false
+	}
+	return Refuse{Ticket: w.Ticket, RetryAfter: s.reserveReturn(now, p, wait-allowed, interval), Reason: Overloaded}, true
+}
+
+// onlineSlots is the number of slots that online requests can have.
+func (s *Scheduler) onlineSlots(now time.Time, p *pool, w *waiting) int {
+	capacity, protected := 0, 0
+	for _, t := range p.targets {
+		if !p.usable(now, t) || slices.Contains(w.Tried, t.ID) {
+			continue
+		}
+		capacity += t.Slots
+		for r := range t.runs {
+			if r.class == Item && !r.yielding {
+				protected++
+			}
+		}
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return max(capacity-protected, 1)
+}
+
+// ahead is the number of requests that will start before w does: those that wait, and those that
+// were told to come back meanwhile.
+func (p *pool) ahead(now time.Time, w *waiting, allowed time.Duration) int {
+	ahead := 0
+	for _, o := range p.online {
+		if !w.Returned || o.Returned {
+			ahead++
+		}
+	}
+	if w.Returned {
+		return ahead
+	}
+	for _, at := range p.returns {
+		if at.Before(now.Add(allowed)) && at.After(now.Add(-returnWindow)) {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// reserveReturn picks the time at which a refused client finds a slot, behind those that were refused before it.
+func (s *Scheduler) reserveReturn(now time.Time, p *pool, excess, interval time.Duration) time.Duration {
+	p.returns = slices.DeleteFunc(p.returns, func(at time.Time) bool { return at.Before(now.Add(-returnWindow)) })
+	at := now.Add(max(excess, minRetryAfter))
+	if n := len(p.returns); n > 0 {
+		spacing := time.Duration(float64(interval) / returnShare)
+		if next := p.returns[n-1].Add(spacing); next.After(at) {
+			at = next
+		}
+	}
+	p.returns = append(p.returns, at)
+	return at.Sub(now)
+}
+
+// takeReturn counts a client that came back against the earliest promise.
+func (p *pool) takeReturn(now time.Time) {
+	if len(p.returns) > 0 && p.returns[0].Before(now.Add(returnWindow)) {
+		p.returns = p.returns[1:]
+	}
+}
+
+func (s *Scheduler) jitter(d time.Duration) time.Duration {
+	return d + time.Duration(s.random.Float64()*float64(d)/2)
+}
+
+// refuseLate turns away the requests whose time to start has passed. One that came back after a
+// refusal is kept until it expires.
+func (s *Scheduler) refuseLate(now time.Time, p *pool) []Action {
+	var actions []Action
+	for _, w := range slices.Clone(p.online) {
+		limit := w.StartBy
+		if w.Returned {
+			limit = w.Expires
+		}
+		if now.Before(limit) {
+			continue
+		}
+		s.forget(w)
+		capacity := max(s.onlineSlots(now, p, w), 1)
+		interval := p.onlineRun / time.Duration(capacity)
+		actions = append(actions, Refuse{Ticket: w.Ticket, RetryAfter: s.reserveReturn(now, p, 0, interval), Reason: Late})
+	}
+	return actions
+}
+
+func (p *pool) observeRun(d time.Duration) {
+	p.onlineRun += time.Duration(runWeight * float64(d-p.onlineRun))
+}
+
+func (p *pool) observeHealth(now time.Time, t *slots, outcome Outcome, firstEvent time.Duration) {
+	var signal target.Signal
+	switch outcome {
+	case Finished:
+		signal = target.Answered
+	case Unreachable:
+		signal = target.Unreachable
+	case Refused, Replaced:
+		signal = target.Refused
+	case Cut:
+		signal = target.Cut
+	case Silent:
+		signal = target.TimedOut
+	default:
+		return
+	}
+	if t.trial {
+		t.trial = false
+		p.health.Probed(now, t.ID, outcome == Finished)
+		return
+	}
+	p.health.Observe(now, t.ID, signal, firstEvent)
+}
--- /dev/null
+++ b/scheduler/place.go
@@ -0,0 +1,173 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// usable reports whether a target may take new runs.
+func (p *pool) usable(now time.Time, t *slots) bool {
+	return !t.Draining && (t.trial || p.health.Share(now, t.ID) > 0)
+}
+
+// free is the number of slots that take a run at once.
+func (p *pool) free(now time.Time, t *slots) int {
+	if !p.usable(now, t) {
+		return 0
+	}
+	occupied := 0
+	for r := range t.runs {
+		if !r.yielding {
+			occupied++
+		}
+	}
+	if t.trial {
+		return 1 - min(occupied, 1)
+	}
+	return t.Slots - occupied
+}
+
+// place grants a slot to an online request: a free one, or else one that an item gives back.
+func (s *Scheduler) place(now time.Time, p *pool, w *waiting) ([]Action, bool) {
+	if t := p.pickFree(now, w); t != nil {
+		return []Action{s.grant(now, t, w)}, true
+	}
+	victim := s.victim(now, p, w)
+	if victim == nil {
+		return nil, false
+	}
+	victim.yielding = true
+	return []Action{Yield{Ticket: victim.ticket}, s.grant(now, victim.slots, w)}, true
+}
+
+// pickFree returns the target with the most free slots, one in the request's availability zone first.
+func (p *pool) pickFree(now time.Time, w *waiting) *slots {
+	var best *slots
+	bestLocal, bestFree := false, 0
+	for _, name := range p.names() {
+		t := p.targets[name]
+		free := p.free(now, t)
+		if free <= 0 || slices.Contains(w.Tried, t.ID) {
+			continue
+		}
+		local := t.AvailabilityZone == w.AvailabilityZone
+		if best == nil || local && !bestLocal || local == bestLocal && free > bestFree {
+			best, bestLocal, bestFree = t, local, free
+		}
+	}
+	return best
+}
+
+// victim returns the item that can best afford to yield, on a target that the request may use.
+func (s *Scheduler) victim(now time.Time, p *pool, w *waiting) *run {
+	var best *run
+	var bestSlack time.Duration
+	bestProtected := false
+	protected := 0
+	total := 0
+	for _, t := range p.targets {
+		if !p.usable(now, t) {
+			continue
+		}
+		total += t.Slots
+		for r := range t.runs {
+			if r.class != Item || r.yielding {
+				continue
+			}
+			slack := r.slack(now)
+			isProtected := slack >= 0 && slack < s.config.ProtectedSlack
+			if isProtected {
+				protected++
+			}
+			if t.trial || slices.Contains(w.Tried, t.ID) {
+				continue
+			}
+			// Items that miss their due time anyway yield first, then those with the most time left.
+			if slack < 0 {
+				slack = 1 << 62
+			}
+			if best == nil || bestProtected && !isProtected || bestProtected == isProtected && slack > bestSlack {
+				best, bestSlack, bestProtected = r, slack, isProtected
+			}
+		}
+	}
+	if bestProtected && float64(protected) <= s.config.ProtectedShare*float64(total) {
+		return nil
+	}
+	return best
+}
+
+// slack is the time that a run of an item may lose without missing its due time.
+func (r *run) slack(now time.Time) time.Duration {
+	left := max(r.expected-now.Sub(r.granted), 0)
+	return r.due.Sub(now) - left
+}
+
+func (s *Scheduler) grant(now time.Time, t *slots, w *waiting) Action {
+	expected := w.Expected
+	if w.Class == Item && expected == 0 {
+		expected = s.config.ItemRun
+	}
+	s.start(t, &run{ticket: w.Ticket, class: w.Class, granted: now, due: w.StartBy, expected: expected})
+	return Grant{Ticket: w.Ticket, Target: t.ID, Address: t.Address}
+}
+
+// dispatch grants free slots: to online requests in their order, and then to items.
+func (s *Scheduler) dispatch(now time.Time, p *pool) []Action {
+	var actions []Action
+	for _, w := range slices.Clone(p.online) {
+		granted, placed := s.place(now, p, w)
+		if !placed {
+			continue
+		}
+		s.forget(w)
+		actions = append(actions, granted...)
+	}
+	if len(p.items) == 0 {
+		return actions
+	}
+	s.sortItems(now, p)
+	for _, w := range slices.Clone(p.items) {
+		t := p.pickFree(now, w)
+		if t == nil {
+			if p.full(now) {
+				break
+			}
+			continue
+		}
+		s.forget(w)
+		actions = append(actions, s.grant(now, t, w))
+	}
+	return actions
+}
+
+func (p *pool) full(now time.Time) bool {
+	for _, t := range p.targets {
+		if p.free(now, t) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// sortItems orders items by due time. Items that would miss it come after those that can still meet it.
+func (s *Scheduler) sortItems(now time.Time, p *pool) {
+	slices.SortStableFunc(p.items, func(a, b *waiting) int {
+		lateA, lateB := s.misses(now, a), s.misses(now, b)
+		switch {
+		case lateA != lateB && lateA:
+			return 1
+		case lateA != lateB:
+			return -1
+		}
+		return a.StartBy.Compare(b.StartBy)
+	})
+}
+
+func (s *Scheduler) misses(now time.Time, w *waiting) bool {
+	expected := w.Expected
+	if expected == 0 {
+		expected = s.config.ItemRun
+	}
+	return now.Add(expected).After(w.StartBy)
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,489 @@
+// Package scheduler shares the slots of a fleet's targets between online requests and items of batch jobs.
+//
+// A Scheduler sees every request that waits and every run in progress of the services that its VM
+// coordinates. Online requests go first, items fill the slots that are left, and an item gives its
+// slot back as soon as an online request needs it. An online request that cannot start in time is
+// refused on arrival.
+//
+// The package is pure: the time and the random source are passed in, and nothing blocks. It is not
+// safe for concurrent use.
+package scheduler
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/target"
+)
+
+// Ticket names one request for a slot.
+type Ticket struct {
+	// VM is the VM that asks, in one start of its process.
+	VM string `cbor:"1,keyasint"`
+	// Sequence is unique within the VM's process.
+	Sequence uint64 `cbor:"2,keyasint"`
+}
+
+// Class says which requests go first.
+type Class uint8
+
+// Classes.
+const (
+	// Online requests have a client that waits.
+	Online Class = iota
+	// Item requests belong to batch jobs.
+	Item
+)
+
+// Request asks for a slot.
+type Request struct {
+	Ticket           Ticket
+	Class            Class
+	Service          string
+	AvailabilityZone string
+	// Tried are IDs of targets that the request must not be sent to again.
+	Tried []string
+	// StartBy is when an online request has to start, and when the job of an item is due.
+	StartBy time.Time
+	// Expires is when an online request is not worth starting any more.
+	Expires time.Time
+	// Expected is how long an item is expected to hold its slot. Zero means unknown.
+	Expected time.Duration
+	// Returned says that an online request was refused before and came back.
+	Returned bool
+}
+
+// Target is a target as it is registered.
+type Target struct {
+	ID               string
+	Born             int64
+	Service          string
+	Address          string
+	AvailabilityZone string
+	Slots            int
+	Draining         bool
+}
+
+// Run is a run in progress, as the VM that carries it reports.
+type Run struct {
+	Sequence uint64        `cbor:"1,keyasint"`
+	Class    Class         `cbor:"2,keyasint,omitempty"`
+	Target   string        `cbor:"3,keyasint"`
+	DueIn    time.Duration `cbor:"4,keyasint,omitempty"`
+	Expected time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// Outcome says how a run ended.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Finished runs ended with a whole answer.
+	Finished Outcome = iota
+	// Abandoned runs were given up by the client or yielded; they say nothing about the target.
+	Abandoned
+	// Unreachable targets took no connection.
+	Unreachable
+	// Refused runs were turned away by the target.
+	Refused
+	// Cut runs ended before their answer was whole.
+	Cut
+	// Silent targets sent nothing for too long.
+	Silent
+	// Replaced targets were found to be another process than the registered one.
+	Replaced
+)
+
+// Action is an output of the scheduler.
+type Action interface{ action() }
+
+// Grant gives a slot to a request.
+type Grant struct {
+	Ticket  Ticket
+	Target  string
+	Address string
+}
+
+// Refuse turns a request away.
+type Refuse struct {
+	Ticket     Ticket
+	RetryAfter time.Duration
+	Reason     Reason
+}
+
+// Yield takes a slot back from an item.
+type Yield struct{ Ticket Ticket }
+
+func (Grant) action()  {}
+func (Refuse) action() {}
+func (Yield) action()  {}
+
+// Reason says why a request was refused.
+type Reason string
+
+// Reasons.
+const (
+	// NoTarget means that no target of the service can take requests.
+	NoTarget Reason = "no_target_available"
+	// Overloaded means that the request could not have started in time.
+	Overloaded Reason = "overloaded"
+	// Late means that the request waited for longer than foreseen.
+	Late Reason = "start_deadline_exceeded"
+)
+
+// Config configures a Scheduler. Zero fields take their defaults.
+type Config struct {
+	// OnlineRun is the slot time that online requests are expected to need until some have been observed. Default 700 ms.
+	OnlineRun time.Duration
+	// ItemRun is the slot time of an item that names none. Default 5 s.
+	ItemRun time.Duration
+	// ProtectedSlack is the time left before an item's due time, beyond its expected run, below which it no
+	// longer yields. Default 1.5 s.
+	ProtectedSlack time.Duration
+	// ProtectedShare is the share of a service's slots that such items may hold. Default 0.5.
+	ProtectedShare float64
+	// NoTargetRetry is when a client should come back if there is no target. Default 1 s.
+	NoTargetRetry time.Duration
+	// ReportGrace is the age from which a grant that its VM does not report is taken as over. Default 500 ms.
+	ReportGrace time.Duration
+	// WaitLease is how long a waiting request is kept without being renewed. Default 600 ms.
+	WaitLease time.Duration
+	// Health configures the ejection of targets.
+	Health target.HealthConfig
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.OnlineRun, 700*time.Millisecond)
+	setDefault(&c.ItemRun, 5*time.Second)
+	setDefault(&c.ProtectedSlack, 1500*time.Millisecond)
+	setDefault(&c.ProtectedShare, 0.5)
+	setDefault(&c.NoTargetRetry, time.Second)
+	setDefault(&c.ReportGrace, 500*time.Millisecond)
+	setDefault(&c.WaitLease, 600*time.Millisecond)
+	// Engines come back within seconds, so the defaults for long outages are too slow here.
+	setDefault(&c.Health.Failures, 2)
+	setDefault(&c.Health.BaseEjection, 400*time.Millisecond)
+	setDefault(&c.Health.MaxEjection, 3*time.Second)
+	setDefault(&c.Health.SlowStart, time.Millisecond)
+	setDefault(&c.Health.MaxEjected, 0.7)
+	setDefault(&c.Health.SlowMinimum, 200*time.Millisecond)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Scheduler holds the slots of all services.
+type Scheduler struct {
+	config Config
+	random *rand.Rand
+	pools  map[string]*pool
+	// index finds the run or the waiting request of a ticket.
+	running map[Ticket]*run
+	waiting map[Ticket]*waiting
+	targets map[string]*slots
+}
+
+// run is a granted slot.
+type run struct {
+	ticket   Ticket
+	class    Class
+	slots    *slots
+	granted  time.Time
+	due      time.Time
+	expected time.Duration
+	// yielding runs have been told to give their slot back, and do not count any more.
+	yielding bool
+}
+
+// waiting is a request without a slot.
+type waiting struct {
+	Request
+	arrived, renewed time.Time
+}
+
+// slots is one target.
+type slots struct {
+	Target
+	pool *pool
+	runs map[*run]struct{}
+	// trial says that the next run decides whether the target returns from its ejection.
+	trial bool
+}
+
+// pool is one service.
+type pool struct {
+	name    string
+	targets map[string]*slots
+	health  *target.HealthGroup
+	online  []*waiting
+	items   []*waiting
+	// returns are the times at which refused clients were told to come back.
+	returns []time.Time
+	// onlineRun is the mean slot time of online requests.
+	onlineRun time.Duration
+}
+
+// New returns a scheduler without targets.
+func New(config Config, random *rand.Rand) *Scheduler {
+	config.setDefaults()
+	return &Scheduler{
+		config:  config,
+		random:  random,
+		pools:   map[string]*pool{},
+		running: map[Ticket]*run{},
+		waiting: map[Ticket]*waiting{},
+		targets: map[string]*slots{},
+	}
+}
+
+func (s *Scheduler) pool(name string) *pool {
+	p := s.pools[name]
+	if p == nil {
+		p = &pool{
+			name:      name,
+			targets:   map[string]*slots{},
+			health:    target.NewHealthGroup(s.config.Health),
+			onlineRun: s.config.OnlineRun,
+		}
+		s.pools[name] = p
+	}
+	return p
+}
+
+// SetTargets replaces the registered targets. Runs on targets that are gone are forgotten.
+func (s *Scheduler) SetTargets(now time.Time, targets []Target) []Action {
+	listed := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		listed[t.ID] = true
+		known := s.targets[t.ID]
+		if known != nil && (known.Born != t.Born || known.Service != t.Service) {
+			s.dropTarget(known)
+			known = nil
+		}
+		if known == nil {
+			p := s.pool(t.Service)
+			known = &slots{pool: p, runs: map[*run]struct{}{}}
+			s.targets[t.ID] = known
+			p.targets[t.ID] = known
+		}
+		known.Target = t
+	}
+	for id, t := range s.targets {
+		if !listed[id] {
+			s.dropTarget(t)
+		}
+	}
+	for _, p := range s.pools {
+		p.health.SetTargets(p.names())
+	}
+	return s.Tick(now)
+}
+
+func (p *pool) names() []string {
+	names := make([]string, 0, len(p.targets))
+	for id := range p.targets {
+		names = append(names, id)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *Scheduler) dropTarget(t *slots) {
+	for r := range t.runs {
+		delete(s.running, r.ticket)
+	}
+	delete(s.targets, t.ID)
+	delete(t.pool.targets, t.ID)
+}
+
+// Submit takes a request for a slot. Submitting it again renews it, and repeats its grant.
+func (s *Scheduler) Submit(now time.Time, r Request) []Action {
+	if granted := s.running[r.Ticket]; granted != nil {
+		return []Action{Grant{Ticket: r.Ticket, Target: granted.slots.ID, Address: granted.slots.Address}}
+	}
+	if w := s.waiting[r.Ticket]; w != nil {
+		w.renewed = now
+		return nil
+	}
+	p := s.pool(r.Service)
+	w := &waiting{Request: r, arrived: now, renewed: now}
+	if r.Class == Item {
+		s.enqueueItem(p, w)
+		return s.dispatch(now, p)
+	}
+	if r.Returned {
+		p.takeReturn(now)
+	}
+	actions, placed := s.place(now, p, w)
+	if placed {
+		return actions
+	}
+	if refusal, refused := s.admit(now, p, w); refused {
+		return []Action{refusal}
+	}
+	s.enqueueOnline(p, w)
+	return nil
+}
+
+// enqueueOnline puts returned requests before those that come for the first time.
+func (s *Scheduler) enqueueOnline(p *pool, w *waiting) {
+	s.waiting[w.Ticket] = w
+	at := len(p.online)
+	if w.Returned {
+		at = slices.IndexFunc(p.online, func(o *waiting) bool { return !o.Returned })
+		if at < 0 {
+			at = len(p.online)
+		}
+	}
+	p.online = slices.Insert(p.online, at, w)
+}
+
+func (s *Scheduler) enqueueItem(p *pool, w *waiting) {
+	s.waiting[w.Ticket] = w
+	p.items = append(p.items, w)
+}
+
+// Release ends a run or a wait. FirstEvent is the time from the send to the first event, zero when none came.
+func (s *Scheduler) Release(now time.Time, ticket Ticket, outcome Outcome, firstEvent time.Duration) []Action {
+	if w := s.waiting[ticket]; w != nil {
+		s.forget(w)
+		return nil
+	}
+	r := s.running[ticket]
+	if r == nil {
+		return nil
+	}
+	s.end(r)
+	p := r.slots.pool
+	if r.class == Online && outcome == Finished {
+		p.observeRun(now.Sub(r.granted))
+	}
+	p.observeHealth(now, r.slots, outcome, firstEvent)
+	return s.dispatch(now, p)
+}
+
+func (s *Scheduler) end(r *run) {
+	delete(s.running, r.ticket)
+	delete(r.slots.runs, r)
+}
+
+func (s *Scheduler) forget(w *waiting) {
+	delete(s.waiting, w.Ticket)
+	p := s.pool(w.Service)
+	same := func(o *waiting) bool { return o == w }
+	p.online = slices.DeleteFunc(p.online, same)
+	p.items = slices.DeleteFunc(p.items, same)
+}
+
+// Report takes the runs that a VM carries. It repairs what lost messages have left behind, and tells
+// a new coordinator what runs.
+func (s *Scheduler) Report(now time.Time, vm string, runs []Run) []Action {
+	reported := make(map[uint64]bool, len(runs))
+	for _, r := range runs {
+		reported[r.Sequence] = true
+		ticket := Ticket{VM: vm, Sequence: r.Sequence}
+		t := s.targets[r.Target]
+		if s.running[ticket] != nil || t == nil {
+			continue
+		}
+		if w := s.waiting[ticket]; w != nil {
+			s.forget(w)
+		}
+		s.start(t, &run{ticket: ticket, class: r.Class, granted: now, due: now.Add(r.DueIn), expected: r.Expected})
+	}
+	for ticket, r := range s.running {
+		if ticket.VM == vm && !reported[ticket.Sequence] && now.Sub(r.granted) > s.config.ReportGrace {
+			s.end(r)
+		}
+	}
+	return s.Tick(now)
+}
+
+func (s *Scheduler) start(t *slots, r *run) {
+	r.slots = t
+	t.runs[r] = struct{}{}
+	s.running[r.ticket] = r
+}
+
+// VMGone forgets everything of a VM.
+func (s *Scheduler) VMGone(now time.Time, vm string) []Action {
+	for ticket, r := range s.running {
+		if ticket.VM == vm {
+			s.end(r)
+		}
+	}
+	for ticket, w := range s.waiting {
+		if ticket.VM == vm {
+			s.forget(w)
+		}
+	}
+	return s.Tick(now)
+}
+
+// Tick drops what has expired and grants what has become possible.
+func (s *Scheduler) Tick(now time.Time) []Action {
+	var actions []Action
+	for _, w := range s.waiting {
+		if now.Sub(w.renewed) > s.config.WaitLease {
+			s.forget(w)
+		}
+	}
+	// A yield that was lost, or overtook its grant, is repeated until the run has ended.
+	for ticket, r := range s.running {
+		if r.yielding {
+			actions = append(actions, Yield{Ticket: ticket})
+		}
+	}
+	for _, p := range s.pools {
+		for _, name := range p.health.DueProbes(now) {
+			if t := p.targets[name]; t != nil {
+				t.trial = true
+			}
+		}
+		actions = append(actions, s.dispatch(now, p)...)
+		actions = append(actions, s.refuseLate(now, p)...)
+	}
+	return actions
+}
+
+// Load is the state of one service.
+type Load struct {
+	Service                        string
+	Slots, Online, Items           int
+	WaitingOnline, WaitingItems    int
+	Targets, Usable, PendingReturn int
+}
+
+// Loads returns the state of all services.
+func (s *Scheduler) Loads(now time.Time) []Load {
+	loads := make([]Load, 0, len(s.pools))
+	for _, p := range s.pools {
+		l := Load{Service: p.name, WaitingOnline: len(p.online), WaitingItems: len(p.items), Targets: len(p.targets), PendingReturn: len(p.returns)}
+		for _, t := range p.targets {
+			if p.usable(now, t) {
+				l.Usable++
+				l.Slots += t.Slots
+			}
+			for r := range t.runs {
+				if r.class == Online {
+					l.Online++
+				} else {
+					l.Items++
+				}
+			}
+		}
+		loads = append(loads, l)
+	}
+	slices.SortFunc(loads, func(a, b Load) int {
+		if a.Service < b.Service {
+			return -1
+		}
+		return 1
+	})
+	return loads
+}
