Leaving targets: VMs check grants against their own registry; the store is reached through peers; progress of items is handed over

The coordinator was one of the VMs that the store turned away, so it granted slots of a target that all other VMs had known to be draining for two seconds (the log of front-rosario-b-4 lacks the entry that nine others wrote at 19.01 s). Ruled out: late feeds of the requesters (all had the entry 5 ms after its write). Change: the VM that asks checks each grant and gives slots of leaving targets back, which the coordinator remembers; a VM that the store turns away reaches it through a peer; calls between VMs run once however often they are repeated; a stopping VM passes on the text of items.

--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -29,11 +29,15 @@
 
 // itemState is what an item has reached. It survives the loss of its target.
 type itemState struct {
-	position int64
-	events   int
-	text     []byte
-	failures int
-	tried    []string
+	// Position is the ID of the last event, or NoEvent.
+	Position int64 `cbor:"1,keyasint"`
+	Events   int   `cbor:"2,keyasint"`
+	// Text holds the data of the events so far.
+	Text []byte `cbor:"3,keyasint"`
+	// Failures counts the targets that answered with a failure.
+	Failures int `cbor:"4,keyasint,omitempty"`
+
+	tried []string
 }
 
 // errYield says that a slot was taken back.
@@ -80,7 +84,7 @@
 	case <-ctx.Done():
 		return itemResult{}, false
 	}
-	state := &itemState{position: platform.NoEvent}
+	state := run.takeProgress(index)
 	began := time.Now()
 	for ctx.Err() == nil {
 		route := s.route(head)
@@ -95,11 +99,12 @@
 		result, ended := s.tryItem(ctx, run, index, head, route, state)
 		if ended {
 			s.config.Log.Info().Str("job", run.job).Str("item", run.items[index].ID).Bool("given_up", result.givenUp).
-				Int("events", state.events).Int("failures", state.failures).Dur("took_ms", time.Since(began)).Msg("item ended")
+				Int("events", state.Events).Int("failures", state.Failures).Dur("took_ms", time.Since(began)).Msg("item ended")
 			itemTime.UpdateDuration(began)
 			return result, true
 		}
 	}
+	run.keepProgress(index, state)
 	return itemResult{}, false
 }
 
@@ -115,28 +120,28 @@
 		Tried:    state.tried,
 		StartBy:  s.due(head, route),
 		Expires:  s.due(head, route),
-		Expected: s.lengths.remaining(state.events),
+		Expected: s.lengths.remaining(state.Events),
 	})
 	if err != nil {
 		pause(ctx)
 		return itemResult{}, false
 	}
-	began, before := time.Now(), state.events
+	began, before := time.Now(), state.Events
 	status, firstEvent, err := s.send(ctx, slot, run.items[index], head, state)
 	outcome := outcomeOf(ctx, err)
 	slot.Release(outcome, firstEvent)
 	state.tried = nil
 	switch {
 	case err == nil && status/100 == 2:
-		s.lengths.observe(state.events, time.Since(began)*time.Duration(state.events)/time.Duration(max(state.events-before, 1)))
-		return itemResult{index: index, text: state.text}, true
+		s.lengths.observe(state.Events, time.Since(began)*time.Duration(state.Events)/time.Duration(max(state.Events-before, 1)))
+		return itemResult{index: index, text: state.Text}, true
 	case err == nil && status == http.StatusUnprocessableEntity:
 		return itemResult{index: index, givenUp: true}, true
 	case err == nil:
-		state.failures++
+		state.Failures++
 		itemsFailed.Inc()
-		s.config.Log.Warn().Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).Int("status", status).Int("failures", state.failures).Msg("item failed at a target")
-		if state.failures >= route.MaxAttempts {
+		s.config.Log.Warn().Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).Int("status", status).Int("failures", state.Failures).Msg("item failed at a target")
+		if state.Failures >= route.MaxAttempts {
 			return itemResult{index: index, givenUp: true}, true
 		}
 	case errors.Is(err, errYield):
@@ -144,7 +149,7 @@
 	case ctx.Err() == nil:
 		state.tried = []string{slot.Target}
 		s.config.Log.Info().AnErr("cause", err).Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).
-			Int64("last_event", state.position).Msg("item goes on at another target")
+			Int64("last_event", state.Position).Msg("item goes on at another target")
 		pause(ctx)
 	}
 	return itemResult{}, false
@@ -218,7 +223,7 @@
 		URI:       item.Path,
 		Header:    item.Header,
 		Body:      item.Body,
-		LastEvent: state.position,
+		LastEvent: state.Position,
 	})
 	if err != nil {
 		return 0, err
@@ -236,15 +241,15 @@
 		if err != nil {
 			return 0, err
 		}
-		if state.position != platform.NoEvent && event.ID != state.position+1 {
+		if state.Position != platform.NoEvent && event.ID != state.Position+1 {
 			return 0, &platform.TargetError{Failure: platform.Broken, Cause: errors.New("events do not follow each other")}
 		}
 		onEvent()
-		if state.events > 0 {
-			state.text = append(state.text, '\n')
+		if state.Events > 0 {
+			state.Text = append(state.Text, '\n')
 		}
-		state.text = append(state.text, event.Data...)
-		state.position = event.ID
-		state.events++
+		state.Text = append(state.Text, event.Data...)
+		state.Position = event.ID
+		state.Events++
 	}
 }
--- a/internal/batchjobs/owner.go
+++ b/internal/batchjobs/owner.go
@@ -127,20 +127,21 @@
 func (s *Service) Leave(ctx context.Context) {
 	s.mu.Lock()
 	s.leaving = true
-	for job, run := range s.runs {
+	runs := s.runs
+	s.runs = map[string]*jobRun{}
+	s.mu.Unlock()
+	for _, run := range runs {
 		run.cancel()
-		delete(s.runs, job)
 	}
-	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	for ctx.Err() == nil && s.handOver(ctx) {
+	for ctx.Err() == nil && s.handOver(ctx, runs) {
 		time.Sleep(retryPause)
 	}
 }
 
 // handOver gives each job to another VM, and reports whether some are left.
-func (s *Service) handOver(ctx context.Context) bool {
+func (s *Service) handOver(ctx context.Context, runs map[string]*jobRun) bool {
 	left := false
 	for job, e := range s.view.all() {
 		if !e.head.Open() || e.head.Owner != s.config.VM {
@@ -150,6 +151,10 @@
 		if to == "" {
 			continue
 		}
+		if run := runs[job]; run != nil {
+			delete(runs, job)
+			s.sendProgress(ctx, run, to)
+		}
 		head := e.head.Clone()
 		head.Owner = to
 		head.Epoch++
--- a/internal/batchjobs/runner.go
+++ b/internal/batchjobs/runner.go
@@ -27,8 +27,31 @@
 	// done takes the results of items until they are listed.
 	done chan itemResult
 
+	// stopped is closed when no item runs any more.
+	stopped chan struct{}
+
 	mu    sync.Mutex
 	items []platform.JobItem
+	// progress is what items without a result have reached, when they do not run.
+	progress map[int]*itemState
+}
+
+// takeProgress returns what an item has reached, and nothing the next time.
+func (r *jobRun) takeProgress(index int) *itemState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.progress[index]
+	delete(r.progress, index)
+	if state == nil {
+		state = &itemState{Position: platform.NoEvent}
+	}
+	return state
+}
+
+func (r *jobRun) keepProgress(index int, state *itemState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.progress[index] = state
 }
 
 // itemResult is the end of an item.
@@ -70,13 +93,21 @@
 // startRun runs a job. The lock is held.
 func (s *Service) startRun(ctx context.Context, job string, head *Head) {
 	running, cancel := context.WithCancel(ctx)
-	run := &jobRun{job: job, epoch: head.Epoch, cancel: cancel, done: make(chan itemResult, len(head.Items))}
+	run := &jobRun{
+		job:      job,
+		epoch:    head.Epoch,
+		cancel:   cancel,
+		done:     make(chan itemResult, len(head.Items)),
+		stopped:  make(chan struct{}),
+		progress: s.inherited.take(job),
+	}
 	if kept := s.kept[job]; kept != nil {
 		run.items = kept
 		delete(s.kept, job)
 	}
 	s.runs[job] = run
 	s.tasks.Go(func() {
+		defer close(run.stopped)
 		defer cancel()
 		s.runJob(running, run)
 	})
--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -58,6 +58,7 @@
 	Configuration Configuration
 	Slots         Slots
 	Targets       *platform.Targets
+	Node          Node
 	Log           zerolog.Logger
 }
 
@@ -66,10 +67,12 @@
 	config   Config
 	store    store
 	follower *follow.Follower
-	view     *view
-	texts    *textCache
-	wake     chan struct{}
-	lengths  lengthEstimator
+	// inherited is what items have reached on VMs that left.
+	inherited *inheritance
+	view      *view
+	texts     *textCache
+	wake      chan struct{}
+	lengths   lengthEstimator
 
 	mu      sync.Mutex
 	runs    map[string]*jobRun
@@ -88,18 +91,20 @@
 // New returns a service.
 func New(config Config) *Service {
 	s := &Service{
-		config:   config,
-		store:    store{rows: config.Rows},
-		view:     newView(),
-		texts:    newTextCache(),
-		wake:     make(chan struct{}, 1),
-		runs:     map[string]*jobRun{},
-		unowned:  map[string]time.Time{},
-		permits:  make(chan struct{}, maxItems),
-		kept:     map[string][]platform.JobItem{},
-		claiming: map[string]bool{},
-		started:  time.Now(),
+		config:    config,
+		store:     store{rows: config.Rows},
+		view:      newView(),
+		texts:     newTextCache(),
+		wake:      make(chan struct{}, 1),
+		runs:      map[string]*jobRun{},
+		unowned:   map[string]time.Time{},
+		permits:   make(chan struct{}, maxItems),
+		kept:      map[string][]platform.JobItem{},
+		claiming:  map[string]bool{},
+		started:   time.Now(),
+		inherited: newInheritance(),
 	}
+	config.Node.HandleCall(methodProgress, s.handleProgress)
 	s.follower = follow.New(follow.Config{
 		Rows: config.Rows, Table: tableHeads, Log: config.Log, Replace: s.replace, Change: s.change,
 	})
--- a/internal/batchjobs/store.go
+++ b/internal/batchjobs/store.go
@@ -22,7 +22,7 @@
 	// rowBytes bounds the content of one row, in bytes: as base64 it stays below the store's limit of 64 KiB.
 	rowBytes = 45_000
 	// maxTxnRows bounds the content rows of one transaction: together they stay below the store's limit of 1 MB.
-	maxTxnRows = 12
+	maxTxnRows = 4
 )
 
 // errOwnerChanged means that another VM has taken a job over.
--- a/internal/datagram/node.go
+++ b/internal/datagram/node.go
@@ -1,6 +1,6 @@
 // Package datagram carries messages between our processes over plain UDP: messages without an
-// answer, and calls, which are repeated until they are answered. Handlers of calls must therefore
-// be idempotent.
+// answer, and calls, which are repeated until they are answered and run once for each process that
+// is called.
 //
 // No connection is kept, so there is none that can fall silent. Messages are encoded as CBOR, and
 // those that are larger than a packet are sent in fragments.
@@ -70,6 +70,7 @@
 	nextID   atomic.Uint64
 	mu       sync.Mutex
 	open     map[uint64]chan envelope
+	served   *servedCalls
 	partial  *reassembly
 }
 
@@ -97,6 +98,7 @@
 		calls:    map[peer.Method]peer.CallHandler{},
 		messages: map[peer.Method]MessageHandler{},
 		open:     map[uint64]chan envelope{},
+		served:   newServedCalls(),
 		partial:  newReassembly(),
 	}
 	// Answers to calls of an earlier start of the process must not match.
@@ -252,7 +254,13 @@
 			handler(identity, decode)
 		}
 	case kindCall:
-		go n.answer(from, identity, message, decode)
+		key := servedKey{from: from, call: message.Call}
+		answer, repeated := n.served.begin(key, time.Now())
+		if !repeated {
+			go n.answer(key, identity, message, decode)
+		} else if answer != nil {
+			n.reply(from, *answer)
+		}
 	case kindAnswer, kindFailure:
 		n.mu.Lock()
 		answers := n.open[message.Call]
@@ -267,7 +275,7 @@
 	}
 }
 
-func (n *Node) answer(to netip.AddrPort, from peer.Identity, call envelope, decode func(any) error) {
+func (n *Node) answer(key servedKey, from peer.Identity, call envelope, decode func(any) error) {
 	reply := envelope{Kind: kindAnswer, Call: call.Call}
 	response, err := n.run(call.Method, from, decode)
 	if err == nil {
@@ -283,8 +291,13 @@
 			return
 		}
 	}
+	n.served.end(key, reply)
+	n.reply(key.from, reply)
+}
+
+func (n *Node) reply(to netip.AddrPort, reply envelope) {
 	if err := n.send(to, reply); err != nil {
-		n.log.Debug().Err(err).Str("to", from.VM).Msg("answer not sent")
+		n.log.Debug().Err(err).Stringer("to", to).Msg("answer not sent")
 	}
 }
 
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,6 +25,9 @@
 	lapseGrace = 2300 * time.Millisecond
 	// expiryInterval is the time between two looks for entries whose grace period is over.
 	expiryInterval = 100 * time.Millisecond
+	// rememberGone is how long a target that is gone is told apart from one that is not known yet: longer
+	// than a coordinator may be cut off from the registry before its runs fail.
+	rememberGone = time.Minute
 	// registryPause is the time in which changes of the registry gather. It is short beside the time within
 	// which a draining target gets no more work.
 	registryPause = 100 * time.Millisecond
@@ -50,11 +53,13 @@
 	mu       sync.Mutex
 	registry *routing.Registry
 	targets  map[string]routing.Target
+	// gone are targets that were registered once, and when they went.
+	gone map[string]time.Time
 }
 
 // New returns a service that knows nothing yet.
 func New(config Config) *Service {
-	s := &Service{config: config, registry: routing.NewRegistry()}
+	s := &Service{config: config, registry: routing.NewRegistry(), gone: map[string]time.Time{}}
 	s.settings = follow.New(follow.Config{
 		Rows: config.Rows, Table: platform.OperatorTable, Log: config.Log,
 		Replace: s.readConfig, Change: s.readConfig,
@@ -93,12 +98,12 @@
 	return age
 }
 
-// Target returns a registered target.
-func (s *Service) Target(id string) (routing.Target, bool) {
+// Usable reports whether a target may get work as far as this VM knows. One that it does not know yet may.
+func (s *Service) Usable(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, ok := s.targets[id]
-	return t, ok
+	_, gone := s.gone[id]
+	return !gone && !s.targets[id].Draining
 }
 
 // readConfig adopts a configuration unless a later one is in force.
@@ -186,9 +191,16 @@
 			s.config.Log.Info().Str("target", id).Str("service", t.Service).Str("address", t.Address).Bool("draining", t.Draining).Msg("target registered")
 		}
 	}
+	now := time.Now()
+	for id, at := range s.gone {
+		if _, known := s.targets[id]; known || now.Sub(at) > rememberGone {
+			delete(s.gone, id)
+		}
+	}
 	for id := range before {
 		if _, known := s.targets[id]; !known {
 			changed = true
+			s.gone[id] = now
 			s.config.Log.Info().Str("target", id).Msg("target is gone")
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/ingress"
 	"github.com/rosemarydyke/rosemarydyke/internal/membership"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
+	"github.com/rosemarydyke/rosemarydyke/internal/storerelay"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/routing"
@@ -52,6 +54,7 @@
 	settings  *config.Ingress
 	log       zerolog.Logger
 	store     *platform.Store
+	rows      *storerelay.Relay
 	transport *datagram.Node
 	members   *membership.Service
 	roster    *roster
@@ -94,7 +97,8 @@
 
 func (n *Node) assemble() {
 	s := n.settings
-	n.roster = &roster{rows: n.store, self: s.VM.Name, peers: s.Peers, zone: s.VM.AvailabilityZone}
+	n.rows = storerelay.New(storerelay.Config{Direct: n.store, Node: n.transport, Peers: n.otherPeers, Log: n.log})
+	n.roster = &roster{rows: n.rows, self: s.VM.Name, peers: s.Peers, zone: s.VM.AvailabilityZone}
 	n.members = membership.New(membership.Config{
 		Self: member.Member{
 			VM:               s.VM.Name,
@@ -111,22 +115,24 @@
 		Log:        n.log,
 	})
 	process := s.VM.Name + "/" + strconv.FormatUint(uint64(rand.Uint32()), 36)
+	n.discovery = discovery.New(discovery.Config{Rows: n.rows, OnTargets: n.setTargets, Log: n.log})
 	n.slots = scheduling.New(scheduling.Config{
 		Process:          process,
 		AvailabilityZone: s.VM.AvailabilityZone,
 		Node:             n.transport,
 		Members:          n.members,
+		Usable:           n.discovery.Usable,
 		Log:              n.log,
 	})
-	n.discovery = discovery.New(discovery.Config{Rows: n.store, OnTargets: n.setTargets, Log: n.log})
 	targets := platform.NewTargets()
 	n.jobs = batchjobs.New(batchjobs.Config{
 		VM:            s.VM.Name,
-		Rows:          n.store,
+		Rows:          n.rows,
 		Members:       n.members,
 		Configuration: n.discovery,
 		Slots:         n.slots,
 		Targets:       targets,
+		Node:          n.transport,
 		Log:           n.log,
 	})
 	n.ingress = ingress.New(ingress.Config{
@@ -154,6 +160,20 @@
 	return peers
 }
 
+// otherPeers returns the peer addresses of the other live VMs.
+func (n *Node) otherPeers() []netip.AddrPort {
+	var peers []netip.AddrPort
+	for _, m := range n.members.Members() {
+		if m.VM == n.settings.VM.Name || m.State != member.Alive {
+			continue
+		}
+		if address, err := netip.ParseAddrPort(m.EntryPeers); err == nil {
+			peers = append(peers, address)
+		}
+	}
+	return peers
+}
+
 func (n *Node) setTargets(targets []routing.Target) {
 	list := make([]scheduler.Target, 0, len(targets))
 	for _, t := range targets {
--- a/internal/scheduling/service.go
+++ b/internal/scheduling/service.go
@@ -56,8 +56,11 @@
 	AvailabilityZone string
 	Node             Node
 	Members          member.View
-	Scheduler        scheduler.Config
-	Log              zerolog.Logger
+	// Usable reports whether a target may get work as far as this VM knows. Coordinators that are cut off
+	// from the registry grant slots of targets that are leaving.
+	Usable    func(target string) bool
+	Scheduler scheduler.Config
+	Log       zerolog.Logger
 }
 
 // Service asks coordinators for slots, and is the coordinator of some services itself.
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,18 @@
 // Acquire waits for a slot. The request's ticket and availability zone are set here. It fails with
 // *RefusedError, or with the error of ctx.
 func (s *Service) Acquire(ctx context.Context, request scheduler.Request) (*Slot, error) {
+	for {
+		slot, err := s.acquire(ctx, request)
+		if err != nil || s.config.Usable(slot.Target) {
+			return slot, err
+		}
+		s.config.Log.Info().Str("target", slot.Target).Msg("slot of a leaving target is given back")
+		slot.Release(scheduler.Leaving, 0)
+		request.Tried = append(slices.Clone(request.Tried), slot.Target)
+	}
+}
+
+func (s *Service) acquire(ctx context.Context, request scheduler.Request) (*Slot, error) {
 	p := &pending{answers: make(chan answer, 4)}
 	s.mu.Lock()
 	s.next++
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -137,6 +137,9 @@
 		signal = target.Cut
 	case Silent:
 		signal = target.TimedOut
+	case Leaving:
+		t.leaving = true
+		return
 	default:
 		return
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -7,7 +7,7 @@
 
 // usable reports whether a target may take new runs.
 func (p *pool) usable(now time.Time, t *slots) bool {
-	return !t.Draining && (t.trial || p.health.Share(now, t.ID) > 0)
+	return !t.Draining && !t.leaving && (t.trial || p.health.Share(now, t.ID) > 0)
 }
 
 // free is the number of slots that take a run at once.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -93,6 +93,8 @@
 	Silent
 	// Replaced targets were found to be another process than the registered one.
 	Replaced
+	// Leaving targets are known by the VM of the run to take no more work, and did not get it.
+	Leaving
 )
 
 // Action is an output of the scheduler.
@@ -213,6 +215,9 @@
 	runs map[*run]struct{}
 	// trial says that the next run decides whether the target returns from its ejection.
 	trial bool
+	// leaving says that another VM knows the target to be draining or gone. It holds for the rest of the
+	// target's life, whatever this VM's older copy of the registry says.
+	leaving bool
 }
 
 // pool is one service.
