--- /dev/null
+++ b/internal/datagram/fragment_test.go
@@ -0,0 +1,62 @@
+package datagram
+
+import (
+	"bytes"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Packets arrive in any order, twice or never, beside those of other messages.
+func TestFragmentsAreJoinedHoweverTheyArrive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newReassembly()
+		from := netip.MustParseAddrPort("10.0.0.1:1")
+		now := time.Unix(1000, 0)
+		type packet struct {
+			message int
+			content []byte
+		}
+		var messages [][]byte
+		var packets []packet
+		for i := range rapid.IntRange(1, 5).Draw(t, "messages") {
+			content := rapid.SliceOfN(rapid.Byte(), 1, 4000).Draw(t, "content")
+			messages = append(messages, content)
+			for _, p := range fragment(uint64(i), content) {
+				packets = append(packets, packet{i, p})
+			}
+		}
+		sent := map[int]int{}
+		lost := map[int]bool{}
+		whole := map[int]int{}
+		for _, i := range rapid.Permutation(packets).Draw(t, "order") {
+			if rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+				lost[i.message] = true
+				continue
+			}
+			sent[i.message]++
+			if content, ok := r.add(from, i.content, now); ok {
+				whole[i.message]++
+				if !bytes.Equal(content, messages[i.message]) {
+					t.Fatalf("message %d differs", i.message)
+				}
+			}
+		}
+		for i := range messages {
+			if want := !lost[i]; (whole[i] == 1) != want {
+				t.Fatalf("message %d: whole %d times, lost %v", i, whole[i], lost[i])
+			}
+		}
+	})
+}
+
+func FuzzReassemblyTakesAnyPacket(f *testing.F) {
+	f.Add([]byte("0123456789"))
+	f.Fuzz(func(_ *testing.T, packet []byte) {
+		r := newReassembly()
+		r.add(netip.MustParseAddrPort("10.0.0.1:1"), packet, time.Unix(0, 0))
+		r.add(netip.MustParseAddrPort("10.0.0.1:1"), packet, time.Unix(9, 0))
+	})
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -94,12 +94,14 @@
 	whole := false
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		began := time.Now()
+		// An answer shows the table as it was after the call began, and one without changes as it was when
+		// the store stopped waiting for them.
+		known := time.Now()
 		var err error
 		if !whole {
 			err = f.readAll(ctx)
 			whole = err == nil
-		} else if err = f.follow(ctx); errors.Is(err, platform.ErrHistoryLost) {
+		} else if known, err = f.follow(ctx); errors.Is(err, platform.ErrHistoryLost) {
 			f.config.Log.Info().Str("table", f.config.Table).Uint64("version", f.version).Msg("history is lost, the table is read again")
 			whole = false
 			continue
@@ -111,7 +113,7 @@
 			continue
 		}
 		backoff = minBackoff
-		f.confirmed.Store(int64(began.Sub(f.started)))
+		f.confirmed.Store(int64(known.Sub(f.started)))
 		f.returned()
 	}
 }
@@ -167,20 +169,22 @@
 	return nil
 }
 
-func (f *Follower) follow(ctx context.Context) error {
+// follow waits for changes, and returns the moment for which the copy is known to be complete.
+func (f *Follower) follow(ctx context.Context) (time.Time, error) {
+	began := time.Now()
 	page, err := f.config.Rows.Follow(ctx, f.config.Table, f.version, feedWait)
 	if err != nil {
-		return err
+		return began, err
 	}
 	f.clock.Store(&Clock{Store: page.Now, Local: time.Now()})
 	f.returned()
 	f.version = max(f.version, page.Version)
 	if len(page.Rows) == 0 {
-		return nil
+		return began.Add(feedWait), nil
 	}
 	f.config.Change(page.Rows)
 	sleep(ctx, f.config.Pause)
-	return nil
+	return began, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,117 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/follow"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
+)
+
+// flaky is a store that fails on command.
+type flaky struct {
+	platform.Rows
+	down atomic.Bool
+}
+
+func (f *flaky) Read(ctx context.Context, table, part string, keys platform.KeyRange) (platform.Page, error) {
+	if f.down.Load() {
+		return platform.Page{}, platform.ErrUnavailable
+	}
+	return f.Rows.Read(ctx, table, part, keys)
+}
+
+func (f *flaky) Follow(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Page, error) {
+	page, err := f.Rows.Follow(ctx, table, after, wait)
+	if f.down.Load() {
+		return platform.Page{}, errors.Join(platform.ErrUnavailable, err)
+	}
+	return page, err
+}
+
+// replica is what a follower makes of a table.
+type replica struct {
+	mu             sync.Mutex
+	rows           map[string]string
+	lost, returned int
+}
+
+func (r *replica) replace(rows []platform.TableRow) {
+	r.mu.Lock()
+	r.rows = map[string]string{}
+	r.mu.Unlock()
+	r.change(rows)
+}
+
+func (r *replica) change(rows []platform.TableRow) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, row := range rows {
+		if row.Deleted {
+			delete(r.rows, row.Key)
+		} else {
+			r.rows[row.Key] = string(row.Value)
+		}
+	}
+}
+
+func (r *replica) get(key string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rows[key]
+}
+
+func put(t *testing.T, rows platform.Rows, key, value string) {
+	t.Helper()
+	_, err := rows.Apply(t.Context(), platform.RowTxn{Writes: []platform.RowWrite{{RowKey: platform.RowKey{Table: "t", Key: key}, Value: []byte(value)}}})
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func TestACopyIsKeptThroughOutagesAndLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := memory.New()
+		store := &flaky{Rows: state}
+		for i := range 1200 {
+			put(t, state, fmt.Sprintf("%04d", i), "old")
+		}
+		copied := &replica{}
+		f := follow.New(follow.Config{
+			Rows: store, Table: "t", Replace: copied.replace, Change: copied.change, Log: zerolog.Nop(),
+			Lost: func() { copied.lost++ }, Returned: func() { copied.returned++ },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		qt.Assert(t, copied.get("1199"), qt.Equals, "old")
+
+		put(t, state, "0001", "new")
+		time.Sleep(10 * time.Millisecond)
+		qt.Assert(t, copied.get("0001"), qt.Equals, "new")
+
+		store.down.Store(true)
+		put(t, state, "0002", "new")
+		time.Sleep(5 * time.Second)
+		age, known := f.Age()
+		qt.Assert(t, known && age > 4*time.Second, qt.IsTrue, qt.Commentf("age %s", age))
+		qt.Assert(t, copied.get("0002"), qt.Equals, "old")
+		state.ForgetHistory()
+		store.down.Store(false)
+		time.Sleep(time.Second)
+		qt.Assert(t, copied.get("0002"), qt.Equals, "new")
+		qt.Assert(t, [2]int{copied.lost, copied.returned}, qt.Equals, [2]int{1, 1})
+		time.Sleep(5 * time.Second)
+		age, _ = f.Age()
+		qt.Assert(t, age <= 1100*time.Millisecond, qt.IsTrue, qt.Commentf("age %s", age))
+	})
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -28,8 +28,11 @@
 	gapShare = 0.6
 	// minGapTimeout keeps short objectives from resuming streams over the usual variation of pauses.
 	minGapTimeout = 150 * time.Millisecond
-	// returnedPatience is how long after its time to start a request that came back is still started.
-	returnedPatience = time.Second
+	// resumePatience is how long after its objective a stream that broke is still continued: its client has a
+	// part of the response already.
+	resumePatience = time.Second
+	// patienceShare is the share of the time that a client has left within which it comes back after a refusal.
+	patienceShare = 1.0 / 3
 	// maxNotRun bounds the targets that are tried in a row without running the request.
 	maxNotRun = 4
 )
@@ -132,18 +135,21 @@
 	if e.route.Kind != routing.Streaming {
 		startBy = e.arrived.Add(e.route.Goal / 2)
 	}
+	expires := startBy
 	again := e.mayHaveRun || e.started
 	if again {
 		// A stream that broke is continued before new ones are begun.
 		startBy = now.Add(e.route.Goal)
+		expires = startBy.Add(resumePatience)
 	}
 	slot, err := e.server.config.Slots.Acquire(ctx, scheduler.Request{
-		Class:    scheduler.Online,
-		Service:  e.service,
-		Tried:    e.tried,
-		StartBy:  startBy,
-		Expires:  startBy.Add(returnedPatience),
-		Returned: e.returned || again,
+		Class:        scheduler.Online,
+		Service:      e.service,
+		Tried:        e.tried,
+		StartBy:      startBy,
+		Expires:      expires,
+		Returned:     e.returned || again,
+		ReturnWithin: time.Duration(patienceShare * float64(time.Until(e.arrived.Add(e.client.Patience)))),
 	})
 	waited := time.Since(now)
 	slotWait.Update(waited.Seconds())
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,322 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/ingress"
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling/schedulingtest"
+	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
+	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/routing"
+)
+
+const (
+	service = "llm"
+	events  = 6
+	// timeout is the bound of the routes.
+	timeout = 600 * time.Millisecond
+)
+
+type configuration struct{ table *routing.Table }
+
+func (c configuration) Current() *routing.Table { return c.table }
+func (c configuration) Age() time.Duration      { return 0 }
+
+type noJobs struct{}
+
+func (noJobs) Submit(http.ResponseWriter, *http.Request, *routing.Route, []byte) {}
+func (noJobs) Serve(http.ResponseWriter, *http.Request) bool                     { return false }
+
+func table(host string) *routing.Table {
+	route := func(prefix string, kind routing.Kind, resumable bool, attempts int) *routing.Route {
+		return &routing.Route{
+			Name: prefix, Host: host, PathPrefix: prefix, Kind: kind, Timeout: timeout, Goal: 300 * time.Millisecond,
+			GapGoal: 400 * time.Millisecond, MaxAttempts: attempts, Resumable: resumable,
+			Services: []routing.Weighted{{Service: service, Weight: 1}},
+		}
+	}
+	return &routing.Table{
+		Version: 1,
+		Routes: []*routing.Route{
+			route("/resumable/", routing.Streaming, true, 2),
+			route("/once/", routing.Streaming, false, 1),
+			route("/plain/", routing.Idempotent, false, 3),
+			route("/unsafe/", routing.Unsafe, false, 3),
+		},
+		Limits: routing.Limits{BodyBytes: 1000},
+	}
+}
+
+// fixture is an ingress before two targets.
+type fixture struct {
+	url     string
+	targets []*streamtarget.Target
+	n       int
+}
+
+func start(t *testing.T, slots int) *fixture {
+	f := &fixture{}
+	for i := range 2 {
+		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Events: events, Interval: 2 * time.Millisecond})
+		t.Cleanup(target.Close)
+		f.targets = append(f.targets, target)
+	}
+	server := httptest.NewUnstartedServer(nil)
+	server.Start()
+	t.Cleanup(server.Close)
+	server.Config.Handler = ingress.New(ingress.Config{
+		Configuration: configuration{table(strings.TrimPrefix(server.URL, "http://"))},
+		Slots:         schedulingtest.Start(t, service, slots, f.targets...),
+		Targets:       platform.NewTargets(), Jobs: noJobs{}, Log: zerolog.Nop(),
+	})
+	f.url = server.URL
+	return f
+}
+
+// inject makes the next request fail at whatever target gets it first.
+func (f *fixture) inject(faults ...streamtarget.Fault) {
+	for _, target := range f.targets {
+		target.Inject(faults...)
+	}
+}
+
+func (f *fixture) request(ctx context.Context, path string) (*http.Request, string) {
+	f.n++
+	id := fmt.Sprintf("r%d", f.n)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+path+"x", strings.NewReader("prompt"))
+	if err != nil {
+		panic(err)
+	}
+	platform.SetAttempt(r.Header, id, 5000)
+	return r, id
+}
+
+// reply is what a client got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	took   time.Duration
+}
+
+func (f *fixture) send(t *testing.T, path string) (reply, string) {
+	r, id := f.request(t.Context(), path)
+	began := time.Now()
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return reply{err: err, took: time.Since(began)}, id
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(body), err, time.Since(began)}, id
+}
+
+func (f *fixture) runs(id string) int { return f.targets[0].Runs(id) + f.targets[1].Runs(id) }
+
+// whole is the stream of a request.
+func whole(id string) string {
+	var text strings.Builder
+	for i := range events {
+		text.Write(platform.FormatEvent(int64(i), streamtarget.Data(id, i)))
+	}
+	return text.String()
+}
+
+func TestAStreamThatFailsAtEveryTargetIsNotPassedOffAsWhole(t *testing.T) {
+	for name, fault := range map[string]streamtarget.Fault{
+		"cut":        streamtarget.CutBefore,
+		"cut midway": streamtarget.CutMidEvent,
+		"wrong":      streamtarget.WrongID,
+		"unsealed":   streamtarget.NoSeal,
+		"unframed":   streamtarget.Unframed,
+		"skipped":    streamtarget.SkipEvent,
+		"silent":     streamtarget.Hang,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, 4)
+			f.inject(fault)
+			got, id := f.send(t, "/resumable/")
+			if got.status == http.StatusOK {
+				qt.Assert(t, got.err, qt.IsNotNil)
+				qt.Assert(t, strings.HasPrefix(whole(id), got.body), qt.IsTrue, qt.Commentf("%q", got.body))
+			}
+			qt.Assert(t, f.runs(id), qt.Equals, 2)
+		})
+	}
+}
+
+func TestAnotherTargetGoesOnWithABrokenStream(t *testing.T) {
+	for name, fault := range map[string]streamtarget.Fault{
+		"refused":    streamtarget.Shed,
+		"misplaced":  streamtarget.Misdirect,
+		"cut":        streamtarget.CutBefore,
+		"cut midway": streamtarget.CutMidEvent,
+		"wrong":      streamtarget.WrongID,
+		"unsealed":   streamtarget.NoSeal,
+		"unframed":   streamtarget.Unframed,
+		"skipped":    streamtarget.SkipEvent,
+		"failed":     streamtarget.Fail,
+		"silent":     streamtarget.Hang,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, 4)
+			// The first target in order gets the first request, as both are free.
+			f.targets[0].Inject(fault)
+			got, id := f.send(t, "/resumable/")
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+			qt.Assert(t, got.body, qt.Equals, whole(id))
+			qt.Assert(t, f.targets[1].Runs(id), qt.Equals, 1)
+		})
+	}
+}
+
+func TestARequestThatMayNotBeRepeatedIsSentOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		path   string
+		fault  streamtarget.Fault
+		status int
+	}{
+		"a stream whose target breaks off":       {"/once/", streamtarget.CutBefore, http.StatusBadGateway},
+		"a stream answered for another":          {"/once/", streamtarget.WrongID, http.StatusBadGateway},
+		"a stream whose target is silent":        {"/once/", streamtarget.Hang, http.StatusGatewayTimeout},
+		"a call whose target breaks off":         {"/unsafe/", streamtarget.CutBefore, http.StatusBadGateway},
+		"a call whose response has no seal":      {"/unsafe/", streamtarget.NoSeal, http.StatusBadGateway},
+		"a call that the target ran and refused": {"/unsafe/", streamtarget.Fail, http.StatusInternalServerError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, 4)
+			f.inject(test.fault)
+			got, id := f.send(t, test.path)
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Assert(t, got.status, qt.Equals, test.status)
+			qt.Assert(t, f.runs(id), qt.Equals, 1)
+		})
+	}
+	t.Run("a stream that breaks midway ends as broken", func(t *testing.T) {
+		f := start(t, 4)
+		f.inject(streamtarget.CutMidEvent)
+		got, id := f.send(t, "/once/")
+		qt.Assert(t, got.err, qt.IsNotNil)
+		qt.Assert(t, f.runs(id), qt.Equals, 1)
+	})
+	t.Run("a refusal has not run and is tried elsewhere", func(t *testing.T) {
+		f := start(t, 4)
+		f.targets[0].Inject(streamtarget.Shed)
+		got, id := f.send(t, "/once/")
+		qt.Assert(t, got.body, qt.Equals, whole(id))
+	})
+	t.Run("refused everywhere it is answered as not run", func(t *testing.T) {
+		f := start(t, 4)
+		f.inject(streamtarget.Shed, streamtarget.Shed)
+		got, id := f.send(t, "/once/")
+		qt.Assert(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Assert(t, f.runs(id), qt.Equals, 0)
+	})
+}
+
+func TestTheTimeoutOfARouteIsKept(t *testing.T) {
+	f := start(t, 4)
+	f.inject(streamtarget.Hang)
+	got, _ := f.send(t, "/once/")
+	qt.Assert(t, got.status, qt.Equals, http.StatusGatewayTimeout)
+	qt.Assert(t, got.took >= timeout && got.took < timeout+400*time.Millisecond, qt.IsTrue, qt.Commentf("%s", got.took))
+}
+
+func TestWhatCannotStartInTimeIsRefusedAtOnce(t *testing.T) {
+	f := start(t, 1)
+	f.inject(streamtarget.Hang)
+	for range 2 {
+		r, _ := f.request(t.Context(), "/once/")
+		go func() {
+			if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+				_ = response.Body.Close()
+			}
+		}()
+	}
+	for n, _ := f.targets[1].Load(); n == 0; n, _ = f.targets[1].Load() {
+		time.Sleep(time.Millisecond)
+	}
+	got, id := f.send(t, "/once/")
+	qt.Assert(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, got.took < 75*time.Millisecond, qt.IsTrue, qt.Commentf("%s", got.took))
+	seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, seconds > 0 && seconds <= 5.0/3, qt.IsTrue)
+	qt.Assert(t, f.runs(id), qt.Equals, 0)
+}
+
+func TestARequestWhoseClientLeavesIsCancelledAtTheTarget(t *testing.T) {
+	f := start(t, 4)
+	f.inject(streamtarget.Hang)
+	ctx, cancel := context.WithCancel(t.Context())
+	r, id := f.request(ctx, "/once/")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	for f.runs(id) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	left := time.Now()
+	for f.targets[0].Cancelled()+f.targets[1].Cancelled() == 0 {
+		if time.Since(left) > 500*time.Millisecond {
+			t.Fatal("the target still works for a client that left")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestBadInputIsAnsweredAndDoesNotRun(t *testing.T) {
+	f := start(t, 4)
+	t.Run("a path without a route", func(t *testing.T) {
+		got, _ := f.send(t, "/absent/")
+		qt.Assert(t, got.status, qt.Equals, http.StatusNotFound)
+	})
+	t.Run("a request without an ID", func(t *testing.T) {
+		r, _ := f.request(t.Context(), "/once/")
+		r.Header.Del("X-Attempt-Id")
+		response, err := http.DefaultTransport.RoundTrip(r)
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = response.Body.Close() }()
+		text, err := bufio.NewReader(response.Body).ReadString('\n')
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, response.StatusCode, qt.Equals, http.StatusBadRequest)
+		qt.Assert(t, text, qt.Contains, "X-Attempt-Id")
+	})
+	t.Run("a body over the limit", func(t *testing.T) {
+		r, id := f.request(t.Context(), "/once/")
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 1001))), 1001
+		response, err := http.DefaultTransport.RoundTrip(r)
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = response.Body.Close() }()
+		qt.Assert(t, response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+		qt.Assert(t, f.runs(id), qt.Equals, 0)
+	})
+}
+
+func TestWithoutAConfigurationRequestsAreRefusedAndNotDenied(t *testing.T) {
+	server := ingress.New(ingress.Config{Configuration: configuration{}, Log: zerolog.Nop()})
+	w := httptest.NewRecorder()
+	server.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/x/", nil))
+	qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, w.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
+}
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -1,43 +1,35 @@
-// Package client speaks HTTP to the platform's services.
-//
-// Errors follow one rule: a failure is platform.ErrUnavailable only where no byte of the request was
-// handed to a connection or the service refused it with status 503. A commit that failed in any other way
-// is platform.ErrOutcomeUnknown.
+// Package client gives the product's own programs the platform's services: the table and the objects, which
+// are kept in the platform's store, and the VM list and the weight store, which only our stand-in has.
 package client
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
+	store "github.com/rosemarydyke/rosemarydyke/platform"
 )
 
 const (
 	// defaultTimeout bounds one call when the settings name no timeout.
 	defaultTimeout = 2 * time.Second
-	// maxIdleConns bounds the idle connections kept to the platform.
-	maxIdleConns = 32
-	// maxErrorBytes bounds how much of an error answer is read.
-	maxErrorBytes = 4 << 10
-	// maxAnswerBytes bounds one answer of the table.
+	// maxAnswerBytes bounds one answer of the VM list.
 	maxAnswerBytes = 64 << 20
+	// bytesPerTimeout is the content size for which the timeout is extended by its own length once.
+	bytesPerTimeout = 8 << 20
 )
 
 // Client reaches the platform's services under one base URL. It is safe for concurrent use.
 type Client struct {
 	base    string
 	timeout time.Duration
+	store   *store.Store
 	http    *http.Client
 }
 
@@ -46,24 +38,19 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	transport := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: timeout}).DialContext,
-		MaxIdleConns:          maxIdleConns,
-		MaxIdleConnsPerHost:   maxIdleConns,
-		ResponseHeaderTimeout: timeout,
-	}
 	return &Client{
 		base:    strings.TrimSuffix(baseURL, "/"),
 		timeout: timeout,
-		http:    &http.Client{Transport: transport},
+		store:   store.NewStore(strings.TrimPrefix(strings.TrimSuffix(baseURL, "/"), "http://")),
+		http:    &http.Client{Timeout: timeout},
 	}
 }
 
 // Table returns the table service.
-func (c *Client) Table() platform.Table { return table{c} }
+func (c *Client) Table() platform.Table { return platform.NewTable(timedRows{c}) }
 
 // Objects returns the object store.
-func (c *Client) Objects() platform.Objects { return objects{c} }
+func (c *Client) Objects() platform.Objects { return platform.NewObjects(timedBlobs{c}) }
 
 // VMs returns the list of VMs.
 func (c *Client) VMs() platform.VMList { return vms{c} }
@@ -72,114 +59,74 @@
 func (c *Client) Weights() platform.Weights { return weights{c} }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
-// callError is a call without a usable answer.
-type callError struct {
-	// sent is false when no byte of the request can have reached the service.
-	sent  bool
-	cause error
+func (c *Client) Close() {
+	c.store.Close()
+	c.http.CloseIdleConnections()
 }
 
-func (e *callError) Error() string { return e.cause.Error() }
-func (e *callError) Unwrap() error { return e.cause }
+// timedRows bounds each call on rows.
+type timedRows struct{ c *Client }
 
-// asRead maps a failed call to the error of an operation that writes nothing.
-func asRead(err error) error {
-	var call *callError
-	if errors.As(err, &call) {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
-	}
-	return err
+// Read implements platform.Rows.
+func (r timedRows) Read(ctx context.Context, table, part string, keys platform.KeyRange) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.c.timeout)
+	defer cancel()
+	return r.c.store.Read(ctx, table, part, keys)
 }
 
-// asWrite maps a failed call to the error of an operation that writes.
-func asWrite(err error) error {
-	var call *callError
-	if errors.As(err, &call) && call.sent {
-		return fmt.Errorf("%w: %w", platform.ErrOutcomeUnknown, err)
-	}
-	return asRead(err)
+// Follow implements platform.Rows.
+func (r timedRows) Follow(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Page, error) {
+	return r.c.store.Follow(ctx, table, after, wait)
 }
 
-// statusError is an answer with an unexpected status.
-type statusError struct {
-	status int
-	text   string
+// Apply implements platform.Rows.
+func (r timedRows) Apply(ctx context.Context, txn platform.RowTxn) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.c.timeout)
+	defer cancel()
+	return r.c.store.Apply(ctx, txn)
 }
 
-func (e *statusError) Error() string { return fmt.Sprintf("status %d: %s", e.status, e.text) }
+// timedBlobs bounds each call on blobs, and allows a large one more time.
+type timedBlobs struct{ c *Client }
 
-// send performs one call. The caller closes the answer's body.
-func (c *Client) send(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, fmt.Errorf("create request: %w", err)
-	}
-	for name, values := range header {
-		request.Header[name] = values
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return nil, &callError{sent: connected.Load(), cause: err}
-	}
-	if response.StatusCode == http.StatusServiceUnavailable {
-		defer func() { _ = response.Body.Close() }()
-		return nil, &callError{sent: false, cause: readStatusError(response)}
-	}
-	return response, nil
+// PutBlob implements platform.Blobs.
+func (b timedBlobs) PutBlob(ctx context.Context, name string, content []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, b.c.timeout*time.Duration(1+len(content)/bytesPerTimeout))
+	defer cancel()
+	return b.c.store.PutBlob(ctx, name, content)
 }
 
-func readStatusError(response *http.Response) error {
-	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
-	return &statusError{status: response.StatusCode, text: strings.TrimSpace(string(text))}
+// GetBlob implements platform.Blobs.
+func (b timedBlobs) GetBlob(ctx context.Context, name string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*b.c.timeout)
+	defer cancel()
+	return b.c.store.GetBlob(ctx, name)
 }
 
-// post sends a JSON message and decodes the answer into answer when the status is 200, and into
-// conflict when it is 409.
-func (c *Client) post(ctx context.Context, path string, message, answer, conflict any) (status int, err error) {
-	body, err := json.Marshal(message)
-	if err != nil {
-		return 0, fmt.Errorf("encode request: %w", err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+// DropBlob implements platform.Blobs.
+func (b timedBlobs) DropBlob(ctx context.Context, name string) error {
+	ctx, cancel := context.WithTimeout(ctx, b.c.timeout)
 	defer cancel()
-	response, err := c.send(ctx, http.MethodPost, path, body, http.Header{"Content-Type": {"application/json"}})
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	switch {
-	case response.StatusCode == http.StatusOK:
-		return response.StatusCode, decode(response.Body, answer)
-	case response.StatusCode == http.StatusConflict && conflict != nil:
-		return response.StatusCode, decode(response.Body, conflict)
-	default:
-		return response.StatusCode, &callError{sent: true, cause: readStatusError(response)}
-	}
+	return b.c.store.DropBlob(ctx, name)
 }
 
-// getJSON reads a JSON answer.
-func (c *Client) getJSON(ctx context.Context, path string, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	response, err := c.send(ctx, http.MethodGet, path, nil, nil)
+// get performs a call of the VM list or the weight store. The caller closes the answer's body.
+func (c *Client) get(ctx context.Context, path string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
-		return err
+		return nil, fmt.Errorf("create request: %w", err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return &callError{sent: true, cause: readStatusError(response)}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
-	return decode(response.Body, answer)
+	return response, nil
 }
 
 // decode reads a whole JSON value. A truncated answer is no answer.
 func decode(body io.Reader, out any) error {
 	if err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(out); err != nil {
-		return &callError{sent: true, cause: fmt.Errorf("decode answer: %w", err)}
+		return fmt.Errorf("%w: decode answer: %w", platform.ErrUnavailable, err)
 	}
 	return nil
 }
--- a/internal/platform/client/inventory.go
+++ b/internal/platform/client/inventory.go
@@ -15,11 +15,17 @@
 
 // List implements platform.VMList.
 func (v vms) List(ctx context.Context) ([]platform.VM, error) {
-	var answer wire.VMsResponse
-	if err := v.c.getJSON(ctx, wire.PathVMs, &answer); err != nil {
-		return nil, asRead(err)
+	response, err := v.c.get(ctx, wire.PathVMs)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: list of VMs: status %d", platform.ErrUnavailable, response.StatusCode)
 	}
-	return answer.VMs, nil
+	var answer wire.VMsResponse
+	err = decode(response.Body, &answer)
+	return answer.VMs, err
 }
 
 type weights struct{ c *Client }
@@ -27,11 +33,9 @@
 // Describe implements platform.Weights. When the rate limit refuses the request, it returns a Weight
 // with RetryAfter set and no error.
 func (w weights) Describe(ctx context.Context, model string) (platform.Weight, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.c.timeout)
-	defer cancel()
-	response, err := w.c.send(ctx, http.MethodGet, wire.PrefixWeights+escape(model), nil, nil)
+	response, err := w.c.get(ctx, wire.PrefixWeights+escape(model))
 	if err != nil {
-		return platform.Weight{}, asRead(err)
+		return platform.Weight{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
@@ -42,7 +46,7 @@
 	case http.StatusNotFound:
 		return platform.Weight{}, fmt.Errorf("%w: weights of %q", platform.ErrNotFound, model)
 	default:
-		return platform.Weight{}, asRead(&callError{sent: true, cause: readStatusError(response)})
+		return platform.Weight{}, fmt.Errorf("%w: weights of %q: status %d", platform.ErrUnavailable, model, response.StatusCode)
 	}
 }
 
@@ -57,8 +61,6 @@
 
 func decodeWeight(response *http.Response) (platform.Weight, error) {
 	var weight platform.Weight
-	if err := decode(response.Body, &weight); err != nil {
-		return platform.Weight{}, asRead(err)
-	}
-	return weight, nil
+	err := decode(response.Body, &weight)
+	return weight, err
 }
--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -4,102 +4,85 @@
 import (
 	"bytes"
 	"context"
-	"io"
-	"sort"
-	"strings"
 	"sync"
+	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 )
 
-// Platform holds a table, an object store and a VM list.
+// Platform holds the store's tables and blobs, a VM list and the descriptions of weights.
 type Platform struct {
-	mu      sync.Mutex
-	version uint64
-	rows    map[string]platform.Row
-	objects map[string][]byte
+	mu sync.Mutex
+	rowStore
+	started time.Time
+	blobs   map[string][]byte
 	vms     []platform.VM
 	weights map[string]platform.Weight
 }
 
 var (
 	_ platform.Table   = (*Platform)(nil)
-	_ platform.Objects = Objects{}
+	_ platform.Blobs   = (*Platform)(nil)
 	_ platform.VMList  = (*Platform)(nil)
 	_ platform.Weights = (*Platform)(nil)
 )
 
 // New returns an empty platform.
 func New() *Platform {
-	return &Platform{rows: map[string]platform.Row{}, objects: map[string][]byte{}, weights: map[string]platform.Weight{}}
+	return &Platform{
+		rowStore: newRowStore(),
+		started:  time.Now(),
+		blobs:    map[string][]byte{},
+		weights:  map[string]platform.Weight{},
+	}
 }
 
 // Get implements platform.Table.
 func (p *Platform) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	if ctx.Err() != nil {
-		return nil, platform.ErrUnavailable
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	rows := make([]platform.Row, len(keys))
-	for i, key := range keys {
-		rows[i] = p.row(key)
-	}
-	return rows, nil
+	return platform.NewTable(p).Get(ctx, keys...)
 }
 
 // Scan implements platform.Table.
 func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	if ctx.Err() != nil {
-		return nil, platform.ErrUnavailable
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var rows []platform.Row
-	for key, row := range p.rows {
-		if strings.HasPrefix(key, prefix) && key > after {
-			rows = append(rows, row)
-		}
-	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	if len(rows) > limit {
-		rows = rows[:limit]
-	}
-	return rows, nil
+	return platform.NewTable(p).Scan(ctx, prefix, after, limit)
 }
 
 // Commit implements platform.Table.
 func (p *Platform) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
-	if ctx.Err() != nil {
-		return 0, platform.ErrUnavailable
-	}
+	return platform.NewTable(p).Commit(ctx, txn)
+}
+
+// Objects returns the platform's object store.
+func (p *Platform) Objects() platform.Objects { return platform.NewObjects(p) }
+
+// PutBlob implements platform.Blobs.
+func (p *Platform) PutBlob(_ context.Context, name string, content []byte) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var conflicts []platform.Row
-	for _, c := range txn.Conditions {
-		if row := p.row(c.Key); row.Version != c.Version {
-			conflicts = append(conflicts, row)
-		}
-	}
-	if len(conflicts) > 0 {
-		return 0, &platform.ConflictError{Rows: conflicts}
-	}
-	p.version++
-	for _, w := range txn.Writes {
-		if w.Delete {
-			delete(p.rows, w.Key)
-			continue
-		}
-		p.rows[w.Key] = platform.Row{Key: w.Key, Value: bytes.Clone(w.Value), Version: p.version}
+	if _, ok := p.blobs[name]; ok {
+		return platform.ErrExists
 	}
-	return p.version, nil
+	p.blobs[name] = bytes.Clone(content)
+	return nil
 }
 
-func (p *Platform) row(key string) platform.Row {
-	if row, ok := p.rows[key]; ok {
-		return row
+// GetBlob implements platform.Blobs.
+func (p *Platform) GetBlob(_ context.Context, name string) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	content, ok := p.blobs[name]
+	if !ok {
+		return nil, platform.ErrNotFound
 	}
-	return platform.Row{Key: key}
+	return content, nil
+}
+
+// DropBlob implements platform.Blobs.
+func (p *Platform) DropBlob(_ context.Context, name string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.blobs, name)
+	return nil
 }
 
 // List implements platform.VMList.
@@ -133,55 +116,3 @@
 	}
 	return weight, nil
 }
-
-// Objects returns the platform's object store.
-func (p *Platform) Objects() Objects { return Objects{p} }
-
-// Objects is the object store of a Platform.
-type Objects struct{ p *Platform }
-
-// Put implements platform.Objects.
-func (o Objects) Put(_ context.Context, name string, content []byte) error {
-	o.p.mu.Lock()
-	defer o.p.mu.Unlock()
-	if old, ok := o.p.objects[name]; ok && !bytes.Equal(old, content) {
-		return platform.ErrExists
-	}
-	o.p.objects[name] = bytes.Clone(content)
-	return nil
-}
-
-// Get implements platform.Objects.
-func (o Objects) Get(_ context.Context, name string, offset, length int64) (io.ReadCloser, error) {
-	o.p.mu.Lock()
-	defer o.p.mu.Unlock()
-	content, ok := o.p.objects[name]
-	if !ok {
-		return nil, platform.ErrNotFound
-	}
-	start := min(offset, int64(len(content)))
-	end := int64(len(content))
-	if length >= 0 {
-		end = min(end, start+length)
-	}
-	return io.NopCloser(bytes.NewReader(content[start:end])), nil
-}
-
-// Size implements platform.Objects.
-func (o Objects) Size(_ context.Context, name string) (int64, error) {
-	o.p.mu.Lock()
-	defer o.p.mu.Unlock()
-	content, ok := o.p.objects[name]
-	if !ok {
-		return 0, platform.ErrNotFound
-	}
-	return int64(len(content)), nil
-}
-
-// Delete implements platform.Objects.
-func (o Objects) Delete(_ context.Context, name string) error {
-	o.p.mu.Lock()
-	defer o.p.mu.Unlock()
-	delete(o.p.objects, name)
-	return nil
-}
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -31,6 +31,7 @@
 	ExpiresIn        time.Duration    `cbor:"7,keyasint"`
 	Expected         time.Duration    `cbor:"8,keyasint,omitempty"`
 	Returned         bool             `cbor:"9,keyasint,omitempty"`
+	ReturnWithin     time.Duration    `cbor:"10,keyasint,omitempty"`
 }
 
 func (m *submitMessage) request(now time.Time) scheduler.Request {
@@ -44,6 +45,7 @@
 		Expires:          now.Add(m.ExpiresIn),
 		Expected:         m.Expected,
 		Returned:         m.Returned,
+		ReturnWithin:     m.ReturnWithin,
 	}
 }
 
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -171,6 +171,7 @@
 		ExpiresIn:        request.Expires.Sub(now),
 		Expected:         request.Expected,
 		Returned:         request.Returned,
+		ReturnWithin:     request.ReturnWithin,
 	})
 	return c.VM
 }
--- a/internal/standin/platformserver/faults.go
+++ b/internal/standin/platformserver/faults.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
-	"github.com/rosemarydyke/rosemarydyke/internal/platform/wire"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/fault"
+	store "github.com/rosemarydyke/rosemarydyke/platform"
 )
 
 // freezePoll is how often a frozen request looks whether the fault has ended.
@@ -68,7 +68,7 @@
 }
 
 func isWrite(r *http.Request) bool {
-	return r.URL.Path == wire.PathTableCommit || r.Method == http.MethodPut || r.Method == http.MethodDelete
+	return r.URL.Path == store.PathRowsApply || r.Method == http.MethodPut || r.Method == http.MethodDelete
 }
 
 // discard is a ResponseWriter that keeps nothing.
--- a/internal/standin/platformserver/server.go
+++ b/internal/standin/platformserver/server.go
@@ -1,13 +1,9 @@
-// Package platformserver serves the platform's table, object store, VM list and weight store over HTTP,
-// from memory and with faults on command.
+// Package platformserver is a stand-in of the platform's store, which speaks its protocol, and of the VM list
+// and the weight store. It serves them from memory and with faults on command.
 package platformserver
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -20,6 +16,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/wire"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/fault"
+	store "github.com/rosemarydyke/rosemarydyke/platform"
 )
 
 // Subjects of faults.
@@ -71,10 +68,11 @@
 	}
 	s.limiter = rate.NewLimiter(rate.Limit(cfg.WeightRequests), 1)
 	s.list = &laggingList{source: s.memory, faults: s.faults, lag: cfg.VMListLag}
-	s.mux.Handle("POST "+wire.PathTableGet, s.with(SubjectTable, s.tableGet))
-	s.mux.Handle("POST "+wire.PathTableScan, s.with(SubjectTable, s.tableScan))
-	s.mux.Handle("POST "+wire.PathTableCommit, s.with(SubjectTable, s.tableCommit))
-	s.mux.Handle(wire.PrefixObjects, s.with(SubjectObjects, s.object))
+	rows := store.NewStoreHandler(s.memory)
+	s.mux.Handle("/", s.with(SubjectTable, rows.ServeHTTP))
+	s.mux.Handle(store.PrefixBlobPut, s.with(SubjectObjects, rows.ServeHTTP))
+	s.mux.Handle(store.PrefixBlobGet, s.with(SubjectObjects, rows.ServeHTTP))
+	s.mux.Handle(store.PrefixBlobDrop, s.with(SubjectObjects, rows.ServeHTTP))
 	s.mux.Handle("GET "+wire.PathVMs, s.with(SubjectVMs, s.vms))
 	s.mux.Handle("GET "+wire.PrefixWeights, s.with(SubjectWeights, s.weight))
 	return s
@@ -86,76 +84,6 @@
 // Memory returns the state behind the server.
 func (s *Server) Memory() *memory.Platform { return s.memory }
 
-func (s *Server) tableGet(w http.ResponseWriter, r *http.Request) {
-	var request wire.GetRequest
-	if !readJSON(w, r, &request) {
-		return
-	}
-	rows, err := s.memory.Get(detached(r), request.Keys...)
-	answer(w, wire.RowsResponse{Rows: rows}, err)
-}
-
-func (s *Server) tableScan(w http.ResponseWriter, r *http.Request) {
-	var request wire.ScanRequest
-	if !readJSON(w, r, &request) {
-		return
-	}
-	rows, err := s.memory.Scan(detached(r), request.Prefix, request.After, request.Limit)
-	answer(w, wire.RowsResponse{Rows: rows}, err)
-}
-
-func (s *Server) tableCommit(w http.ResponseWriter, r *http.Request) {
-	var txn platform.Txn
-	if !readJSON(w, r, &txn) {
-		return
-	}
-	version, err := s.memory.Commit(detached(r), txn)
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		writeJSON(w, http.StatusConflict, wire.RowsResponse{Rows: conflict.Rows})
-		return
-	}
-	answer(w, wire.CommitResponse{Version: version}, err)
-}
-
-func (s *Server) object(w http.ResponseWriter, r *http.Request) {
-	name := strings.TrimPrefix(r.URL.Path, wire.PrefixObjects)
-	switch r.Method {
-	case http.MethodPut:
-		s.putObject(w, r, name)
-	case http.MethodGet, http.MethodHead:
-		s.getObject(w, r, name)
-	case http.MethodDelete:
-		answer(w, struct{}{}, s.memory.Objects().Delete(detached(r), name))
-	default:
-		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
-	}
-}
-
-func (s *Server) putObject(w http.ResponseWriter, r *http.Request, name string) {
-	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	answer(w, struct{}{}, s.memory.Objects().Put(detached(r), name, content))
-}
-
-func (s *Server) getObject(w http.ResponseWriter, r *http.Request, name string) {
-	body, err := s.memory.Objects().Get(detached(r), name, 0, -1)
-	if err != nil {
-		answer(w, nil, err)
-		return
-	}
-	content, err := io.ReadAll(body)
-	if err != nil {
-		answer(w, nil, err)
-		return
-	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(content))
-}
-
 func (s *Server) vms(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, wire.VMsResponse{VMs: s.list.List(time.Now())})
 }
@@ -177,31 +105,6 @@
 	writeJSON(w, http.StatusOK, platform.Weight{Model: model, Bytes: size})
 }
 
-// detached returns a context that outlives the client's connection: a service that has read a request
-// carries it out whether or not the client still waits.
-func detached(r *http.Request) context.Context { return context.WithoutCancel(r.Context()) }
-
-func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(out); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func answer(w http.ResponseWriter, message any, err error) {
-	switch {
-	case err == nil:
-		writeJSON(w, http.StatusOK, message)
-	case errors.Is(err, platform.ErrNotFound):
-		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrExists):
-		http.Error(w, err.Error(), http.StatusConflict)
-	default:
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-	}
-}
-
 func writeJSON(w http.ResponseWriter, status int, message any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -14,8 +14,12 @@
 	minRetryAfter = 100 * time.Millisecond
 	// returnWindow is how long after its time a client that was told to come back is still expected.
 	returnWindow = 300 * time.Millisecond
-	// returnShare is the share of a service's slots that is promised to clients that come back.
-	returnShare = 0.5
+	// arrivalWindow is the time over which the rate of new requests is taken: short beside a surge of seconds.
+	arrivalWindow = 500 * time.Millisecond
+	// minReturnShare is the share of a service's slots that is promised to clients that come back, however many come first.
+	minReturnShare = 0.05
+	// latestReturn is the share of a client's patience up to which it is told to come back.
+	latestReturn = 0.97
 )
 
 // admit decides whether an online request that found no slot may wait. Slots become free at a steady
@@ -32,7 +36,7 @@
 	if wait <= allowed {
 		return Refuse{}, false
 	}
-	return Refuse{Ticket: w.Ticket, RetryAfter: s.reserveReturn(now, p, wait-allowed, interval), Reason: Overloaded}, true
+	return Refuse{Ticket: w.Ticket, RetryAfter: s.reserveReturn(now, p, w, wait-allowed, interval), Reason: Overloaded}, true
 }
 
 // onlineSlots is the number of slots that online requests can have.
@@ -75,20 +79,44 @@
 	return ahead
 }
 
-// reserveReturn picks the time at which a refused client finds a slot, behind those that were refused before it.
-func (s *Scheduler) reserveReturn(now time.Time, p *pool, excess, interval time.Duration) time.Duration {
+// reserveReturn picks the time at which a refused client finds a slot: in the capacity that new requests
+// leave, behind those that were refused before it. In a surge there is none, and the client is told to come
+// back as late as it will, when the surge is likeliest to be over.
+func (s *Scheduler) reserveReturn(now time.Time, p *pool, w *waiting, excess, interval time.Duration) time.Duration {
 	p.returns = slices.DeleteFunc(p.returns, func(at time.Time) bool { return at.Before(now.Add(-returnWindow)) })
 	at := now.Add(max(excess, minRetryAfter))
 	if n := len(p.returns); n > 0 {
-		spacing := time.Duration(float64(interval) / returnShare)
+		spacing := time.Duration(float64(interval) / p.spareShare(now, interval))
 		if next := p.returns[n-1].Add(spacing); next.After(at) {
 			at = next
 		}
 	}
-	p.returns = append(p.returns, at)
+	if limit := time.Duration(latestReturn * float64(w.ReturnWithin)); limit > 0 && at.After(now.Add(limit)) {
+		at = now.Add(limit)
+	}
+	index, _ := slices.BinarySearchFunc(p.returns, at, time.Time.Compare)
+	p.returns = slices.Insert(p.returns, index, at)
 	return at.Sub(now)
 }
 
+// observeArrival counts a request that came first.
+func (p *pool) observeArrival(now time.Time) {
+	p.arrivals = slices.DeleteFunc(p.arrivals, func(at time.Time) bool { return now.Sub(at) > arrivalWindow })
+	p.arrivals = append(p.arrivals, now)
+}
+
+// spareShare is the share of the slots that new requests leave.
+func (p *pool) spareShare(now time.Time, interval time.Duration) float64 {
+	recent := 0
+	for _, at := range p.arrivals {
+		if now.Sub(at) <= arrivalWindow {
+			recent++
+		}
+	}
+	used := float64(recent) * float64(interval) / float64(arrivalWindow)
+	return max(1-used, minReturnShare)
+}
+
 // takeReturn counts a client that came back against the earliest promise.
 func (p *pool) takeReturn(now time.Time) {
 	if len(p.returns) > 0 && p.returns[0].Before(now.Add(returnWindow)) {
@@ -100,22 +128,17 @@
 	return d + time.Duration(s.random.Float64()*float64(d)/2)
 }
 
-// refuseLate turns away the requests whose time to start has passed. One that came back after a
-// refusal is kept until it expires.
+// refuseLate turns away the requests that have expired.
 func (s *Scheduler) refuseLate(now time.Time, p *pool) []Action {
 	var actions []Action
 	for _, w := range slices.Clone(p.online) {
-		limit := w.StartBy
-		if w.Returned {
-			limit = w.Expires
-		}
-		if now.Before(limit) {
+		if now.Before(w.Expires) {
 			continue
 		}
 		s.forget(w)
 		capacity := max(s.onlineSlots(now, p, w), 1)
 		interval := p.onlineRun / time.Duration(capacity)
-		actions = append(actions, Refuse{Ticket: w.Ticket, RetryAfter: s.reserveReturn(now, p, 0, interval), Reason: Late})
+		actions = append(actions, Refuse{Ticket: w.Ticket, RetryAfter: s.reserveReturn(now, p, w, 0, interval), Reason: Late})
 	}
 	return actions
 }
--- /dev/null
+++ b/scheduler/load_test.go
@@ -0,0 +1,204 @@
+package scheduler_test
+
+import (
+	"container/heap"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+)
+
+// A replay of the users' traffic: steps of 1.85 times the mean for 2.2 s after 3 s at 0.378 times, requests of
+// 0.7 s and items of 4.7 s on 9 targets of 8 slots, of which some are lost.
+
+// event is something that happens in a replay.
+type event struct {
+	at  time.Duration
+	run func(now time.Time)
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// replay drives a scheduler, or the naive queue when naive is set.
+type replay struct {
+	queue   events
+	random  *rand.Rand
+	s       *scheduler.Scheduler
+	next    int
+	arrived map[scheduler.Ticket]time.Duration
+	// came is when a client that was refused came first.
+	came map[scheduler.Ticket]time.Duration
+	work map[scheduler.Ticket]time.Duration
+
+	naive bool
+	free  int
+	fifo  []scheduler.Ticket
+
+	onTime, returned, late, lost int
+}
+
+const (
+	replayLength = 40 * time.Second
+	onlineRun    = 700 * time.Millisecond
+	// returnWithin is a third of a client's patience of 5 s.
+	returnWithin = 1660 * time.Millisecond
+)
+
+func newReplay(targets int, naive bool) *replay {
+	return &replay{
+		random: rand.New(rand.NewPCG(3, 4)), s: newScheduler(targets, 8), naive: naive, free: targets * 8,
+		arrived: map[scheduler.Ticket]time.Duration{}, came: map[scheduler.Ticket]time.Duration{},
+		work: map[scheduler.Ticket]time.Duration{},
+	}
+}
+
+func (r *replay) after(d time.Duration, run func(now time.Time)) {
+	heap.Push(&r.queue, event{d, run})
+}
+
+// rate is the requests per second at a time.
+func rate(mean float64, now time.Duration) float64 {
+	if now%(5200*time.Millisecond) < 3*time.Second {
+		return 0.378 * mean
+	}
+	return 1.85 * mean
+}
+
+func (r *replay) run(mean float64) {
+	r.arrive(mean, 0)
+	for at := time.Duration(0); at < replayLength; at += 25 * time.Millisecond {
+		r.after(at, func(now time.Time) {
+			for _, ticket := range r.waiting() {
+				r.take(now, r.s.Submit(now, online(int(ticket.Sequence), epoch)))
+			}
+			r.take(now, r.s.Tick(now))
+		})
+	}
+	for r.queue.Len() > 0 {
+		e := heap.Pop(&r.queue).(event)
+		e.run(at(e.at))
+	}
+}
+
+// waiting returns the requests that wait, which are submitted again and again.
+func (r *replay) waiting() []scheduler.Ticket {
+	if r.naive {
+		return nil
+	}
+	return slices.Collect(maps.Keys(r.arrived))
+}
+
+func (r *replay) arrive(mean float64, now time.Duration) {
+	if now > replayLength {
+		return
+	}
+	r.after(now, func(time.Time) { r.submit(now, now, false) })
+	gap := time.Duration(r.random.ExpFloat64() / rate(mean, now) * float64(time.Second))
+	r.after(now+gap, func(time.Time) { r.arrive(mean, now+gap) })
+}
+
+func (r *replay) submit(now, came time.Duration, returned bool) {
+	r.next++
+	id := ticket(r.next)
+	r.arrived[id], r.came[id] = now, came
+	r.work[id] = time.Duration((0.5 + r.random.Float64()) * float64(onlineRun))
+	if r.naive {
+		r.fifo = append(r.fifo, id)
+		r.serveNaive(now)
+		return
+	}
+	request := online(r.next, at(now))
+	request.Returned, request.ReturnWithin = returned, returnWithin
+	r.take(at(now), r.s.Submit(at(now), request))
+}
+
+func (r *replay) serveNaive(now time.Duration) {
+	for r.free > 0 && len(r.fifo) > 0 {
+		id := r.fifo[0]
+		r.fifo = r.fifo[1:]
+		r.free--
+		r.count(id, now)
+		r.after(now+r.work[id], func(end time.Time) {
+			r.free++
+			r.serveNaive(end.Sub(epoch))
+		})
+	}
+}
+
+// count notes when a request was started.
+func (r *replay) count(id scheduler.Ticket, now time.Duration) {
+	waited := now - r.arrived[id]
+	switch {
+	case waited > goal:
+		r.late++
+	case r.came[id] != r.arrived[id]:
+		r.returned++
+	default:
+		r.onTime++
+	}
+	delete(r.arrived, id)
+}
+
+func (r *replay) take(now time.Time, actions []scheduler.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case scheduler.Grant:
+			if _, waits := r.arrived[a.Ticket]; !waits {
+				continue
+			}
+			r.count(a.Ticket, now.Sub(epoch))
+			r.after(now.Sub(epoch)+r.work[a.Ticket], func(end time.Time) {
+				r.take(end, r.s.Release(end, a.Ticket, scheduler.Finished, 20*time.Millisecond))
+			})
+		case scheduler.Refuse:
+			came, first := r.came[a.Ticket], r.came[a.Ticket] == r.arrived[a.Ticket]
+			delete(r.arrived, a.Ticket)
+			if !first || a.RetryAfter > returnWithin {
+				r.lost++
+				continue
+			}
+			back := now.Sub(epoch) + a.RetryAfter
+			r.after(back, func(time.Time) { r.submit(back, came, true) })
+		}
+	}
+}
+
+// worth is what the requests are worth to the users: 8.2 on time, 1.2 late, and the mean when served in time
+// after a refusal.
+func (r *replay) worth() float64 {
+	total := r.onTime + r.returned + r.late + r.lost
+	return (8.2*float64(r.onTime) + 4.7*float64(r.returned) + 1.2*float64(r.late)) / (8.2 * float64(total))
+}
+
+func TestReplayOfStepsThatFitIsServedInTime(t *testing.T) {
+	r := newReplay(9, false)
+	r.run(42)
+	qt.Assert(t, r.worth() > 0.98, qt.IsTrue, qt.Commentf("worth %.3f, %d on time, %d late, %d lost", r.worth(), r.onTime, r.late, r.lost))
+}
+
+// Overload in the steps: more comes than the slots can serve, and less between them.
+func TestReplayOfOverloadIsWorthMoreThanWithAPlainQueue(t *testing.T) {
+	for _, mean := range []float64{60, 80, 110} {
+		ours, naive := newReplay(6, false), newReplay(6, true)
+		ours.run(mean)
+		naive.run(mean)
+		t.Logf("mean %.0f/s on 48 slots: worth %.3f (%d on time, %d after a refusal, %d late, %d lost), plain queue %.3f", mean, ours.worth(), ours.onTime, ours.returned, ours.late, ours.lost, naive.worth())
+		qt.Assert(t, ours.worth() > 1.2*naive.worth(), qt.IsTrue)
+	}
+}
--- /dev/null
+++ b/scheduler/model_test.go
@@ -0,0 +1,140 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+)
+
+// oracle keeps by itself what a scheduler has granted.
+type oracle struct {
+	now      time.Time
+	next     int
+	waiting  map[scheduler.Ticket]scheduler.Request
+	running  map[scheduler.Ticket]string
+	yielding map[scheduler.Ticket]bool
+	class    map[scheduler.Ticket]scheduler.Class
+	targets  map[string]scheduler.Target
+}
+
+func (o *oracle) take(t *rapid.T, actions []scheduler.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case scheduler.Yield:
+			if o.class[a.Ticket] != scheduler.Item {
+				t.Fatalf("online request %v is told to yield", a.Ticket)
+			}
+			if _, runs := o.running[a.Ticket]; !runs {
+				t.Fatalf("%v is told to yield and does not run", a.Ticket)
+			}
+			o.yielding[a.Ticket] = true
+		case scheduler.Grant:
+			if target, again := o.running[a.Ticket]; again && target != a.Target {
+				t.Fatalf("%v has two slots", a.Ticket)
+			}
+			if o.targets[a.Target].Draining {
+				t.Fatalf("%v got a slot of the draining target %s", a.Ticket, a.Target)
+			}
+			o.running[a.Ticket] = a.Target
+			delete(o.waiting, a.Ticket)
+		case scheduler.Refuse:
+			if o.class[a.Ticket] == scheduler.Item {
+				t.Fatalf("item %v is refused", a.Ticket)
+			}
+			delete(o.waiting, a.Ticket)
+		}
+	}
+	o.check(t)
+}
+
+// occupied counts the runs of a target that keep their slots.
+func (o *oracle) occupied(target string) int {
+	n := 0
+	for ticket, on := range o.running {
+		if on == target && !o.yielding[ticket] {
+			n++
+		}
+	}
+	return n
+}
+
+func (o *oracle) check(t *rapid.T) {
+	free := 0
+	for id, target := range o.targets {
+		n := o.occupied(id)
+		if n > target.Slots {
+			t.Fatalf("target %s runs %d requests on %d slots", id, n, target.Slots)
+		}
+		if !target.Draining {
+			free += target.Slots - n
+		}
+	}
+	if free > 0 && len(o.waiting) > 0 {
+		t.Fatalf("%d requests wait while %d slots are free", len(o.waiting), free)
+	}
+}
+
+func TestSlotsAreNeitherOversoldNorLeftFreeWhileRequestsWait(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count, slots := rapid.IntRange(1, 4).Draw(t, "targets"), rapid.IntRange(1, 4).Draw(t, "slots")
+		s := newScheduler(count, slots)
+		o := &oracle{
+			now: epoch, waiting: map[scheduler.Ticket]scheduler.Request{}, running: map[scheduler.Ticket]string{},
+			yielding: map[scheduler.Ticket]bool{}, class: map[scheduler.Ticket]scheduler.Class{}, targets: map[string]scheduler.Target{},
+		}
+		for _, target := range fleet(count, slots) {
+			o.targets[target.ID] = target
+		}
+		end := func(t *rapid.T, yielded bool) {
+			for ticket := range o.running {
+				if o.yielding[ticket] != yielded {
+					continue
+				}
+				outcome := scheduler.Finished
+				if yielded {
+					outcome = scheduler.Abandoned
+				}
+				delete(o.running, ticket)
+				delete(o.yielding, ticket)
+				o.take(t, s.Release(o.now, ticket, outcome, 0))
+				return
+			}
+		}
+		submit := func(t *rapid.T, r scheduler.Request) {
+			o.class[r.Ticket] = r.Class
+			o.waiting[r.Ticket] = r
+			o.take(t, s.Submit(o.now, r))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"online": func(t *rapid.T) {
+				o.next++
+				submit(t, online(o.next, o.now))
+			},
+			"item": func(t *rapid.T) {
+				o.next++
+				submit(t, item(o.next, o.now.Add(rapid.SampledFrom([]time.Duration{time.Second, 5 * time.Second, 20 * time.Second}).Draw(t, "due"))))
+			},
+			"finish": func(t *rapid.T) { end(t, false) },
+			"yield":  func(t *rapid.T) { end(t, true) },
+			"drain": func(t *rapid.T) {
+				list := fleet(count, slots)
+				for i := range list {
+					list[i].Draining = o.targets[list[i].ID].Draining || rapid.IntRange(0, 9).Draw(t, "drains") == 0
+					o.targets[list[i].ID] = list[i]
+				}
+				o.take(t, s.SetTargets(o.now, list))
+			},
+			"time": func(t *rapid.T) {
+				o.now = o.now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
+				for _, r := range o.waiting {
+					o.take(t, s.Submit(o.now, r))
+				}
+				o.take(t, s.Tick(o.now))
+			},
+			"": func(t *rapid.T) {},
+		})
+	})
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -52,6 +52,8 @@
 	Expected time.Duration
 	// Returned says that an online request was refused before and came back.
 	Returned bool
+	// ReturnWithin is the longest time after which the client of an online request comes back. Zero means unknown.
+	ReturnWithin time.Duration
 }
 
 // Target is a target as it is registered.
@@ -227,8 +229,10 @@
 	health  *target.HealthGroup
 	online  []*waiting
 	items   []*waiting
-	// returns are the times at which refused clients were told to come back.
+	// returns are the times at which refused clients were told to come back, in order.
 	returns []time.Time
+	// arrivals are the times of online requests that came first within arrivalWindow.
+	arrivals []time.Time
 	// onlineRun is the mean slot time of online requests.
 	onlineRun time.Duration
 }
@@ -323,6 +327,8 @@
 	}
 	if r.Returned {
 		p.takeReturn(now)
+	} else {
+		p.observeArrival(now)
 	}
 	actions, placed := s.place(now, p, w)
 	if placed {
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,216 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+)
+
+const service = "llm"
+
+// goal is the latency objective of online requests in these tests.
+const goal = 240 * time.Millisecond
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func newScheduler(targets, slots int) *scheduler.Scheduler {
+	s := scheduler.New(scheduler.Config{}, rand.New(rand.NewPCG(1, 2)))
+	s.SetTargets(epoch, fleet(targets, slots))
+	return s
+}
+
+func fleet(targets, slots int) []scheduler.Target {
+	list := make([]scheduler.Target, targets)
+	for i := range list {
+		list[i] = scheduler.Target{ID: fmt.Sprintf("t%d", i), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i), AvailabilityZone: "a", Slots: slots}
+	}
+	return list
+}
+
+func ticket(n int) scheduler.Ticket { return scheduler.Ticket{VM: "vm", Sequence: uint64(n)} }
+
+func online(n int, now time.Time) scheduler.Request {
+	return scheduler.Request{Ticket: ticket(n), Class: scheduler.Online, Service: service, AvailabilityZone: "a", StartBy: now.Add(goal), Expires: now.Add(goal)}
+}
+
+func item(n int, due time.Time) scheduler.Request {
+	return scheduler.Request{Ticket: ticket(n), Class: scheduler.Item, Service: service, AvailabilityZone: "a", StartBy: due, Expires: due, Expected: 4 * time.Second}
+}
+
+func granted(t *testing.T, actions []scheduler.Action, n int) scheduler.Grant {
+	t.Helper()
+	for _, a := range actions {
+		if g, ok := a.(scheduler.Grant); ok && g.Ticket == ticket(n) {
+			return g
+		}
+	}
+	t.Fatalf("request %d has no grant in %v", n, actions)
+	return scheduler.Grant{}
+}
+
+func refused(actions []scheduler.Action, n int) (scheduler.Refuse, bool) {
+	for _, a := range actions {
+		if r, ok := a.(scheduler.Refuse); ok && r.Ticket == ticket(n) {
+			return r, true
+		}
+	}
+	return scheduler.Refuse{}, false
+}
+
+func yields(actions []scheduler.Action) []scheduler.Ticket {
+	var tickets []scheduler.Ticket
+	for _, a := range actions {
+		if y, ok := a.(scheduler.Yield); ok {
+			tickets = append(tickets, y.Ticket)
+		}
+	}
+	return tickets
+}
+
+func TestAnOnlineRequestTakesTheSlotOfTheItemThatCanBestAffordIt(t *testing.T) {
+	s := newScheduler(1, 2)
+	granted(t, s.Submit(epoch, item(1, at(9*time.Second))), 1)
+	granted(t, s.Submit(epoch, item(2, at(30*time.Second))), 2)
+	actions := s.Submit(epoch, online(3, epoch))
+	granted(t, actions, 3)
+	qt.Assert(t, yields(actions), qt.DeepEquals, []scheduler.Ticket{ticket(2)})
+}
+
+func TestAnItemThatIsNearlyDueKeepsItsSlot(t *testing.T) {
+	s := newScheduler(2, 1)
+	granted(t, s.Submit(epoch, item(1, at(5*time.Second))), 1)
+	granted(t, s.Submit(epoch, online(2, epoch)), 2)
+	actions := s.Submit(epoch, online(3, epoch))
+	qt.Assert(t, yields(actions), qt.HasLen, 0)
+}
+
+func TestItemsThatAreNearlyDueKeepNoMoreThanTheirShare(t *testing.T) {
+	s := newScheduler(1, 4)
+	for n := range 4 {
+		granted(t, s.Submit(epoch, item(n, at(5*time.Second))), n)
+	}
+	for n := 4; n < 6; n++ {
+		granted(t, s.Submit(epoch, online(n, epoch)), n)
+	}
+	actions := s.Submit(epoch, online(6, epoch))
+	qt.Assert(t, yields(actions), qt.HasLen, 0)
+}
+
+func TestAnItemThatMissesItsDueTimeComesAfterOneThatCanMeetIt(t *testing.T) {
+	s := newScheduler(1, 1)
+	granted(t, s.Submit(epoch, online(0, epoch)), 0)
+	s.Submit(epoch, item(1, at(time.Second)))
+	s.Submit(epoch, item(2, at(20*time.Second)))
+	granted(t, s.Release(at(time.Millisecond), ticket(0), scheduler.Finished, 0), 2)
+}
+
+func TestALeavingTargetGetsNoMoreWork(t *testing.T) {
+	t.Run("because the registry says so", func(t *testing.T) {
+		s := newScheduler(1, 2)
+		targets := fleet(1, 2)
+		targets[0].Draining = true
+		s.SetTargets(at(time.Second), targets)
+		refusal, ok := refused(s.Submit(at(time.Second), online(1, at(time.Second))), 1)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, refusal.Reason, qt.Equals, scheduler.NoTarget)
+	})
+	// Seeds 855401621110 (trouble-1, auxilio-andino) and hunt-be53-51 (candado-reservas): the coordinator was
+	// turned away by the store and granted slots of targets that the other VMs knew to be draining.
+	t.Run("because another VM says so, whatever the older registry says", func(t *testing.T) {
+		s := newScheduler(2, 2)
+		first := granted(t, s.Submit(epoch, online(1, epoch)), 1)
+		s.Release(epoch, ticket(1), scheduler.Leaving, 0)
+		s.SetTargets(at(time.Second), fleet(2, 2))
+		for n := 2; n < 4; n++ {
+			qt.Assert(t, granted(t, s.Submit(at(time.Second), online(n, at(time.Second))), n).Target, qt.Not(qt.Equals), first.Target)
+		}
+	})
+}
+
+func TestATargetThatStartedAgainHoldsNothing(t *testing.T) {
+	s := newScheduler(1, 1)
+	granted(t, s.Submit(epoch, online(1, epoch)), 1)
+	targets := fleet(1, 1)
+	targets[0].Born = 7
+	s.SetTargets(at(time.Second), targets)
+	granted(t, s.Submit(at(time.Second), online(2, at(time.Second))), 2)
+}
+
+func TestASubmissionThatIsRepeatedGetsTheSameSlot(t *testing.T) {
+	s := newScheduler(3, 1)
+	first := granted(t, s.Submit(epoch, online(1, epoch)), 1)
+	again := granted(t, s.Submit(at(time.Millisecond), online(1, epoch)), 1)
+	qt.Assert(t, again, qt.Equals, first)
+}
+
+func TestReports(t *testing.T) {
+	t.Run("free the slot of a run whose end was lost", func(t *testing.T) {
+		s := newScheduler(1, 1)
+		granted(t, s.Submit(epoch, online(1, epoch)), 1)
+		s.Report(at(100*time.Millisecond), "vm", nil)
+		_, tooEarly := refused(s.Submit(at(100*time.Millisecond), online(2, at(100*time.Millisecond))), 2)
+		qt.Assert(t, tooEarly, qt.IsTrue)
+		s.Report(at(time.Second), "vm", nil)
+		granted(t, s.Submit(at(time.Second), online(3, at(time.Second))), 3)
+	})
+	t.Run("tell a new coordinator what runs", func(t *testing.T) {
+		s := newScheduler(1, 1)
+		s.Report(epoch, "other", []scheduler.Run{{Sequence: 9, Target: "t0"}})
+		_, ok := refused(s.Submit(epoch, online(1, epoch)), 1)
+		qt.Assert(t, ok, qt.IsTrue)
+		s.VMGone(at(time.Second), "other")
+		granted(t, s.Submit(at(time.Second), online(2, at(time.Second))), 2)
+	})
+}
+
+func TestAYieldIsRepeatedUntilTheItemHasEnded(t *testing.T) {
+	s := newScheduler(1, 1)
+	granted(t, s.Submit(epoch, item(1, at(30*time.Second))), 1)
+	granted(t, s.Submit(epoch, online(2, epoch)), 2)
+	qt.Assert(t, yields(s.Tick(at(25*time.Millisecond))), qt.DeepEquals, []scheduler.Ticket{ticket(1)})
+	s.Release(at(30*time.Millisecond), ticket(1), scheduler.Abandoned, 0)
+	qt.Assert(t, yields(s.Tick(at(50*time.Millisecond))), qt.HasLen, 0)
+}
+
+func TestATargetThatCannotBeReachedIsLeftOutAndTriedByOneRequest(t *testing.T) {
+	s := newScheduler(2, 4)
+	first := granted(t, s.Submit(epoch, online(1, epoch)), 1)
+	s.Release(epoch, ticket(1), scheduler.Unreachable, 0)
+	for n := 2; n < 6; n++ {
+		qt.Assert(t, granted(t, s.Submit(epoch, online(n, epoch)), n).Target, qt.Not(qt.Equals), first.Target)
+	}
+	later := at(time.Second)
+	s.Tick(later)
+	trials := 0
+	for n := 6; n < 9; n++ {
+		for _, a := range s.Submit(later, online(n, later)) {
+			if g, ok := a.(scheduler.Grant); ok && g.Target == first.Target {
+				trials++
+			}
+		}
+	}
+	qt.Assert(t, trials, qt.Equals, 1)
+}
+
+func TestRefusedClientsAreToldToComeBackOneAfterTheOther(t *testing.T) {
+	s := newScheduler(1, 8)
+	n := 0
+	var times []time.Duration
+	for len(times) < 10 {
+		n++
+		if r, ok := refused(s.Submit(epoch, online(n, epoch)), n); ok {
+			qt.Assert(t, r.Reason, qt.Equals, scheduler.Overloaded)
+			times = append(times, r.RetryAfter)
+		}
+	}
+	for i := 1; i < len(times); i++ {
+		qt.Assert(t, times[i] > times[i-1], qt.IsTrue, qt.Commentf("%v", times))
+	}
+}
