--- a/internal/batchjobs/api.go
+++ b/internal/batchjobs/api.go
@@ -16,6 +16,8 @@
 	storeTimeout = 800 * time.Millisecond
 	// submitTimeout bounds the writing of a submission. Clients wait longer for the answer.
 	submitTimeout = 3 * time.Second
+	// refusedTimeout is how long the store may turn a submission away before its client is refused, too.
+	refusedTimeout = 500 * time.Millisecond
 	// endTimeout bounds the ending of a job.
 	endTimeout = 3 * time.Second
 	// quotaWait is how long a submission waits for news of a concurrent one.
@@ -108,8 +110,12 @@
 
 // write stores a submission. The result is 202, 429 or 503 only where that is certain.
 func (s *Service) write(ctx context.Context, sub *submission) (int, error) {
+	began := time.Now()
 	for {
 		status, err := s.tryWrite(ctx, sub)
+		if status == 0 && !sub.uncertain && time.Since(began) > refusedTimeout {
+			status = http.StatusServiceUnavailable
+		}
 		if status != 0 {
 			if status != http.StatusAccepted && sub.uncertain {
 				return http.StatusGatewayTimeout, err
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -152,6 +153,10 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	// A sender that leaves is noticed only once the body has been read.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
 	call := platform.ParseTargetCall(r.Header)
 	if call.Instance != t.config.ID {
 		platform.WriteReplaced(w, t.config.ID)
