Requests that break target after target are quarantined on this path too; lint; settings that change without a signal

Reuses quarantine.Tracker and the evidence service, whose interfaces are narrowed to what they call. A request is quarantined after three targets broke off, as sound ones are cut off by faulty targets, too.

--- a/cmd/rosemary-ingress/main.go
+++ b/cmd/rosemary-ingress/main.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
@@ -24,6 +26,8 @@
 	exitUsage = 2
 	// memoryShare is the share of the VM's memory from which the garbage collector works harder.
 	memoryShare = 0.6
+	// settingsInterval is the time between two looks for settings that changed without a signal.
+	settingsInterval = 2 * time.Second
 )
 
 type flags struct {
@@ -77,21 +81,41 @@
 		log.Error().Err(err).Msg("process cannot start")
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	go func() {
-		for range reload {
-			fresh, err := load(path)
-			if err != nil {
-				log.Error().Err(err).Msg("settings cannot be reloaded, the present ones stay in force")
-				continue
-			}
-			n.Reload(fresh)
-		}
-	}()
+	go watchSettings(ctx, path, settings, n, log)
 	if err := n.Run(ctx); err != nil {
 		log.Error().Err(err).Msg("process failed")
 		return err
 	}
 	return nil
 }
+
+// watchSettings reloads the settings at SIGHUP, and when they have changed without one.
+func watchSettings(ctx context.Context, path string, current *config.Ingress, n *node.Node, log zerolog.Logger) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	failed := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			log.Info().Msg("SIGHUP: settings are read again")
+		case <-ticker.C:
+		}
+		fresh, err := load(path)
+		if err != nil {
+			if !failed {
+				log.Error().Err(err).Msg("settings cannot be read, the present ones stay in force")
+			}
+			failed = true
+			continue
+		}
+		failed = false
+		if !reflect.DeepEqual(fresh, current) {
+			n.Reload(fresh)
+			current = fresh
+		}
+	}
+}
--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -20,6 +20,8 @@
 	itemSilence = time.Second
 	// itemRetryPause is the pause before an item is tried again.
 	itemRetryPause = 50 * time.Millisecond
+	// maxItemPause bounds that pause when target after target breaks off. Crashed targets are back after some seconds.
+	maxItemPause = 5 * time.Second
 	// firstEventCount and firstEventInterval are the expected length of an item until some have been observed.
 	firstEventCount    = 200
 	firstEventInterval = 20 * time.Millisecond
@@ -38,6 +40,13 @@
 	Failures int `cbor:"4,keyasint,omitempty"`
 
 	tried []string
+	// cuts counts the targets that broke off in a row without an event.
+	cuts int
+}
+
+// pause is the time before the next try. It grows for an item that may be what breaks its targets.
+func (s *itemState) pause() time.Duration {
+	return min(itemRetryPause<<min(s.cuts, 10), maxItemPause)
 }
 
 // errYield says that a slot was taken back.
@@ -93,7 +102,7 @@
 			return itemResult{index: index, givenUp: true}, true
 		}
 		if route == nil {
-			pause(ctx)
+			pause(ctx, itemRetryPause)
 			continue
 		}
 		result, ended := s.tryItem(ctx, run, index, head, route, state)
@@ -123,7 +132,7 @@
 		Expected: s.lengths.remaining(state.Events),
 	})
 	if err != nil {
-		pause(ctx)
+		pause(ctx, itemRetryPause)
 		return itemResult{}, false
 	}
 	began, before := time.Now(), state.Events
@@ -150,15 +159,19 @@
 		state.tried = []string{slot.Target}
 		s.config.Log.Info().AnErr("cause", err).Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).
 			Int64("last_event", state.Position).Msg("item goes on at another target")
-		pause(ctx)
+		state.cuts++
+		if state.Events > before || outcome != scheduler.Cut {
+			state.cuts = 0
+		}
+		pause(ctx, state.pause())
 	}
 	return itemResult{}, false
 }
 
-func pause(ctx context.Context) {
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(itemRetryPause):
+	case <-time.After(d):
 	}
 }
 
@@ -242,7 +255,7 @@
 			return 0, err
 		}
 		if state.Position != platform.NoEvent && event.ID != state.Position+1 {
-			return 0, &platform.TargetError{Failure: platform.Broken, Cause: errors.New("events do not follow each other")}
+			return 0, &platform.TargetError{Failure: platform.Wrong, Cause: errors.New("events do not follow each other")}
 		}
 		onEvent()
 		if state.Events > 0 {
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -34,11 +34,21 @@
 	QuarantineStatus(fingerprint uint64) quarantine.Status
 }
 
+// Caller reaches the other entries.
+type Caller interface {
+	Call(ctx context.Context, to netip.AddrPort, method peer.Method, request, response any) error
+}
+
+// Registrar takes the handler of evidence.
+type Registrar interface {
+	HandleCall(method peer.Method, handler peer.CallHandler)
+}
+
 // Config configures a Service.
 type Config struct {
 	Tracker Tracker
 	Members member.View
-	Caller  peer.Caller
+	Caller  Caller
 	Table   platform.Table
 	Log     zerolog.Logger
 
@@ -107,7 +117,7 @@
 }
 
 // Register takes the evidence of other entries.
-func (s *Service) Register(registrar peer.Registrar) {
+func (s *Service) Register(registrar Registrar) {
 	registrar.HandleCall(MethodMerge, func(_ context.Context, _ peer.Identity, decode func(any) error) (any, error) {
 		var m message
 		if err := decode(&m); err != nil {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
@@ -33,6 +34,8 @@
 	resumePatience = time.Second
 	// patienceShare is the share of the time that a client has left within which it comes back after a refusal.
 	patienceShare = 1.0 / 3
+	// quarantineRetry is when a client may come back with a request that broke its targets.
+	quarantineRetry = time.Minute
 	// maxNotRun bounds the targets that are tried in a row without running the request.
 	maxNotRun = 4
 )
@@ -50,6 +53,8 @@
 	deadline time.Time
 	returned bool
 	version  uint64
+	// fingerprint is equal for requests of the same content.
+	fingerprint uint64
 
 	// position is the ID of the last event that the client has.
 	position int64
@@ -99,6 +104,12 @@
 }
 
 func (e *exchange) run(ctx context.Context) {
+	if e.server.config.Quarantine.QuarantineStatus(e.fingerprint) == quarantine.Quarantined {
+		refusedTotal.Inc()
+		platform.WriteRefusal(e.writer, http.StatusServiceUnavailable, quarantineRetry, "requests like this one broke the targets that ran them")
+		e.log("quarantined", nil, strconv.Itoa(http.StatusServiceUnavailable))
+		return
+	}
 	for notRun := 0; ; {
 		slot, waited, err := e.acquire(ctx)
 		if err != nil {
@@ -142,6 +153,9 @@
 		startBy = now.Add(e.route.Goal)
 		expires = startBy.Add(resumePatience)
 	}
+	if e.started {
+		resumedTotal.Inc()
+	}
 	slot, err := e.server.config.Slots.Acquire(ctx, scheduler.Request{
 		Class:        scheduler.Online,
 		Service:      e.service,
@@ -217,6 +231,7 @@
 	a := attempt{target: slot.Target, waited: waited}
 	outcome, err := e.send(ctx, slot, &a)
 	slot.Release(outcome, a.firstEvent)
+	e.suspect(slot.Target, outcome, err)
 	if !slices.Contains(e.tried, slot.Target) {
 		e.tried = append(e.tried, slot.Target)
 	}
@@ -254,11 +269,24 @@
 		err = e.whole(response)
 	}
 	if errors.Is(err, errDone) {
+		e.server.config.Quarantine.Finished(e.fingerprint)
 		return scheduler.Finished, err
 	}
 	return e.broken(ctx, watch, err), err
 }
 
+// suspect notes a request whose target broke off, which may be what broke it.
+func (e *exchange) suspect(target string, outcome scheduler.Outcome, err error) {
+	var failure *platform.TargetError
+	if outcome != scheduler.Cut || !errors.As(err, &failure) || failure.Failure != platform.Broken {
+		return
+	}
+	if e.server.config.Quarantine.Cut(time.Now(), e.fingerprint, target) == quarantine.Quarantined {
+		e.server.config.Log.Warn().Str("request", e.client.ID).Uint64("fingerprint", e.fingerprint).Str("target", target).
+			Msg("request is quarantined: target after target broke off while it ran")
+	}
+}
+
 // broken notes what a failed attempt means for the request, and returns what it says of the target.
 func (e *exchange) broken(ctx context.Context, watch *silence, err error) scheduler.Outcome {
 	var failure *platform.TargetError
@@ -291,10 +319,10 @@
 		return err
 	}
 	if e.started {
-		return &platform.TargetError{Failure: platform.Broken, Cause: errors.New("target answered a resumed stream with status " + strconv.Itoa(response.Status))}
+		return &platform.TargetError{Failure: platform.Wrong, Cause: errors.New("target answered a resumed stream with status " + strconv.Itoa(response.Status))}
 	}
 	if response.Status >= http.StatusInternalServerError && e.route.Repeatable() && e.runs+1 < e.route.MaxAttempts {
-		return &platform.TargetError{Failure: platform.Broken, Cause: errors.New("target answered with status " + strconv.Itoa(response.Status))}
+		return &platform.TargetError{Failure: platform.Wrong, Cause: errors.New("target answered with status " + strconv.Itoa(response.Status))}
 	}
 	response.CopyHeader(e.writer)
 	e.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -323,7 +351,7 @@
 			firstEventTime.Update(a.firstEvent.Seconds())
 		}
 		if e.position != platform.NoEvent && event.ID != e.position+1 {
-			return &platform.TargetError{Failure: platform.Broken, Cause: errors.New("event " + strconv.FormatInt(event.ID, 10) + " follows event " + strconv.FormatInt(e.position, 10))}
+			return &platform.TargetError{Failure: platform.Wrong, Cause: errors.New("event " + strconv.FormatInt(event.ID, 10) + " follows event " + strconv.FormatInt(e.position, 10))}
 		}
 		e.begin(response)
 		if _, err := e.writer.Write(event.Raw); err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,6 +16,7 @@
 
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
@@ -60,12 +61,20 @@
 	Serve(w http.ResponseWriter, r *http.Request) bool
 }
 
+// Quarantine knows the requests that break the targets that run them.
+type Quarantine interface {
+	QuarantineStatus(fingerprint uint64) quarantine.Status
+	Cut(now time.Time, fingerprint uint64, target string) quarantine.Status
+	Finished(fingerprint uint64)
+}
+
 // Config configures a Server.
 type Config struct {
 	Configuration Configuration
 	Slots         Slots
 	Targets       *platform.Targets
 	Jobs          Jobs
+	Quarantine    Quarantine
 	Log           zerolog.Logger
 }
 
@@ -153,18 +162,19 @@
 	ctx, cancel := context.WithDeadline(r.Context(), now.Add(timeout))
 	defer cancel()
 	e := &exchange{
-		server:   s,
-		writer:   w,
-		request:  r,
-		client:   parsed,
-		route:    route,
-		service:  route.Pick(rand.Float64()),
-		body:     body,
-		arrived:  now,
-		deadline: now.Add(timeout),
-		returned: s.returns.observe(route.Name, parsed.Patience),
-		position: parsed.LastEvent,
-		version:  table.Version,
+		server:      s,
+		writer:      w,
+		request:     r,
+		client:      parsed,
+		route:       route,
+		service:     route.Pick(rand.Float64()),
+		body:        body,
+		arrived:     now,
+		deadline:    now.Add(timeout),
+		returned:    s.returns.observe(route.Name, parsed.Patience),
+		position:    parsed.LastEvent,
+		version:     table.Version,
+		fingerprint: quarantine.Fingerprint(r.Host, r.URL.Path, body),
 	}
 	e.run(ctx)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -15,10 +15,12 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/evidence"
 	"github.com/rosemarydyke/rosemarydyke/internal/ingress"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling/schedulingtest"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
 	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/routing"
 )
 
@@ -80,6 +82,7 @@
 		Configuration: configuration{table(strings.TrimPrefix(server.URL, "http://"))},
 		Slots:         schedulingtest.Start(t, service, slots, f.targets...),
 		Targets:       platform.NewTargets(), Jobs: noJobs{}, Log: zerolog.Nop(),
+		Quarantine: evidence.NewSharedTracker(quarantine.Config{Crashes: 3, MassTargets: 100, MassWindow: time.Millisecond}),
 	})
 	f.url = server.URL
 	return f
@@ -320,3 +323,17 @@
 	qt.Assert(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
 	qt.Assert(t, w.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
 }
+
+func TestARequestThatBreaksEachTargetRunsThreeTimes(t *testing.T) {
+	f := start(t, 4)
+	f.inject(streamtarget.CutBefore, streamtarget.CutBefore, streamtarget.CutBefore, streamtarget.CutBefore)
+	runs := 0
+	for range 6 {
+		got, id := f.send(t, "/once/")
+		runs += f.runs(id)
+		qt.Assert(t, got.status, qt.Not(qt.Equals), http.StatusOK)
+		// Targets that broke off are left out for a while.
+		time.Sleep(500 * time.Millisecond)
+	}
+	qt.Assert(t, runs, qt.Equals, 3)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,12 +21,15 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
 	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
 	"github.com/rosemarydyke/rosemarydyke/internal/discovery"
+	"github.com/rosemarydyke/rosemarydyke/internal/evidence"
 	"github.com/rosemarydyke/rosemarydyke/internal/ingress"
 	"github.com/rosemarydyke/rosemarydyke/internal/membership"
+	store "github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/internal/storerelay"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
@@ -45,6 +48,11 @@
 	idleTimeout = 60 * time.Second
 	// farewellTimeout bounds the last messages to the other VMs.
 	farewellTimeout = 300 * time.Millisecond
+	// quarantineCrashes is the number of targets that break off a request before it is quarantined. Targets
+	// break off sound requests, too: three in a row are none of these.
+	quarantineCrashes = 3
+	// evidenceInterval is the time between two looks for evidence that the other VMs should know.
+	evidenceInterval = 100 * time.Millisecond
 	// seedPeriod is the time between two readings of the VMs' rows in the store.
 	seedPeriod = 5 * time.Second
 )
@@ -61,6 +69,7 @@
 	slots     *scheduling.Service
 	discovery *discovery.Service
 	jobs      *batchjobs.Service
+	evidence  *evidence.Service
 	ingress   *ingress.Server
 	leaving   atomic.Bool
 	servers   []*http.Server
@@ -135,11 +144,22 @@
 		Node:          n.transport,
 		Log:           n.log,
 	})
+	tracker := evidence.NewSharedTracker(quarantine.Config{Crashes: quarantineCrashes})
+	n.evidence = evidence.New(evidence.Config{
+		Tracker:  tracker,
+		Members:  n.members,
+		Caller:   n.transport,
+		Table:    store.NewTable(n.rows),
+		Log:      n.log,
+		Interval: evidenceInterval,
+	})
+	n.evidence.Register(n.transport)
 	n.ingress = ingress.New(ingress.Config{
 		Configuration: n.discovery,
 		Slots:         n.slots,
 		Targets:       targets,
 		Jobs:          n.jobs,
+		Quarantine:    tracker,
 		Log:           n.log,
 	})
 }
@@ -244,7 +264,8 @@
 	}
 }
 
-// Reload adopts what may change in the settings while the process runs.
+// Reload adopts what may change in the settings while the process runs: the address of the store. New
+// seeds are of use to a start only, as the others are known by then.
 func (n *Node) Reload(fresh *config.Ingress) {
 	n.store.SetAddress(fresh.Store)
 	n.log.Info().Str("store", fresh.Store).Strs("seeds", fresh.Seeds).Msg("settings reloaded")
@@ -265,6 +286,7 @@
 	tasks.Go(func() { n.slots.Run(running) })
 	tasks.Go(func() { n.discovery.Run(running) })
 	tasks.Go(func() { n.jobs.Run(running) })
+	tasks.Go(func() { n.evidence.Run(running) })
 	failed := make(chan error, len(n.servers))
 	for i, server := range n.servers {
 		go func() { failed <- server.Serve(n.listeners[i]) }()
