--- /dev/null
+++ b/cmd/rosemary-ingress/process_test.go
@@ -0,0 +1,287 @@
+package main_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
+	"github.com/rosemarydyke/rosemarydyke/internal/standin/platformserver"
+	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
+	"github.com/rosemarydyke/rosemarydyke/platform"
+)
+
+const (
+	// events and interval make streams of a quarter of a second.
+	events   = 25
+	interval = 10 * time.Millisecond
+	host     = "a.example"
+	// patience bounds the wait for what has to happen.
+	patience = 20 * time.Second
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "rosemary-ingress")
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+		binary = filepath.Join(dir, "rosemary-ingress")
+		if output, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+			panic(fmt.Sprintf("%v: %s", err, output))
+		}
+		return m.Run()
+	}())
+}
+
+// process is one VM's process.
+type process struct {
+	clients, ready, directory string
+	command                   *exec.Cmd
+	exited                    chan error
+}
+
+// fleet is three VMs on loopback addresses, two targets and the stand-in of the platform.
+type fleet struct {
+	t       *testing.T
+	state   *memory.Platform
+	store   string
+	targets []*streamtarget.Target
+	vms     []*process
+	next    atomic.Int64
+}
+
+func startFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, state: memory.New()}
+	server := httptest.NewServer(platformserver.New(platformserver.Config{Memory: f.state}))
+	t.Cleanup(server.Close)
+	f.store = strings.TrimPrefix(server.URL, "http://")
+	for i := range 2 {
+		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Events: events, Interval: interval})
+		t.Cleanup(target.Close)
+		f.targets = append(f.targets, target)
+		f.put(platform.TargetTable, target.ID(), fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":8,"state":"ready"}`, target.Address()))
+	}
+	f.put(platform.OperatorTable, platform.ConfigKey, `{"version":1,"routes":[
+	 {"name":"r","host":"a.example","path_prefix":"/s/","route_kind":"streaming","timeout_ms":5000,"goal_ms":300,"service":"s","max_attempts":2,"resumable":true,"gap_target_ms":400},
+	 {"name":"b","host":"a.example","path_prefix":"/b/","route_kind":"batch","goal_ms":500,"service":"s","max_attempts":3,"run_target_ms":18000,"retention_s":60}],
+	 "services":[{"name":"s"}],"limits":{"max_body_bytes":100000}}`)
+	port := freePort(t)
+	for i := range 3 {
+		f.vms = append(f.vms, f.start(i, port))
+	}
+	for _, vm := range f.vms {
+		f.eventually("all VMs in the directory of "+vm.directory, func() bool { return len(f.addresses(vm)) == 3 })
+	}
+	return f
+}
+
+func (f *fleet) put(table, key, value string) {
+	_, err := f.state.Apply(context.Background(), rowstore.RowTxn{Writes: []rowstore.RowWrite{{RowKey: rowstore.RowKey{Table: table, Key: key}, Value: []byte(value)}}})
+	qt.Assert(f.t, err, qt.IsNil)
+}
+
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func (f *fleet) start(i, peers int) *process {
+	ip := fmt.Sprintf("127.0.0.%d", i+1)
+	p := &process{exited: make(chan error, 1)}
+	address := func() string { return fmt.Sprintf("%s:%d", ip, freePort(f.t)) }
+	p.clients, p.ready, p.directory = address(), address(), address()
+	settings := fmt.Sprintf(`vm:
+  name: vm-%d
+  availability_zone: z
+  region: r
+store: %q
+clients: %q
+ready: %q
+directory: %q
+peers: "%s:%d"
+seeds: ["127.0.0.1:1"]
+metrics: %q
+stop_grace: 8s
+max_ttl: 1s
+`, i, f.store, p.clients, p.ready, p.directory, ip, peers, address())
+	path := filepath.Join(f.t.TempDir(), "settings.yaml")
+	qt.Assert(f.t, os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
+	p.command = exec.Command(binary, "--config", path)
+	log, err := os.Create(filepath.Join(f.t.TempDir(), "log"))
+	qt.Assert(f.t, err, qt.IsNil)
+	p.command.Stdout, p.command.Stderr = log, log
+	qt.Assert(f.t, p.command.Start(), qt.IsNil)
+	go func() { p.exited <- p.command.Wait() }()
+	f.t.Cleanup(func() {
+		// A process that has ended already is fine.
+		_ = p.command.Process.Kill()
+		if content, err := os.ReadFile(log.Name()); err == nil && f.t.Failed() {
+			f.t.Logf("log of vm-%d:\n%s", i, content)
+		}
+	})
+	return p
+}
+
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	for began := time.Now(); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Since(began) > patience {
+			f.t.Fatalf("%s: not within %s", what, patience)
+		}
+	}
+}
+
+func (f *fleet) addresses(vm *process) []string {
+	response, err := http.Get("http://" + vm.directory + platform.PathResolve + "?name=a.example&region=r&zone=z")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if json.NewDecoder(response.Body).Decode(&answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
+
+// do sends a request on a connection of its own.
+func (f *fleet) do(method, address, path, id, body string) (int, string, error) {
+	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Host, r.Close = host, true
+	platform.SetAttempt(r.Header, id, 5000)
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(content), err
+}
+
+// stream sends one stream and checks that it is whole.
+func (f *fleet) stream(address string) error {
+	id := fmt.Sprintf("q%d", f.next.Add(1))
+	status, got, err := f.do(http.MethodPost, address, "/s/x", id, "prompt")
+	if err != nil || status != http.StatusOK {
+		return fmt.Errorf("status %d: %w", status, err)
+	}
+	var want strings.Builder
+	for i := range events {
+		want.Write(platform.FormatEvent(int64(i), streamtarget.Data(id, i)))
+	}
+	if got != want.String() {
+		return fmt.Errorf("stream %s is not whole: %q", id, got)
+	}
+	return nil
+}
+
+func TestAPlannedStopCutsNothingOff(t *testing.T) {
+	f := startFleet(t)
+	leaving := f.vms[1]
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	failures := make(chan error, 1000)
+	var clients sync.WaitGroup
+	for range 4 {
+		// These clients ask again each second, as the TTL says, and use what they were told.
+		clients.Go(func() {
+			for ctx.Err() == nil {
+				addresses := f.addresses(f.vms[0])
+				for began := time.Now(); time.Since(began) < time.Second && ctx.Err() == nil; {
+					if err := f.stream(addresses[int(f.next.Load())%len(addresses)]); err != nil {
+						failures <- err
+					}
+				}
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	began := time.Now()
+	qt.Assert(t, leaving.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	f.eventually("the leaving VM out of the directory", func() bool { return len(f.addresses(f.vms[0])) == 2 })
+	qt.Assert(t, time.Since(began) < time.Second, qt.IsTrue)
+	response, err := http.Get("http://" + leaving.ready + platform.PathReady)
+	qt.Assert(t, err, qt.IsNil)
+	_ = response.Body.Close()
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, <-leaving.exited, qt.IsNil)
+	qt.Assert(t, time.Since(began) < 8*time.Second, qt.IsTrue)
+	time.Sleep(500 * time.Millisecond)
+	cancel()
+	clients.Wait()
+	close(failures)
+	for err := range failures {
+		t.Error(err)
+	}
+}
+
+func TestAJobOutlivesTheVMThatAcceptedIt(t *testing.T) {
+	f := startFleet(t)
+	const items = 60
+	list := make([]string, items)
+	for i := range list {
+		list[i] = fmt.Sprintf(`{"id":"i%d","path":"/b/%d","body":"","tokens":10}`, i, i)
+	}
+	status, _, err := f.do(http.MethodPost, f.vms[0].clients, "/b/j", "j", `{"items":[`+strings.Join(list, ",")+`]}`)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, http.StatusAccepted)
+	time.Sleep(300 * time.Millisecond)
+	qt.Assert(t, f.vms[0].command.Process.Kill(), qt.IsNil)
+	results := map[string]string{}
+	f.eventually("all results at another VM", func() bool {
+		status, content, err := f.do(http.MethodGet, f.vms[1].clients, fmt.Sprintf("/api/lots/j?after=%d", len(results)), "read", "")
+		var answer struct {
+			Results []struct{ ID, State, Text string }
+		}
+		if err != nil || status != http.StatusOK || json.Unmarshal([]byte(content), &answer) != nil {
+			return false
+		}
+		for _, r := range answer.Results {
+			qt.Assert(t, results[r.ID], qt.Equals, "", qt.Commentf("%s is listed twice", r.ID))
+			qt.Assert(t, r.State, qt.Equals, "completed")
+			results[r.ID] = r.Text
+		}
+		return len(results) == items
+	})
+	for id, text := range results {
+		qt.Assert(t, text, qt.Equals, streamtarget.Text(id, events))
+	}
+	for range 10 {
+		qt.Assert(t, f.stream(f.vms[2].clients), qt.IsNil)
+	}
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	qt.Assert(t, os.WriteFile(path, []byte("vm:\n  name: x\n  availability_zone: z\n  region: r\nstore: nowhere\n"), 0o600), qt.IsNil)
+	output, err := exec.Command(binary, "--config", path, "--check").CombinedOutput()
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, string(output), qt.Contains, "store")
+}
