--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -20,7 +20,6 @@
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/routing"
-	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
 const (
@@ -41,22 +40,14 @@
 	itemTime       = metrics.NewHistogram(`rosemarydyke_item_seconds`)
 )
 
-// Configuration gives the configuration in force, or nil when none is known yet.
-type Configuration interface{ Current() *routing.Table }
-
-// Slots grants slots of targets.
-type Slots interface {
-	Acquire(ctx context.Context, request scheduler.Request) (*scheduling.Slot, error)
-}
-
 // Config configures a Service.
 type Config struct {
 	// VM is this VM's name.
 	VM            string
 	Rows          rowstore.Rows
 	Members       member.View
-	Configuration Configuration
-	Slots         Slots
+	Configuration routing.Source
+	Slots         scheduling.Slots
 	Targets       *platform.Targets
 	Node          Node
 	Log           zerolog.Logger
--- a/internal/datagram/node.go
+++ b/internal/datagram/node.go
@@ -62,6 +62,8 @@
 	log  zerolog.Logger
 	conn *net.UDPConn
 	done chan struct{}
+	// closing guards done.
+	closing sync.Once
 
 	calls    map[peer.Method]peer.CallHandler
 	messages map[peer.Method]MessageHandler
@@ -133,9 +135,9 @@
 // Start reads messages until Close.
 func (n *Node) Start() { go n.read() }
 
-// Close closes the socket. Calls in progress fail at their own timeouts.
+// Close closes the socket, and ends the calls in progress.
 func (n *Node) Close() error {
-	close(n.done)
+	n.closing.Do(func() { close(n.done) })
 	return n.conn.Close()
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -18,7 +18,6 @@
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/routing"
-	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
 const (
@@ -42,17 +41,12 @@
 	responseTime    = metrics.NewHistogram(`rosemarydyke_response_seconds`)
 )
 
-// Configuration gives the configuration in force, or nil when none is known yet.
+// Configuration gives the configuration in force and how old it may be.
 type Configuration interface {
-	Current() *routing.Table
+	routing.Source
 	Age() time.Duration
 }
 
-// Slots grants slots of targets.
-type Slots interface {
-	Acquire(ctx context.Context, request scheduler.Request) (*scheduling.Slot, error)
-}
-
 // Jobs serves the requests of batch routes and the calls about jobs.
 type Jobs interface {
 	// Submit takes a job that was sent to a batch route.
@@ -71,7 +65,7 @@
 // Config configures a Server.
 type Config struct {
 	Configuration Configuration
-	Slots         Slots
+	Slots         scheduling.Slots
 	Targets       *platform.Targets
 	Jobs          Jobs
 	Quarantine    Quarantine
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,7 +31,6 @@
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/routing"
-	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
 const (
@@ -124,7 +123,7 @@
 		Log:        n.log,
 	})
 	process := s.VM.Name + "/" + strconv.FormatUint(uint64(rand.Uint32()), 36)
-	n.discovery = discovery.New(discovery.Config{Rows: n.rows, OnTargets: n.setTargets, Log: n.log})
+	n.discovery = discovery.New(discovery.Config{Rows: n.rows, OnTargets: func(targets []routing.Target) { n.slots.SetTargets(targets) }, Log: n.log})
 	n.slots = scheduling.New(scheduling.Config{
 		Process:          process,
 		AvailabilityZone: s.VM.AvailabilityZone,
@@ -194,14 +193,6 @@
 	return peers
 }
 
-func (n *Node) setTargets(targets []routing.Target) {
-	list := make([]scheduler.Target, 0, len(targets))
-	for _, t := range targets {
-		list = append(list, scheduler.Target(t))
-	}
-	n.slots.SetTargets(list)
-}
-
 func (n *Node) listen() error {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.PathReady, n.serveReady)
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -82,33 +82,42 @@
 }
 
 func (s *Service) register() {
-	node := s.config.Node
-	node.HandleMessage(methodSubmit, s.handleSubmit)
-	node.HandleMessage(methodRelease, s.handleRelease)
-	node.HandleMessage(methodReport, s.handleReport)
-	node.HandleMessage(methodAlive, s.handleAlive)
-	node.HandleMessage(methodQueued, s.handleQueued)
-	node.HandleMessage(methodGrant, s.handleGrant)
-	node.HandleMessage(methodRefuse, s.handleRefuse)
-	node.HandleMessage(methodYield, s.handleYield)
-}
-
-// decoded decodes a message and reports whether that succeeded.
-func decoded[T any](s *Service, from peer.Identity, decode func(any) error, out *T) bool {
-	err := decode(out)
-	if err != nil {
-		s.config.Log.Warn().Err(err).Str("from", from.VM).Msgf("%T cannot be decoded", *out)
-	}
-	return err == nil
+	handle(s, methodSubmit, s.onSubmit)
+	handle(s, methodRelease, func(_ peer.Identity, m releaseMessage) {
+		s.carryOut(s.scheduler.Release(time.Now(), m.Ticket, m.Outcome, m.FirstEvent))
+	})
+	handle(s, methodReport, s.onReport)
+	handle(s, methodAlive, func(from peer.Identity, _ aliveMessage) { s.heardFrom(from.VM) })
+	handle(s, methodQueued, func(from peer.Identity, m ticketMessage) {
+		s.heardFrom(from.VM)
+		s.answer(m.Sequence, answer{from: from.VM})
+	})
+	handle(s, methodGrant, func(from peer.Identity, m grantMessage) {
+		s.heardFrom(from.VM)
+		s.granted(from.VM, m)
+	})
+	handle(s, methodRefuse, func(from peer.Identity, m refuseMessage) {
+		s.heardFrom(from.VM)
+		s.refused(from.VM, m)
+	})
+	handle(s, methodYield, func(_ peer.Identity, m ticketMessage) { s.yield(m.Sequence) })
+}
+
+// handle registers a handler, which runs under the service's lock.
+func handle[T any](s *Service, method peer.Method, run func(from peer.Identity, message T)) {
+	s.config.Node.HandleMessage(method, func(from peer.Identity, decode func(any) error) {
+		var message T
+		if err := decode(&message); err != nil {
+			s.config.Log.Warn().Err(err).Str("from", from.VM).Str("method", string(method)).Msg("message cannot be decoded")
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		run(from, message)
+	})
 }
 
-func (s *Service) handleSubmit(from peer.Identity, decode func(any) error) {
-	var m submitMessage
-	if !decoded(s, from, decode, &m) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (s *Service) onSubmit(from peer.Identity, m submitMessage) {
 	now := time.Now()
 	s.note(now, m.Ticket.VM, from.Address)
 	actions := s.scheduler.Submit(now, m.request(now))
@@ -118,6 +127,13 @@
 	s.carryOut(actions)
 }
 
+func (s *Service) onReport(from peer.Identity, m reportMessage) {
+	now := time.Now()
+	s.note(now, m.VM, from.Address)
+	s.carryOut(s.scheduler.Report(now, m.VM, m.Runs))
+	s.send(from.Address, methodAlive, aliveMessage{})
+}
+
 func concerns(actions []scheduler.Action, ticket scheduler.Ticket) bool {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -144,29 +160,6 @@
 	r.address, r.heard = address, now
 }
 
-func (s *Service) handleRelease(from peer.Identity, decode func(any) error) {
-	var m releaseMessage
-	if !decoded(s, from, decode, &m) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.carryOut(s.scheduler.Release(time.Now(), m.Ticket, m.Outcome, m.FirstEvent))
-}
-
-func (s *Service) handleReport(from peer.Identity, decode func(any) error) {
-	var m reportMessage
-	if !decoded(s, from, decode, &m) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	s.note(now, m.VM, from.Address)
-	s.carryOut(s.scheduler.Report(now, m.VM, m.Runs))
-	s.send(from.Address, methodAlive, aliveMessage{})
-}
-
 // carryOut tells the VMs what the scheduler has decided.
 func (s *Service) carryOut(actions []scheduler.Action) {
 	for _, action := range actions {
--- a/internal/scheduling/schedulingtest/local.go
+++ b/internal/scheduling/schedulingtest/local.go
@@ -14,7 +14,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
 	"github.com/rosemarydyke/rosemarydyke/member"
-	"github.com/rosemarydyke/rosemarydyke/scheduler"
+	"github.com/rosemarydyke/rosemarydyke/routing"
 )
 
 // Members is a fixed view of the members, which tests may change.
@@ -76,9 +76,9 @@
 		Usable:           func(string) bool { return true },
 		Log:              zerolog.Nop(),
 	})
-	var list []scheduler.Target
+	var list []routing.Target
 	for _, target := range targets {
-		list = append(list, scheduler.Target{ID: target.ID(), Service: service, Address: target.Address(), AvailabilityZone: "a", Slots: slots})
+		list = append(list, routing.Target{ID: target.ID(), Service: service, Address: target.Address(), AvailabilityZone: "a", Slots: slots})
 	}
 	s.SetTargets(list)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/scheduling/service.go
+++ b/internal/scheduling/service.go
@@ -19,6 +19,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
@@ -48,6 +49,11 @@
 	HandleMessage(method peer.Method, handler datagram.MessageHandler)
 }
 
+// Slots grants slots of targets. *Service implements it.
+type Slots interface {
+	Acquire(ctx context.Context, request scheduler.Request) (*Slot, error)
+}
+
 // Config configures a Service.
 type Config struct {
 	// Process names this start of this VM's process. It is unique among all starts.
@@ -136,7 +142,7 @@
 }
 
 // SetTargets replaces the registered targets.
-func (s *Service) SetTargets(targets []scheduler.Target) {
+func (s *Service) SetTargets(targets []routing.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.services = s.services[:0]
--- /dev/null
+++ b/internal/scheduling/service_test.go
@@ -0,0 +1,175 @@
+package scheduling_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
+	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/routing"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+	"github.com/rosemarydyke/rosemarydyke/target"
+)
+
+const service = "llm"
+
+// view is what all VMs of a fleet know of each other.
+type view struct {
+	self string
+	all  *[]member.Member
+}
+
+func (v view) Members() []member.Member { return *v.all }
+func (v view) Self() member.Member      { return member.Member{VM: v.self, State: member.Alive} }
+
+// vm is one VM of a fleet.
+type vm struct {
+	name string
+	*scheduling.Service
+	node *datagram.Node
+}
+
+// start starts VMs that share targets. The first one is the coordinator of the service.
+func start(t *testing.T, count, targets, slots int, usable func(vm, target string) bool) []*vm {
+	members := make([]member.Member, count)
+	vms := make([]*vm, count)
+	var list []routing.Target
+	for i := range targets {
+		list = append(list, routing.Target{ID: fmt.Sprintf("t%d", i), Service: service, Address: "10.0.0.1:1", AvailabilityZone: "a", Slots: slots})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	for i := range vms {
+		name := fmt.Sprintf("vm-%d", i)
+		node, err := datagram.Listen("127.0.0.1:0", name, zerolog.Nop())
+		qt.Assert(t, err, qt.IsNil)
+		members[i] = member.Member{VM: name, State: member.Alive, EntryPeers: node.Address().String()}
+		vms[i] = &vm{name: name, node: node, Service: scheduling.New(scheduling.Config{
+			Process: name + "/1", AvailabilityZone: "a", Node: node, Members: view{name, &members},
+			Usable: func(target string) bool { return usable(name, target) }, Log: zerolog.Nop(),
+		})}
+	}
+	for _, v := range vms {
+		v.SetTargets(list)
+		v.node.Start()
+		tasks.Go(func() { v.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		tasks.Wait()
+		for _, v := range vms {
+			// A node that the test has closed already is fine.
+			_ = v.node.Close()
+		}
+	})
+	best := 0
+	for i := range vms {
+		if target.Rank(service, vms[i].name) > target.Rank(service, vms[best].name) {
+			best = i
+		}
+	}
+	vms[0], vms[best] = vms[best], vms[0]
+	return vms
+}
+
+func always(string, string) bool { return true }
+
+func online() scheduler.Request {
+	now := time.Now()
+	return scheduler.Request{Class: scheduler.Online, Service: service, StartBy: now.Add(2 * time.Second), Expires: now.Add(2 * time.Second)}
+}
+
+func item() scheduler.Request {
+	due := time.Now().Add(time.Minute)
+	return scheduler.Request{Class: scheduler.Item, Service: service, StartBy: due, Expires: due, Expected: time.Second}
+}
+
+func acquire(t *testing.T, v *vm, r scheduler.Request) *scheduling.Slot {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	slot, err := v.Acquire(ctx, r)
+	qt.Assert(t, err, qt.IsNil)
+	return slot
+}
+
+func TestAllVMsDrawOnTheSameSlots(t *testing.T) {
+	vms := start(t, 3, 1, 2, always)
+	first, second := acquire(t, vms[1], online()), acquire(t, vms[2], online())
+	waiting := make(chan *scheduling.Slot)
+	go func() {
+		slot, err := vms[1].Acquire(t.Context(), online())
+		if err != nil {
+			t.Error(err)
+		}
+		waiting <- slot
+	}()
+	select {
+	case <-waiting:
+		t.Fatal("a third slot of two was granted")
+	case <-time.After(300 * time.Millisecond):
+	}
+	second.Release(scheduler.Finished, 0)
+	slot := <-waiting
+	slot.Release(scheduler.Finished, 0)
+	first.Release(scheduler.Finished, 0)
+}
+
+func TestAnItemOfAnotherVMYieldsItsSlot(t *testing.T) {
+	vms := start(t, 3, 1, 1, always)
+	held := acquire(t, vms[1], item())
+	slot := acquire(t, vms[2], online())
+	select {
+	case <-held.Yielded:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the item was not told to yield")
+	}
+	held.Release(scheduler.Abandoned, 0)
+	slot.Release(scheduler.Finished, 0)
+}
+
+func TestTheNextVMCoordinatesWhenTheFirstIsSilent(t *testing.T) {
+	vms := start(t, 3, 2, 1, always)
+	held := acquire(t, vms[1], online())
+	qt.Assert(t, vms[0].node.Close(), qt.IsNil)
+	began := time.Now()
+	other := acquire(t, vms[2], online())
+	qt.Assert(t, time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	// The new coordinator learns from the reports what was granted before.
+	time.Sleep(time.Second)
+	for _, load := range vms[1].Loads() {
+		if load.Online > 2 {
+			t.Fatalf("%d runs on 2 slots", load.Online)
+		}
+	}
+	other.Release(scheduler.Finished, 0)
+	held.Release(scheduler.Finished, 0)
+}
+
+func TestASlotOfATargetThatTheVMKnowsToLeaveIsGivenBack(t *testing.T) {
+	vms := start(t, 2, 2, 1, func(vm, target string) bool { return vm != "vm-1" && vm != "vm-0" || target != "t0" })
+	slot := acquire(t, vms[1], online())
+	qt.Assert(t, slot.Target, qt.Equals, "t1")
+	slot.Release(scheduler.Finished, 0)
+}
+
+func TestARefusalSaysWhoRefusedAndWhy(t *testing.T) {
+	vms := start(t, 2, 1, 1, always)
+	held := acquire(t, vms[0], online())
+	defer held.Release(scheduler.Finished, 0)
+	r := online()
+	r.StartBy, r.Expires = time.Now().Add(50*time.Millisecond), time.Now().Add(50*time.Millisecond)
+	_, err := vms[1].Acquire(t.Context(), r)
+	refused, ok := err.(*scheduling.RefusedError)
+	qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, refused.Reason, qt.Equals, scheduler.Overloaded)
+	qt.Assert(t, refused.Coordinator, qt.Equals, vms[0].name)
+	qt.Assert(t, refused.RetryAfter > 0, qt.IsTrue)
+}
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
@@ -231,52 +230,3 @@
 		close(slot.yielded)
 	}
 }
-
-func (s *Service) handleAlive(from peer.Identity, _ func(any) error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.heardFrom(from.VM)
-}
-
-func (s *Service) handleQueued(from peer.Identity, decode func(any) error) {
-	var m ticketMessage
-	if !decoded(s, from, decode, &m) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.heardFrom(from.VM)
-	s.answer(m.Sequence, answer{from: from.VM})
-}
-
-func (s *Service) handleGrant(from peer.Identity, decode func(any) error) {
-	var m grantMessage
-	if !decoded(s, from, decode, &m) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.heardFrom(from.VM)
-	s.granted(from.VM, m)
-}
-
-func (s *Service) handleRefuse(from peer.Identity, decode func(any) error) {
-	var m refuseMessage
-	if !decoded(s, from, decode, &m) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.heardFrom(from.VM)
-	s.refused(from.VM, m)
-}
-
-func (s *Service) handleYield(from peer.Identity, decode func(any) error) {
-	var m ticketMessage
-	if !decoded(s, from, decode, &m) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.yield(m.Sequence)
-}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -88,6 +88,9 @@
 	Limits   Limits
 }
 
+// Source gives the configuration in force, or nil when none is known yet.
+type Source interface{ Current() *Table }
+
 // Match returns the route of a host with the longest prefix of the path, or nil.
 func (t *Table) Match(host, path string) *Route {
 	var best *Route
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
@@ -17,7 +18,7 @@
 	running  map[scheduler.Ticket]string
 	yielding map[scheduler.Ticket]bool
 	class    map[scheduler.Ticket]scheduler.Class
-	targets  map[string]scheduler.Target
+	targets  map[string]routing.Target
 }
 
 func (o *oracle) take(t *rapid.T, actions []scheduler.Action) {
@@ -83,7 +84,7 @@
 		s := newScheduler(count, slots)
 		o := &oracle{
 			now: epoch, waiting: map[scheduler.Ticket]scheduler.Request{}, running: map[scheduler.Ticket]string{},
-			yielding: map[scheduler.Ticket]bool{}, class: map[scheduler.Ticket]scheduler.Class{}, targets: map[string]scheduler.Target{},
+			yielding: map[scheduler.Ticket]bool{}, class: map[scheduler.Ticket]scheduler.Class{}, targets: map[string]routing.Target{},
 		}
 		for _, target := range fleet(count, slots) {
 			o.targets[target.ID] = target
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/target"
 )
 
@@ -56,17 +57,6 @@
 	ReturnWithin time.Duration
 }
 
-// Target is a target as it is registered.
-type Target struct {
-	ID               string
-	Born             int64
-	Service          string
-	Address          string
-	AvailabilityZone string
-	Slots            int
-	Draining         bool
-}
-
 // Run is a run in progress, as the VM that carries it reports.
 type Run struct {
 	Sequence uint64        `cbor:"1,keyasint"`
@@ -214,7 +204,7 @@
 
 // slots is one target.
 type slots struct {
-	Target
+	routing.Target
 	pool *pool
 	runs map[*run]struct{}
 	// trial says that the next run decides whether the target returns from its ejection.
@@ -267,7 +257,7 @@
 }
 
 // SetTargets replaces the registered targets. Runs on targets that are gone are forgotten.
-func (s *Scheduler) SetTargets(now time.Time, targets []Target) []Action {
+func (s *Scheduler) SetTargets(now time.Time, targets []routing.Target) []Action {
 	listed := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		listed[t.ID] = true
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
@@ -26,10 +27,10 @@
 	return s
 }
 
-func fleet(targets, slots int) []scheduler.Target {
-	list := make([]scheduler.Target, targets)
+func fleet(targets, slots int) []routing.Target {
+	list := make([]routing.Target, targets)
 	for i := range list {
-		list[i] = scheduler.Target{ID: fmt.Sprintf("t%d", i), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i), AvailabilityZone: "a", Slots: slots}
+		list[i] = routing.Target{ID: fmt.Sprintf("t%d", i), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i), AvailabilityZone: "a", Slots: slots}
 	}
 	return list
 }
