--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -57,12 +57,13 @@
 
 // world is some VMs, their store and their targets.
 type world struct {
-	t       *testing.T
-	state   *memory.Platform
-	config  *configuration
-	targets []*streamtarget.Target
-	slots   *scheduling.Service
-	vms     map[string]*vm
+	retention time.Duration
+	t         *testing.T
+	state     *memory.Platform
+	config    *configuration
+	targets   []*streamtarget.Target
+	slots     *scheduling.Service
+	vms       map[string]*vm
 }
 
 func newWorld(t *testing.T, quota int64) *world {
@@ -82,7 +83,7 @@
 	v := &vm{members: schedulingtest.NewMembers(name, others...), stop: cancel, stopped: make(chan struct{})}
 	v.Service = batchjobs.New(batchjobs.Config{
 		VM: name, Rows: store, Members: v.members, Configuration: w.config, Slots: w.slots,
-		Targets: platform.NewTargets(), Node: schedulingtest.SilentNode, Log: zerolog.Nop(),
+		Targets: platform.NewTargets(), Node: schedulingtest.SilentNode, ResultRetention: w.retention, Log: zerolog.Nop(),
 	})
 	go func() {
 		defer close(v.stopped)
@@ -368,6 +369,27 @@
 	qt.Assert(t, time.Since(began) < 5*time.Second, qt.IsTrue)
 }
 
+func TestJobsThatAreDoneAreRemovedAfterTheirRetention(t *testing.T) {
+	w := newWorld(t, 0)
+	w.retention = 500 * time.Millisecond
+	a := w.start("a", w.state)
+	began := time.Now()
+	w.accept(a, "done", 3)
+	w.finish(a, "done", 3)
+	w.targets[0].Inject(streamtarget.Hang)
+	w.targets[1].Inject(streamtarget.Hang)
+	w.accept(a, "open", 1)
+	w.eventually("removal", func() bool { _, code := a.results("done", 0); return code == http.StatusNotFound })
+	qt.Assert(t, time.Since(began) >= w.retention, qt.IsTrue)
+	for _, table := range []string{"rosemarydyke-job-bodies", "rosemarydyke-job-texts"} {
+		page, err := w.state.Read(t.Context(), table, "", rowstore.KeyRange{To: "e"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, page.Rows, qt.HasLen, 0, qt.Commentf("%s", table))
+	}
+	_, code := a.results("open", 0)
+	qt.Assert(t, code, qt.Equals, http.StatusOK)
+}
+
 // The former owner is not stopped: it goes on while another VM takes its jobs over, loses answers of the store, and
 // may list nothing that the new owner does not know.
 func TestItemsAreListedOnceWhateverTheStoreAndTheMembersDo(t *testing.T) {
--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -50,7 +50,9 @@
 	Slots         scheduling.Slots
 	Targets       *platform.Targets
 	Node          Node
-	Log           zerolog.Logger
+	// ResultRetention is how long after a job's submission its results have to be kept. Zero keeps them for ever.
+	ResultRetention time.Duration
+	Log             zerolog.Logger
 }
 
 // Service serves and runs batch jobs.
@@ -105,13 +107,17 @@
 // Run follows the table and runs the jobs of this VM until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	s.tasks.Go(func() { s.follower.Run(ctx) })
-	ticker := time.NewTicker(lookInterval)
+	ticker, sweeps := time.NewTicker(lookInterval), time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	defer sweeps.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			s.tasks.Wait()
 			return
+		case <-sweeps.C:
+			s.sweep(ctx)
+			continue
 		case <-ticker.C:
 		case <-s.wake:
 		}
--- a/internal/config/ingress.go
+++ b/internal/config/ingress.go
@@ -23,15 +23,18 @@
 	StopGrace time.Duration `yaml:"stop_grace" validate:"min=0"`
 	// MaxTTL bounds how long clients keep the addresses of VMs. Default 5s.
 	MaxTTL time.Duration `yaml:"max_ttl" validate:"min=0"`
+	// ResultRetention is how long after a job's submission its results have to be kept. Default 120s.
+	ResultRetention time.Duration `yaml:"result_retention" validate:"min=0"`
 	// MemoryMB is the memory of the VM, in MB. Default 256.
 	MemoryMB int64 `yaml:"memory_mb" validate:"min=0"`
 	Log      Log   `yaml:"log"`
 }
 
 const (
-	defaultStopGrace = 8 * time.Second
-	defaultMaxTTL    = 5 * time.Second
-	defaultMemoryMB  = 256
+	defaultStopGrace       = 8 * time.Second
+	defaultMaxTTL          = 5 * time.Second
+	defaultResultRetention = 120 * time.Second
+	defaultMemoryMB        = 256
 )
 
 // SetDefaults fills what the file leaves out.
@@ -42,6 +45,9 @@
 	if i.MaxTTL == 0 {
 		i.MaxTTL = defaultMaxTTL
 	}
+	if i.ResultRetention == 0 {
+		i.ResultRetention = defaultResultRetention
+	}
 	if i.MemoryMB == 0 {
 		i.MemoryMB = defaultMemoryMB
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,14 +134,15 @@
 	})
 	targets := platform.NewTargets()
 	n.jobs = batchjobs.New(batchjobs.Config{
-		VM:            s.VM.Name,
-		Rows:          n.rows,
-		Members:       n.members,
-		Configuration: n.discovery,
-		Slots:         n.slots,
-		Targets:       targets,
-		Node:          n.transport,
-		Log:           n.log,
+		VM:              s.VM.Name,
+		Rows:            n.rows,
+		Members:         n.members,
+		Configuration:   n.discovery,
+		Slots:           n.slots,
+		Targets:         targets,
+		Node:            n.transport,
+		ResultRetention: s.ResultRetention,
+		Log:             n.log,
 	})
 	tracker := evidence.NewSharedTracker(quarantine.Config{Crashes: quarantineCrashes})
 	n.evidence = evidence.New(evidence.Config{
