--- /dev/null
+++ b/scheduler/loads.go
@@ -0,0 +1,39 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Load is the state of one service.
+type Load struct {
+	Service                        string
+	Slots, Online, Items           int
+	WaitingOnline, WaitingItems    int
+	Targets, Usable, PendingReturn int
+}
+
+// Loads returns the state of all services.
+func (s *Scheduler) Loads(now time.Time) []Load {
+	loads := make([]Load, 0, len(s.pools))
+	for _, p := range s.pools {
+		l := Load{Service: p.name, WaitingOnline: len(p.online), WaitingItems: len(p.items), Targets: len(p.targets), PendingReturn: len(p.returns)}
+		for _, t := range p.targets {
+			if p.usable(now, t) {
+				l.Usable++
+				l.Slots += t.Slots
+			}
+			for r := range t.runs {
+				if r.class == Online {
+					l.Online++
+				} else {
+					l.Items++
+				}
+			}
+		}
+		loads = append(loads, l)
+	}
+	slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(a.Service, b.Service) })
+	return loads
+}
--- /dev/null
+++ b/scheduler/request.go
@@ -0,0 +1,113 @@
+package scheduler
+
+import "time"
+
+// Ticket names one request for a slot.
+type Ticket struct {
+	// VM is the VM that asks, in one start of its process.
+	VM string `cbor:"1,keyasint"`
+	// Sequence is unique within the VM's process.
+	Sequence uint64 `cbor:"2,keyasint"`
+}
+
+// Class says which requests go first.
+type Class uint8
+
+// Classes.
+const (
+	// Online requests have a client that waits.
+	Online Class = iota
+	// Item requests belong to batch jobs.
+	Item
+)
+
+// Request asks for a slot.
+type Request struct {
+	Ticket           Ticket
+	Class            Class
+	Service          string
+	AvailabilityZone string
+	// Tried are IDs of targets that the request must not be sent to again.
+	Tried []string
+	// StartBy is when an online request has to start, and when the job of an item is due.
+	StartBy time.Time
+	// Expires is when an online request is not worth starting any more.
+	Expires time.Time
+	// Expected is how long an item is expected to hold its slot. Zero means unknown.
+	Expected time.Duration
+	// Returned says that an online request was refused before and came back.
+	Returned bool
+	// ReturnWithin is the longest time after which the client of an online request comes back. Zero means unknown.
+	ReturnWithin time.Duration
+}
+
+// Run is a run in progress, as the VM that carries it reports.
+type Run struct {
+	Sequence uint64        `cbor:"1,keyasint"`
+	Class    Class         `cbor:"2,keyasint,omitempty"`
+	Target   string        `cbor:"3,keyasint"`
+	DueIn    time.Duration `cbor:"4,keyasint,omitempty"`
+	Expected time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// Outcome says how a run ended.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Finished runs ended with a whole answer.
+	Finished Outcome = iota
+	// Abandoned runs were given up by the client or yielded; they say nothing about the target.
+	Abandoned
+	// Unreachable targets took no connection.
+	Unreachable
+	// Refused runs were turned away by the target.
+	Refused
+	// Cut runs ended before their answer was whole.
+	Cut
+	// Silent targets sent nothing for too long.
+	Silent
+	// Replaced targets were found to be another process than the registered one.
+	Replaced
+	// Leaving targets are known by the VM of the run to take no more work, and did not get it.
+	Leaving
+)
+
+// Action is an output of the scheduler.
+type Action interface{ action() }
+
+// Grant gives a slot to a request.
+type Grant struct {
+	Ticket  Ticket
+	Target  string
+	Address string
+}
+
+// Refuse turns a request away.
+type Refuse struct {
+	Ticket     Ticket
+	RetryAfter time.Duration
+	Reason     Reason
+	// Ahead is the number of requests before it, and Slots what online requests could have.
+	Ahead, Slots int
+}
+
+// Yield takes a slot back from an item.
+type Yield struct{ Ticket Ticket }
+
+func (Grant) action()  {}
+func (Refuse) action() {}
+func (Yield) action()  {}
+
+// Reason says why a request was refused.
+type Reason string
+
+// Reasons.
+const (
+	// NoTarget means that no target of the service can take requests.
+	NoTarget Reason = "no_target_available"
+	// Overloaded means that the request could not have started in time.
+	Overloaded Reason = "overloaded"
+	// Late means that the request waited for longer than foreseen.
+	Late Reason = "start_deadline_exceeded"
+)
