Results that are ready are listed although their job is ended or handed over

Ruled out: late acceptance (87 ms at most), long items (10.9 s at most of 18), refusals of the store (none in the log). Change: what is ready when a job stops is listed within 1.5 s, unless another VM owns the job. The test failed first.

--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -369,6 +369,27 @@
 	qt.Assert(t, time.Since(began) < 5*time.Second, qt.IsTrue)
 }
 
+// quiet-1 of candado-reservas, third of four runs: an item was done when its client ended the job, and was
+// never listed.
+func TestAResultThatIsReadyIsListedAlthoughItsJobIsEnded(t *testing.T) {
+	w := newWorld(t, 0)
+	store := &faulty{Rows: w.state}
+	a, b := w.start("a", store, "b"), w.start("b", w.state, "a")
+	w.targets[0].Inject(streamtarget.Hang)
+	w.accept(a, "j", 2)
+	store.refuse.Store(1000)
+	w.eventually("one item is done", func() bool {
+		return w.targets[0].Runs("j-0")+w.targets[1].Runs("j-0") > 0 && w.targets[0].Runs("j-1")+w.targets[1].Runs("j-1") > 0
+	})
+	time.Sleep(200 * time.Millisecond)
+	qt.Assert(t, b.call(http.MethodDelete, "/api/lots/j").Code, qt.Equals, http.StatusOK)
+	store.refuse.Store(0)
+	w.eventually("the result that was ready", func() bool {
+		got, code := b.results("j", 0)
+		return code == http.StatusOK && len(got.Results) == 1 && got.Results[0].State == "completed"
+	})
+}
+
 func TestJobsThatAreDoneAreRemovedAfterTheirRetention(t *testing.T) {
 	w := newWorld(t, 0)
 	w.retention = 500 * time.Millisecond
--- a/internal/batchjobs/list.go
+++ b/internal/batchjobs/list.go
@@ -11,6 +11,7 @@
 // list lists the results of a job as they come, until all are listed or another VM owns the job.
 func (s *Service) list(ctx context.Context, run *jobRun) {
 	var waiting []itemResult
+	defer func() { s.listRest(ctx, run, waiting) }()
 	pause := retryPause
 	for {
 		e := s.view.get(run.job)
@@ -51,6 +52,29 @@
 // time between two reads of a client.
 const maxListPause = 400 * time.Millisecond
 
+// restTimeout bounds the listing of what is ready when a job is stopped: within a hand-over's time.
+const restTimeout = 1500 * time.Millisecond
+
+// listRest lists what is ready when a job is ended by its client or handed over: its client may still read it.
+func (s *Service) listRest(ctx context.Context, run *jobRun, waiting []itemResult) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), restTimeout)
+	defer cancel()
+	waiting = drain(run.done, waiting)
+	for len(waiting) > 0 && ctx.Err() == nil {
+		left, err := s.listSome(ctx, run, waiting)
+		if errors.Is(err, errOwnerChanged) {
+			return
+		}
+		waiting = left
+		if err != nil {
+			time.Sleep(retryPause)
+		}
+	}
+	if len(waiting) > 0 {
+		s.config.Log.Warn().Str("job", run.job).Int("results", len(waiting)).Msg("results that were ready are lost with the end of the job here")
+	}
+}
+
 func drain(from <-chan itemResult, to []itemResult) []itemResult {
 	for {
 		select {
