--- a/cmd/rosemary-ingress/process_test.go
+++ b/cmd/rosemary-ingress/process_test.go
@@ -256,7 +256,7 @@
 	qt.Assert(t, f.vms[0].command.Process.Kill(), qt.IsNil)
 	results := map[string]string{}
 	f.eventually("all results at another VM", func() bool {
-		status, content, err := f.do(http.MethodGet, f.vms[1].clients, fmt.Sprintf("/api/lots/j?after=%d", len(results)), "read", "")
+		status, content, err := f.do(http.MethodGet, f.vms[1].clients, platform.ResultsURI("j", len(results)), "read", "")
 		var answer struct {
 			Results []struct{ ID, State, Text string }
 		}
--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -135,7 +135,7 @@
 }
 
 func (v *vm) results(job string, after int) (results, int) {
-	rec := v.call(http.MethodGet, fmt.Sprintf("/api/lots/%s?after=%d", job, after))
+	rec := v.call(http.MethodGet, platform.ResultsURI(job, after))
 	var out results
 	if rec.Code == http.StatusOK {
 		if err := json.Unmarshal(rec.Body.Bytes(), &out); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,7 +218,7 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", h.address, err)
 		}
-		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 		n.servers = append(n.servers, server)
 		n.listeners = append(n.listeners, listener)
 		if h.address == n.settings.Clients {
@@ -309,7 +309,7 @@
 	}
 	farewell, end := context.WithTimeout(context.Background(), farewellTimeout)
 	defer end()
-	n.roster.remove(farewell)
+	n.roster.remove(farewell, n.log)
 	n.members.Close(farewell)
 	if err := n.transport.Close(); err != nil {
 		n.log.Debug().Err(err).Msg("peer socket not closed")
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -61,8 +61,10 @@
 }
 
 // remove deletes this VM's row. Others that still find it learn from the members that the VM is gone.
-func (r *roster) remove(ctx context.Context) {
-	_, _ = r.rows.Apply(ctx, platform.RowTxn{Deletes: []platform.RowKey{r.key()}})
+func (r *roster) remove(ctx context.Context, log zerolog.Logger) {
+	if _, err := r.rows.Apply(ctx, platform.RowTxn{Deletes: []platform.RowKey{r.key()}}); err != nil {
+		log.Info().Err(err).Msg("row of this VM stays in the store")
+	}
 }
 
 // List implements platform.VMList.
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -22,7 +22,7 @@
 	active atomic.Int64
 	// heard is when something last arrived, in nanoseconds since the process started to measure.
 	heard atomic.Int64
-	// checking is true while a liveness check runs.
+	// checking is true while a health check runs.
 	checking atomic.Bool
 
 	mu sync.Mutex
@@ -138,7 +138,7 @@
 }
 
 // giveUp takes a connection that does not answer out of use, and closes it unless calls or streams
-// still wait on it: those are left to the liveness check, which waits longer.
+// still wait on it: those are left to the health check, which waits longer.
 func (n *Node) giveUp(c *connection) {
 	n.forget(c)
 	if c.active.Load() == 0 {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -68,10 +68,10 @@
 	return !ok || now.Sub(s.last) >= gap
 }
 
-// Forget drops holders that were last seen before the time limit.
-func (w *Watcher) Forget(limit time.Time) {
+// Forget drops holders that were last seen before the cutoff.
+func (w *Watcher) Forget(cutoff time.Time) {
 	for holder, s := range w.seen {
-		if s.last.Before(limit) {
+		if s.last.Before(cutoff) {
 			delete(w.seen, holder)
 		}
 	}
