Waits behind batch work and for kept credits, the last VM's leave, ports of tests

TestOnlineNever (8 ms, bound 6 ms). Cause, by a trace of asks and answers: one ask per target may be under way, so a burst that outnumbers the targets waited for one exchange and one cancelled item after another. Ruled out: the third exchange after stale hints that the entry supposed. Now requests join an ask that is younger than one exchange; an owner that grants a part is asked again for the rest; credits on their way are counted up to the holder's share.

TestFaults, slots that took 1 to 1.8 s. Cause: a holder with no messages to spare keeps unused credits until its renewal, and its owner does not recall them because it takes them for used. Owners now recall from holders that were not told of the shortage.

Cause: the last VM that leaves owns no targets, so requests by callers that still hold its address waited for nothing. Leaving members now own targets while nobody else is there; a request for targets without an owner is refused at once. The check that a leaving VM owns nothing in a fleet of one had the fault in it; it now says that any other VM takes the targets over.

--- a/cmd/rosemary-entry/process_test.go
+++ b/cmd/rosemary-entry/process_test.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,6 +23,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/standin"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/batching"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/engine"
+	"github.com/rosemarydyke/rosemarydyke/internal/testports"
 	"github.com/rosemarydyke/rosemarydyke/settings"
 )
 
@@ -47,17 +47,10 @@
 	status  string
 }
 
-func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func startDaemon(t *testing.T, c *qt.C, set *standin.Set) *daemon {
 	dir := t.TempDir()
 	c.Assert(devkeys.Generate(dir, []string{"vm-1"}), qt.IsNil)
-	d := &daemon{callers: freeAddress(c), status: freeAddress(c), ended: make(chan error, 1)}
+	d := &daemon{callers: testports.Address(t, "127.0.0.1"), status: testports.Address(t, "127.0.0.1"), ended: make(chan error, 1)}
 	file := filepath.Join(dir, "entry.yaml")
 	yaml := fmt.Sprintf(`vm: {name: vm-1, availability_zone: az-a, region: r1}
 platform: {url: %q}
@@ -67,7 +60,7 @@
 callers: %[4]s
 batch_peers: 127.0.0.1:1
 operator_peers: 127.0.0.1:2
-`, set.PlatformURL(), dir, d.status, d.callers, freeAddress(c))
+`, set.PlatformURL(), dir, d.status, d.callers, testports.Address(t, "127.0.0.1"))
 	c.Assert(os.WriteFile(file, []byte(yaml), 0o600), qt.IsNil)
 	d.command = exec.Command(os.Args[0], "--config", file)
 	d.command.Env = append(os.Environ(), runAsDaemon+"=1")
--- a/cmd/rosemary-ingress/process_test.go
+++ b/cmd/rosemary-ingress/process_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -24,6 +23,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/platformserver"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
+	"github.com/rosemarydyke/rosemarydyke/internal/testports"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 )
 
@@ -85,7 +85,7 @@
 	 {"name":"r","host":"a.example","path_prefix":"/s/","route_kind":"streaming","timeout_ms":5000,"goal_ms":300,"service":"s","max_attempts":2,"resumable":true,"gap_target_ms":400},
 	 {"name":"b","host":"a.example","path_prefix":"/b/","route_kind":"batch","goal_ms":500,"service":"s","max_attempts":3,"run_target_ms":18000,"retention_s":60}],
 	 "services":[{"name":"s"}],"limits":{"max_body_bytes":100000}}`)
-	port := freePort(t)
+	port := testports.Port(t)
 	for i := range 3 {
 		f.vms = append(f.vms, f.start(i, port))
 	}
@@ -100,17 +100,10 @@
 	qt.Assert(f.t, err, qt.IsNil)
 }
 
-func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 func (f *fleet) start(i, peers int) *process {
 	ip := fmt.Sprintf("127.0.0.%d", i+1)
 	p := &process{exited: make(chan error, 1)}
-	address := func() string { return fmt.Sprintf("%s:%d", ip, freePort(f.t)) }
+	address := func() string { return testports.Address(f.t, ip) }
 	p.clients, p.ready, p.directory = address(), address(), address()
 	settings := fmt.Sprintf(`vm:
   name: vm-%d
--- a/internal/admission/controller/acquire.go
+++ b/internal/admission/controller/acquire.go
@@ -91,7 +91,7 @@
 		serves = servesService(request.Service)
 	}
 	p := c.pools[serves]
-	if p == nil || !p.hasTarget(request.Tried) {
+	if p == nil || len(p.active) == 0 || !p.hasTarget(request.Tried) {
 		message := fmt.Sprintf("no target that can take the request serves %s now", serves)
 		return nil, notRun(verdict.CodeNoTarget, message, jittered(noTargetRetry))
 	}
--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -69,6 +69,8 @@
 	// asked is the number of credits that the pending ask is for, and askedAt when it was sent.
 	asked   int
 	askedAt time.Time
+	// joinUntil is until when the pending ask may be replaced by one for more credits.
+	joinUntil time.Time
 	// retryAt is when its owner may be asked again after a failure.
 	retryAt time.Time
 	// refused says that the target refused a request of this VM and the owner has not heard of it yet.
--- a/internal/admission/controller/credits.go
+++ b/internal/admission/controller/credits.go
@@ -54,6 +54,9 @@
 // With hold, an owner that can grant nothing keeps the ask for a while, until a credit becomes free.
 func (c *Controller) askRemote(t *targetState, waiting int, hold bool, now time.Time) {
 	t.holder.Immediate = c.hasSpareExchanges(now)
+	if !t.isWaiting() {
+		t.joinUntil = now.Add(askJoin)
+	}
 	ask := t.holder.Ask(now, waiting)
 	t.asked, t.askedAt = waiting, now
 	if waiting > 0 {
@@ -109,7 +112,8 @@
 		// The next tick asks again; asking here would loop while the owner is away.
 		return
 	}
-	for _, t := range targets {
+	for i, t := range targets {
+		c.askForRest(t, message.Targets[i], answer.Targets[i], now)
 		c.dispatchWaiting(t.pool, now)
 		if t.pool.queue.Len() == 0 {
 			c.returnCredits(t, now)
@@ -117,6 +121,19 @@
 	}
 }
 
+// askForRest asks again at once when an owner granted a part of what was asked for: it is making room for the rest,
+// which would take another owner as long again.
+func (c *Controller) askForRest(t *targetState, ask TargetAsk, answer TargetAnswer, now time.Time) {
+	rest := ask.Want - answer.Granted
+	if answer.Stale || answer.NotOwner || answer.Granted <= ask.Held || rest <= 0 || t.ledger != nil {
+		return
+	}
+	c.placeWaiting(t.pool, now)
+	if rest = min(rest, t.pool.queue.Len()); rest > 0 {
+		c.askFor(t, rest, false, now)
+	}
+}
+
 // apply applies the i-th answer, or the failure of the call.
 func (t *targetState) apply(sequence uint64, err error, answers []TargetAnswer, i int) {
 	latest := false
@@ -132,6 +149,11 @@
 	}
 }
 
+// canJoin reports whether the ask under way may be replaced by one for more credits.
+func (t *targetState) canJoin(now time.Time) bool {
+	return t.owned && t.ledger == nil && t.isWaiting() && !now.After(t.joinUntil)
+}
+
 // isWaiting reports whether an ask for waiting requests is under way. A renewal does not count: it can be replaced.
 func (t *targetState) isWaiting() bool { return t.holder.Asking() && t.asked > 0 }
 
--- a/internal/admission/controller/plan.go
+++ b/internal/admission/controller/plan.go
@@ -16,6 +16,10 @@
 	maxHeldAsks = 3
 	// askPause separates asks to an owner that does not answer or does not own the target.
 	askPause = 250 * time.Millisecond
+	// askJoin is how long after an ask further requests join it. The first of them waits for as much longer at most, so
+	// it is the time of one exchange within a region: a request that comes later waits for the answer no longer than
+	// it would for an ask of its own.
+	askJoin = 2 * time.Millisecond
 )
 
 // requestCredits asks owners for credits for the waiting requests of a pool: first where slots can
@@ -32,11 +36,50 @@
 			c.askFor(p.active[i], c.unmet(p.active[i])+count, false, now)
 		}
 	}
-	if len(plan.unmet) > 0 {
-		c.waitForCredits(p, plan.unmet, now)
+	if unmet := c.joinAsks(p, plan.unmet, now); len(unmet) > 0 {
+		c.waitForCredits(p, unmet, now)
 	}
 }
 
+// joinAsks replaces asks that have just gone out by ones for more credits, and returns the requests that none could
+// take. Otherwise a burst that outnumbers the targets would wait for one exchange and one cancelled item after another.
+func (c *Controller) joinAsks(p *pool, waiters []*waiter, now time.Time) []*waiter {
+	joined := make(map[*targetState]int)
+	var unmet []*waiter
+	for _, w := range waiters {
+		t := c.askToJoin(p, w, joined, now)
+		if t == nil {
+			unmet = append(unmet, w)
+			continue
+		}
+		joined[t]++
+	}
+	for _, t := range p.active {
+		if joined[t] > 0 {
+			c.askRemote(t, t.asked+joined[t], false, now)
+		}
+	}
+	return unmet
+}
+
+// askToJoin returns the target with the most room whose ask a request can join, or nil.
+func (c *Controller) askToJoin(p *pool, w *waiter, joined map[*targetState]int, now time.Time) *targetState {
+	var best *targetState
+	most := 0
+	for _, i := range rand.Perm(len(p.active)) {
+		t := p.active[i]
+		if !t.canJoin(now) || slices.Contains(w.request.Tried, t.settings.Name) {
+			continue
+		}
+		share := p.health.Share(now, t.settings.Name)
+		room := min(t.plannableCredits(now), t.remainingShare(share)) - t.asked - joined[t]
+		if share > 0 && room > most {
+			best, most = t, room
+		}
+	}
+	return best
+}
+
 // askPlan says how many credits to ask for.
 type askPlan struct {
 	// counts holds a number for each active target of the pool.
--- a/internal/admission/controller/recall.go
+++ b/internal/admission/controller/recall.go
@@ -11,10 +11,15 @@
 // recallPause separates recalls to one holder of credits of one target.
 const recallPause = 100 * time.Millisecond
 
-// recallIdle asks holders for unused credits that others wait for. It reports whether any may be on its way.
+// recallIdle asks holders for unused credits that others wait for. It reports whether any is known to be on its way.
 func (c *Controller) recallIdle(t *targetState, now time.Time) bool {
+	c.recallFrom(t, t.ledger.Untold(), now)
+	return c.recallFrom(t, t.ledger.Idle(), now)
+}
+
+func (c *Controller) recallFrom(t *targetState, holders []string, now time.Time) bool {
 	recalled := false
-	for _, vm := range t.ledger.Idle() {
+	for _, vm := range holders {
 		if vm == c.config.VM {
 			continue
 		}
--- /dev/null
+++ b/internal/admission/controller/waits_test.go
@@ -0,0 +1,115 @@
+package controller
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/settings"
+	"github.com/rosemarydyke/rosemarydyke/verdict"
+)
+
+// Requests that arrive together at one VM outnumber the targets, and batch work has all slots.
+func TestRequestsThatArriveTogetherWaitForOneCancelledItem(t *testing.T) {
+	const vms, engineCount, slots = 3, 2, 6
+	runFleet(t, vms, engines(engineCount, slots), func(f *fleet) {
+		for _, n := range f.nodes {
+			n.startBatch(100)
+		}
+		time.Sleep(4 * time.Second)
+		// A VM that owns no target has to ask for every credit.
+		var asker *node
+		for _, n := range f.nodes {
+			owns := false
+			for _, info := range n.Targets() {
+				owns = owns || info.Owner == n.vm
+			}
+			if !owns {
+				asker = n
+			}
+		}
+		qt.Assert(t, asker, qt.IsNotNil)
+		var requests sync.WaitGroup
+		for range engineCount * 3 {
+			requests.Go(func() {
+				began := time.Now()
+				grant, err := asker.acquire("a", time.Minute)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, time.Since(began) <= maxOnlineWait, qt.IsTrue, qt.Commentf("waited %s", time.Since(began)))
+				time.Sleep(time.Second)
+				grant.Release(completed)
+			})
+		}
+		requests.Wait()
+	})
+}
+
+// A holder that exchanges too many messages keeps credits that it does not use, and its owner does not know.
+func TestCreditsThatAreKeptUnusedAreRecalledForAnotherVM(t *testing.T) {
+	// recallBound allows for an ask, a recall, the return and the answer, and for a recall that comes too early.
+	const recallBound = recallPause + 8*oneWay
+	const slots = 4
+	runFleet(t, 3, []*settings.Target{engine("t1", "az-a", slots)}, func(f *fleet) {
+		owner := f.ownerOf("t1")
+		var others []*node
+		for _, n := range f.nodes {
+			if n != owner {
+				others = append(others, n)
+			}
+		}
+		keeper, asker := others[0], others[1]
+		for range 3 {
+			var requests sync.WaitGroup
+			for range slots {
+				requests.Go(func() {
+					grant, err := keeper.acquire("a", time.Minute)
+					qt.Check(t, err, qt.IsNil)
+					time.Sleep(2100 * time.Millisecond)
+					keeper.exchanges.AllowN(time.Now(), keeper.exchanges.Burst())
+					grant.Release(completed)
+				})
+			}
+			requests.Wait()
+			began := time.Now()
+			grant, err := asker.acquire("a", time.Minute)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, time.Since(began) <= recallBound, qt.IsTrue, qt.Commentf("waited %s", time.Since(began)))
+			grant.Release(completed)
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
+
+func TestTheLastVMServesWhileItLeaves(t *testing.T) {
+	runFleet(t, 1, engines(1, 4), func(f *fleet) {
+		leaving := f.members[0]
+		leaving.State = member.Leaving
+		f.setMembers([]member.Member{leaving})
+		time.Sleep(time.Second)
+		began := time.Now()
+		grant, err := f.node("vm-1").acquire("a", 30*time.Second)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, time.Since(began), qt.Equals, time.Duration(0))
+		grant.Release(completed)
+	})
+}
+
+func TestARequestForTargetsThatNobodyOwnsIsRefusedAtOnce(t *testing.T) {
+	runFleet(t, 1, engines(1, 4), func(f *fleet) {
+		dead := f.members[0]
+		dead.State = member.Dead
+		f.setMembers([]member.Member{dead})
+		time.Sleep(time.Second)
+		began := time.Now()
+		_, err := f.node("vm-1").acquire("a", 30*time.Second)
+		var refusal *verdict.Error
+		qt.Assert(t, errors.As(err, &refusal), qt.IsTrue)
+		qt.Check(t, refusal.Verdict, qt.Equals, verdict.NotRun)
+		qt.Check(t, refusal.RetryAfter > 0, qt.IsTrue)
+		qt.Check(t, time.Since(began), qt.Equals, time.Duration(0))
+	})
+}
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -5,15 +5,12 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,6 +23,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/standin"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/batching"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/engine"
+	"github.com/rosemarydyke/rosemarydyke/internal/testports"
 )
 
 const (
@@ -122,54 +120,15 @@
 
 func newVM(t *testing.T, name, zone string) *vm {
 	v := &vm{name: name, zone: zone, peers: map[daemon]string{}, status: map[daemon]string{}, processes: map[daemon]*process{}}
-	v.callers = freeAddress(t, "tcp")
-	v.operators = freeAddress(t, "tcp")
+	v.callers = testports.Address(t, "127.0.0.1")
+	v.operators = testports.Address(t, "127.0.0.1")
 	for _, d := range []daemon{entryDaemon, batchDaemon, operatorDaemon} {
-		v.peers[d] = freeAddress(t, "udp")
-		v.status[d] = freeAddress(t, "tcp")
+		v.peers[d] = testports.Address(t, "127.0.0.1")
+		v.status[d] = testports.Address(t, "127.0.0.1")
 	}
 	return v
 }
 
-// Ports of the fleets lie below those that the kernel gives to outgoing connections, one of which could
-// take a port between its choice and its use.
-const (
-	firstPort = 20000
-	lastPort  = 30000
-)
-
-// nextPort is the next port to try. It starts at a place that depends on the process, so that two runs of the tests
-// seldom try the same ports.
-var nextPort atomic.Int64
-
-// freeAddress returns an address that nobody listens on and that no other fleet of this process gets.
-func freeAddress(t *testing.T, network string) string {
-	nextPort.CompareAndSwap(0, firstPort+int64(os.Getpid()*101%(lastPort-firstPort)))
-	for range lastPort - firstPort {
-		port := firstPort + (nextPort.Add(1)-firstPort)%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if isFree(network, address) {
-			return address
-		}
-	}
-	t.Fatalf("no free %s port", network)
-	return ""
-}
-
-func isFree(network, address string) bool {
-	var listener io.Closer
-	var err error
-	if network == "udp" {
-		listener, err = net.ListenPacket(network, address)
-	} else {
-		listener, err = net.Listen(network, address)
-	}
-	if err != nil {
-		return false
-	}
-	return listener.Close() == nil
-}
-
 func (f *fleet) writeKeys() {
 	names := make([]string, 0, len(f.vms))
 	for _, v := range f.vms {
--- a/target/ledger.go
+++ b/target/ledger.go
@@ -96,6 +96,8 @@
 	want     int
 	suspect  uint64
 	expires  time.Time
+	// told says that the last answer named the credits scarce, so that the holder keeps none that it does not use.
+	told bool
 }
 
 type batchSlot struct {
@@ -136,12 +138,13 @@
 	g.credits += max(0, min(min(ask.Spare, share)-g.credits, l.free()-l.shortage()))
 	l.bursts.observe(now, l.credits())
 	revoke := l.reclaim()
+	g.told = l.shortage() > 0
 	return Answer{
 		Granted:    g.credits,
 		TTL:        l.config.TTL,
 		Obtainable: l.Obtainable(ask.Holder),
 		Idle:       l.IdleSlots(),
-		Scarce:     l.shortage() > 0,
+		Scarce:     g.told,
 		Share:      share,
 		Suspect:    g.suspect,
 	}, revoke
@@ -210,17 +213,27 @@
 
 // Idle returns the holders whose unused credits would meet a shortage that batch work does not meet.
 func (l *Ledger) Idle() []string {
+	return l.shortHolders(func(g *grant) bool { return g.credits > g.demand() })
+}
+
+// Untold returns the holders that have not been told of a shortage that batch work does not meet. They keep for a
+// while what they no longer use, and what they used when they last asked may have ended.
+func (l *Ledger) Untold() []string {
+	return l.shortHolders(func(g *grant) bool { return g.credits > 0 && !g.told })
+}
+
+func (l *Ledger) shortHolders(isMeant func(g *grant) bool) []string {
 	if l.shortage() <= l.revoked() {
 		return nil
 	}
-	var idle []string
+	var names []string
 	for vm, g := range l.holders {
-		if g.credits > g.demand() {
-			idle = append(idle, vm)
+		if isMeant(g) {
+			names = append(names, vm)
 		}
 	}
-	slices.Sort(idle)
-	return idle
+	slices.Sort(names)
+	return names
 }
 
 // revoked is the number of batch slots that are being given up.
@@ -243,9 +256,13 @@
 	return max(0, g.want-g.credits)
 }
 
-// Coming returns how many of a holder's unmet credits batch work is about to give up.
+// Coming returns how many of a holder's unmet credits batch work is about to give up, as far as its share allows.
 func (l *Ledger) Coming(vm string) int {
-	return min(l.Unmet(vm), l.revoked())
+	g := l.holders[vm]
+	if g == nil {
+		return 0
+	}
+	return max(0, min(min(g.want, l.share(vm))-g.credits, l.revoked()))
 }
 
 // demand is the number of slots that a holder uses or could use.
--- a/target/ownership.go
+++ b/target/ownership.go
@@ -27,13 +27,22 @@
 // Owner returns the member that hands out the slots of a target: the one with the highest rank in
 // the target's availability zone, or else of all members. It reports false when no member can own it.
 //
-// Suspect members keep their targets, so that one lost probe moves no ownership.
+// Suspect members keep their targets, so that one lost probe moves no ownership. Leaving members own targets only while
+// no other member is there: callers that still hold the address of the last VM would wait for nothing otherwise.
 func Owner(name, availabilityZone string, members []member.Member) (member.Member, bool) {
+	owner, found := ownerAmong(name, availabilityZone, members, member.Alive, member.Suspect)
+	if !found {
+		return ownerAmong(name, availabilityZone, members, member.Leaving)
+	}
+	return owner, true
+}
+
+func ownerAmong(name, availabilityZone string, members []member.Member, states ...member.State) (member.Member, bool) {
 	var best member.Member
 	var bestRank uint64
 	found, bestLocal := false, false
 	for _, m := range members {
-		if m.State != member.Alive && m.State != member.Suspect {
+		if !slices.Contains(states, m.State) {
 			continue
 		}
 		local := m.AvailabilityZone == availabilityZone
--- a/target/ownership_test.go
+++ b/target/ownership_test.go
@@ -59,12 +59,17 @@
 }
 
 func TestASuspectKeepsItsTargetsAndALeavingVMDoesNot(t *testing.T) {
-	members := []member.Member{{VM: "a", State: member.Suspect, AvailabilityZone: "az-a"}}
-	_, ok := Owner("t", "az-a", members)
+	members := []member.Member{
+		{VM: "a", State: member.Suspect, AvailabilityZone: "az-a"},
+		{VM: "b", State: member.Alive, AvailabilityZone: "az-b"},
+	}
+	owner, ok := Owner("t", "az-a", members)
 	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, owner.VM, qt.Equals, "a")
 	members[0].State = member.Leaving
-	_, ok = Owner("t", "az-a", members)
-	qt.Assert(t, ok, qt.IsFalse)
+	owner, ok = Owner("t", "az-a", members)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, owner.VM, qt.Equals, "b")
 }
 
 func TestAVMExchangesCreditsWithFewOwnersAtThePlannedSize(t *testing.T) {
@@ -95,3 +100,17 @@
 	qt.Assert(t, owners <= 20*plannedNodes, qt.IsTrue)
 	qt.Assert(t, local, qt.Equals, chosen)
 }
+
+func TestLeavingMembersOwnTargetsOnlyWhileNobodyElseIsThere(t *testing.T) {
+	leaving := member.Member{VM: "a", State: member.Leaving, AvailabilityZone: "az-0"}
+	staying := member.Member{VM: "b", State: member.Alive, AvailabilityZone: "az-1"}
+	dead := member.Member{VM: "c", State: member.Dead, AvailabilityZone: "az-0"}
+	owner, ok := Owner("t", "az-0", []member.Member{leaving, staying, dead})
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, owner.VM, qt.Equals, "b")
+	owner, ok = Owner("t", "az-0", []member.Member{leaving, dead})
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, owner.VM, qt.Equals, "a")
+	_, ok = Owner("t", "az-0", []member.Member{dead})
+	qt.Assert(t, ok, qt.IsFalse)
+}
