--- a/internal/batchjobs/end.go
+++ b/internal/batchjobs/end.go
@@ -59,6 +59,8 @@
 	if err == nil {
 		s.view.put(job, ended, version)
 		s.wakeRunner()
+		s.config.Log.Info().Str("job", job).Str("owner", ended.Owner).Uint64("row_version", version).
+			Int("listed", len(ended.Results)).Int("items", len(ended.Items)).Msg("job ended by its client")
 		return http.StatusOK, nil
 	}
 	var conflict *rowstore.RowConflictError
--- a/internal/batchjobs/list.go
+++ b/internal/batchjobs/list.go
@@ -129,6 +129,8 @@
 	}
 	s.listedResults(run.job, e.head, head, results[:taken])
 	s.view.put(run.job, head, version)
+	s.config.Log.Info().Str("job", run.job).Uint64("row_version", version).Int("position", len(e.head.Results)).
+		Int("results", len(head.Results)-len(e.head.Results)).Int("items", len(head.Items)).Msg("results listed")
 	return results[taken:], nil
 }
 
