Progress of batch items is saved, and goes on after all VMs are lost

Thirteen items of three jobs had run for up to ten seconds, began again at 36 s, could not make their due time any more and ended at 50 to 52 s, behind jobs that could. Ruled out: the order of overdue items, which is right as long as they are late anyway; jobs that were taken over late (all went on at the first look after the start). Change: each VM saves what its items have reached every 2 s, all in one transaction in a partition of its own; an owner that did not accept the job itself reads it before it runs the items. Nothing is fenced: any run of an item makes the same events. The new test failed without the restore (each item ran from the start).

--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,6 +31,8 @@
 	service = "llm"
 	host    = "a.example"
 	events  = 8
+	// progressTable and progressPart hold what unfinished items have reached.
+	progressTable, progressPart = "rosemarydyke-job-progress", "progress"
 	// patience bounds the wait for what has to happen.
 	patience = 30 * time.Second
 )
@@ -66,10 +69,13 @@
 	vms       map[string]*vm
 }
 
-func newWorld(t *testing.T, quota int64) *world {
+func newWorld(t *testing.T, quota int64) *world { return newWorldOf(t, quota, time.Millisecond) }
+
+// newWorldOf starts targets whose events come at an interval.
+func newWorldOf(t *testing.T, quota int64, interval time.Duration) *world {
 	w := &world{t: t, state: memory.New(), config: newConfiguration(quota), vms: map[string]*vm{}}
 	for i := range 2 {
-		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Events: events, Interval: time.Millisecond})
+		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Events: events, Interval: interval})
 		t.Cleanup(target.Close)
 		w.targets = append(w.targets, target)
 	}
@@ -77,6 +83,13 @@
 	return w
 }
 
+// progressRows returns the rows of what unfinished items have reached.
+func (w *world) progressRows() []rowstore.TableRow {
+	page, err := w.state.Read(w.t.Context(), progressTable, progressPart, rowstore.KeyRange{})
+	qt.Assert(w.t, err, qt.IsNil)
+	return page.Rows
+}
+
 // start starts a VM on a store, which may be faulty.
 func (w *world) start(name string, store rowstore.Rows, others ...string) *vm {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -414,6 +427,43 @@
 	qt.Assert(t, code, qt.Equals, http.StatusOK)
 }
 
+// All VMs lose power at once: nobody is left to hand the progress over.
+func TestItemsGoOnFromTheStoreAfterAllVMsAreLost(t *testing.T) {
+	const interval = 400 * time.Millisecond
+	w := newWorldOf(t, 0, interval)
+	a := w.start("a", w.state)
+	w.accept(a, "j", 2)
+	w.eventually("progress in the store", func() bool { return len(w.progressRows()) == 2 })
+	a.stop()
+	<-a.stopped
+	b := w.start("b", w.state)
+	w.checkWhole("j", 2, w.finish(b, "j", 2))
+	for i := range 2 {
+		id := fmt.Sprintf("j-%d", i)
+		resumed := append(w.targets[0].Resumed(id), w.targets[1].Resumed(id)...)
+		qt.Check(t, slices.Max(resumed) > platform.NoEvent, qt.IsTrue, qt.Commentf("%s ran from the start, after events %v", id, resumed))
+	}
+	w.eventually("progress is deleted", func() bool { return len(w.progressRows()) == 0 })
+}
+
+func TestItemsRunFromTheStartWhenTheirProgressCannotBeRead(t *testing.T) {
+	w := newWorld(t, 0)
+	w.targets[0].Inject(streamtarget.Hang)
+	w.targets[1].Inject(streamtarget.Hang)
+	a := w.start("a", w.state)
+	w.accept(a, "j", 2)
+	a.stop()
+	<-a.stopped
+	for key, value := range map[string]string{"j/000/000": "\xa1\x01", "j/first/000": "x", "j/001/000": ""} {
+		_, err := w.state.Apply(t.Context(), rowstore.RowTxn{Writes: []rowstore.RowWrite{{
+			RowKey: rowstore.RowKey{Table: progressTable, Part: progressPart, Key: key}, Value: []byte(value),
+		}}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	b := w.start("b", w.state)
+	w.checkWhole("j", 2, w.finish(b, "j", 2))
+}
+
 // The former owner is not stopped: it goes on while another VM takes its jobs over, loses answers of the store, and
 // may list nothing that the new owner does not know.
 func TestItemsAreListedOnceWhateverTheStoreAndTheMembersDo(t *testing.T) {
--- /dev/null
+++ b/internal/batchjobs/checkpoint_test.go
@@ -0,0 +1,84 @@
+package batchjobs
+
+import (
+	"bytes"
+	"maps"
+	"reflect"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
+)
+
+// Checkpoints of several lengths are written one over the other, as by owners that do not know of each other. The oracle
+// is the last one.
+func TestTheLastCheckpointOfEachItemIsRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := map[string][]byte{}
+		last := map[int]itemProgress{}
+		for range rapid.IntRange(1, 12).Draw(t, "checkpoints") {
+			index := rapid.IntRange(0, 2).Draw(t, "item")
+			events := rapid.IntRange(1, 500).Draw(t, "events")
+			p := itemProgress{
+				Position: int64(events - 1), Events: events,
+				Text:     bytes.Repeat([]byte{'t'}, rapid.IntRange(0, 3*rowBytes).Draw(t, "bytes")),
+				Failures: rapid.IntRange(0, 2).Draw(t, "failures"),
+			}
+			writes, err := progressWrites("j", index, p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, w := range writes {
+				store[w.Key] = w.Value
+			}
+			last[index] = p
+		}
+		var rows []rowstore.TableRow
+		for _, key := range sortedKeys(store) {
+			rows = append(rows, rowstore.TableRow{RowKey: rowstore.RowKey{Key: key}, Value: store[key]})
+		}
+		progress, counts, err := parseProgress("j", rows)
+		total := 0
+		for _, n := range counts {
+			total += n
+		}
+		if err != nil || total != len(store) || !reflect.DeepEqual(progress, last) {
+			t.Fatalf("%d of %d rows read: %v", total, len(store), err)
+		}
+	})
+}
+
+func sortedKeys(rows map[string][]byte) []string {
+	keys := slices.Collect(maps.Keys(rows))
+	slices.Sort(keys)
+	return keys
+}
+
+func TestProgressThatCannotBeReadIsLeftOutAndTheRestHolds(t *testing.T) {
+	writes, err := progressWrites("j", 2, itemProgress{Position: 4, Events: 5, Text: []byte("text")})
+	qt.Assert(t, err, qt.IsNil)
+	rows := []rowstore.TableRow{
+		{RowKey: rowstore.RowKey{Key: "j/000/000"}, Value: []byte("\xa1\x01")},
+		{RowKey: rowstore.RowKey{Key: "j/001/000"}},
+		{RowKey: writes[0].RowKey, Value: writes[0].Value},
+		{RowKey: rowstore.RowKey{Key: "j/first/000"}, Value: []byte("x")},
+	}
+	progress, _, err := parseProgress("j", rows)
+	qt.Assert(t, err, qt.ErrorMatches, `(?s).*"j/first/000" names no item.*`)
+	qt.Assert(t, progress, qt.HasLen, 1)
+	qt.Assert(t, progress[2].Events, qt.Equals, 5)
+}
+
+func FuzzParseProgress(f *testing.F) {
+	f.Add("j/000/000", []byte("\xa4\x01\x04\x02\x05\x03\x41x\x04\x01"))
+	f.Add("j/", []byte{})
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		progress, _, err := parseProgress("j", []rowstore.TableRow{{RowKey: rowstore.RowKey{Key: key}, Value: value}})
+		if err == nil && len(progress) != 1 {
+			t.Fatalf("%d items from one row without an error", len(progress))
+		}
+	})
+}
--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -29,21 +29,40 @@
 	lengthWeight = 0.1
 )
 
-// itemState is what an item has reached. It survives the loss of its target.
+// itemState is an item that runs. Its progress survives the loss of its target.
 type itemState struct {
-	// Position is the ID of the last event, or NoEvent.
-	Position int64 `cbor:"1,keyasint"`
-	Events   int   `cbor:"2,keyasint"`
-	// Text holds the data of the events so far.
-	Text []byte `cbor:"3,keyasint"`
-	// Failures counts the targets that answered with a failure.
-	Failures int `cbor:"4,keyasint,omitempty"`
+	mu sync.Mutex
+	itemProgress
 
 	tried []string
 	// cuts counts the targets that broke off in a row without an event.
 	cuts int
 }
 
+// snapshot returns what the item has reached so far. Text that is added later is not part of it.
+func (s *itemState) snapshot() itemProgress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.itemProgress
+}
+
+func (s *itemState) addEvent(id int64, data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Events > 0 {
+		s.Text = append(s.Text, '\n')
+	}
+	s.Text = append(s.Text, data...)
+	s.Position = id
+	s.Events++
+}
+
+func (s *itemState) addFailure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Failures++
+}
+
 // pause is the time before the next try. It grows for an item that may be what breaks its targets.
 func (s *itemState) pause() time.Duration {
 	return min(itemRetryPause<<min(s.cuts, 10), maxItemPause)
@@ -93,7 +112,7 @@
 	case <-ctx.Done():
 		return itemResult{}, false
 	}
-	state := run.takeProgress(index)
+	state := run.begin(index)
 	began := time.Now()
 	for ctx.Err() == nil {
 		route := s.route(head)
@@ -107,13 +126,14 @@
 		}
 		result, ended := s.tryItem(ctx, run, index, head, route, state)
 		if ended {
+			run.finish(index)
 			s.config.Log.Info().Str("job", run.job).Str("item", run.items[index].ID).Bool("given_up", result.givenUp).
 				Int("events", state.Events).Int("failures", state.Failures).Dur("took_ms", time.Since(began)).Msg("item ended")
 			itemTime.UpdateDuration(began)
 			return result, true
 		}
 	}
-	run.keepProgress(index, state)
+	run.stop(index, state)
 	return itemResult{}, false
 }
 
@@ -147,7 +167,7 @@
 	case err == nil && status == http.StatusUnprocessableEntity:
 		return itemResult{index: index, givenUp: true}, true
 	case err == nil:
-		state.Failures++
+		state.addFailure()
 		itemsFailed.Inc()
 		s.config.Log.Warn().Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).Int("status", status).Int("failures", state.Failures).Msg("item failed at a target")
 		if state.Failures >= route.MaxAttempts {
@@ -258,11 +278,6 @@
 			return 0, &platform.TargetError{Failure: platform.Wrong, Cause: errors.New("events do not follow each other")}
 		}
 		onEvent()
-		if state.Events > 0 {
-			state.Text = append(state.Text, '\n')
-		}
-		state.Text = append(state.Text, event.Data...)
-		state.Position = event.ID
-		state.Events++
+		state.addEvent(event.ID, event.Data)
 	}
 }
--- a/internal/batchjobs/progress.go
+++ b/internal/batchjobs/progress.go
@@ -27,9 +27,9 @@
 }
 
 type progressMessage struct {
-	Job   string     `cbor:"1,keyasint"`
-	Index int        `cbor:"2,keyasint"`
-	State *itemState `cbor:"3,keyasint"`
+	Job   string        `cbor:"1,keyasint"`
+	Index int           `cbor:"2,keyasint"`
+	State *itemProgress `cbor:"3,keyasint"`
 }
 
 // sendProgress passes on what the items of a stopped job have reached. What is lost is run again.
@@ -46,11 +46,11 @@
 	run.mu.Lock()
 	defer run.mu.Unlock()
 	for index, state := range run.progress {
-		if state.Events == 0 && state.Failures == 0 {
+		if !state.worthKeeping() {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, progressTimeout)
-		err := s.config.Node.Call(call, address, methodProgress, progressMessage{Job: run.job, Index: index, State: state}, &struct{}{})
+		err := s.config.Node.Call(call, address, methodProgress, progressMessage{Job: run.job, Index: index, State: &state}, &struct{}{})
 		cancel()
 		if err != nil {
 			s.config.Log.Warn().Err(err).Str("job", run.job).Str("to", to).Int("events", state.Events).Msg("progress of an item is lost, it runs again")
@@ -74,7 +74,7 @@
 		return nil, err
 	}
 	if m.State != nil {
-		s.inherited.put(time.Now(), m.Job, m.Index, m.State)
+		s.inherited.put(time.Now(), m.Job, m.Index, *m.State)
 	}
 	s.config.Log.Debug().Str("job", m.Job).Int("item", m.Index).Str("from", from.VM).Msg("progress of an item received")
 	return struct{}{}, nil
@@ -88,13 +88,13 @@
 }
 
 type inheritedJob struct {
-	items map[int]*itemState
+	items map[int]itemProgress
 	since time.Time
 }
 
 func newInheritance() *inheritance { return &inheritance{jobs: map[string]*inheritedJob{}} }
 
-func (i *inheritance) put(now time.Time, job string, index int, state *itemState) {
+func (i *inheritance) put(now time.Time, job string, index int, state itemProgress) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for id, old := range i.jobs {
@@ -107,10 +107,10 @@
 	}
 	entry := i.jobs[job]
 	if entry == nil {
-		entry = &inheritedJob{items: map[int]*itemState{}, since: now}
+		entry = &inheritedJob{items: map[int]itemProgress{}, since: now}
 		i.jobs[job] = entry
 	}
-	if entry.items[index] == nil {
+	if _, known := entry.items[index]; !known {
 		entry.items[index] = state
 		i.bytes += len(state.Text)
 	}
@@ -124,12 +124,12 @@
 }
 
 // take returns the items of a job by index, which may be none, and forgets them.
-func (i *inheritance) take(job string) map[int]*itemState {
+func (i *inheritance) take(job string) map[int]itemProgress {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	entry := i.jobs[job]
 	if entry == nil {
-		return map[int]*itemState{}
+		return map[int]itemProgress{}
 	}
 	i.drop(job)
 	return entry.items
--- a/internal/batchjobs/runner.go
+++ b/internal/batchjobs/runner.go
@@ -33,25 +33,39 @@
 	mu    sync.Mutex
 	items []platform.JobItem
 	// progress is what items without a result have reached, when they do not run.
-	progress map[int]*itemState
+	progress map[int]itemProgress
+	// running are the items that run or wait for a slot, and saved is what the store has of the job's items.
+	running map[int]*itemState
+	saved   map[int]savedItem
 }
 
-// takeProgress returns what an item has reached, and nothing the next time.
-func (r *jobRun) takeProgress(index int) *itemState {
+// begin returns the state of an item that is about to run, from where it stands.
+func (r *jobRun) begin(index int) *itemState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	state := r.progress[index]
-	delete(r.progress, index)
-	if state == nil {
-		state = &itemState{Position: platform.NoEvent}
+	progress, ok := r.progress[index]
+	if !ok {
+		progress = itemProgress{Position: platform.NoEvent}
 	}
+	delete(r.progress, index)
+	state := &itemState{itemProgress: progress}
+	r.running[index] = state
 	return state
 }
 
-func (r *jobRun) keepProgress(index int, state *itemState) {
+// stop keeps what an item has reached that ends without a result.
+func (r *jobRun) stop(index int, state *itemState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.progress[index] = state
+	delete(r.running, index)
+	r.progress[index] = state.snapshot()
+}
+
+// finish ends an item that has a result.
+func (r *jobRun) finish(index int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.running, index)
 }
 
 // itemResult is the end of an item.
@@ -73,6 +87,9 @@
 		if run != nil && (!mine || run.epoch != e.head.Epoch) {
 			run.cancel()
 			delete(s.runs, job)
+			if !e.head.Open() {
+				s.forgetProgress(run)
+			}
 			run = nil
 		}
 		if mine && run == nil {
@@ -100,6 +117,8 @@
 		done:     make(chan itemResult, len(head.Items)),
 		stopped:  make(chan struct{}),
 		progress: s.inherited.take(job),
+		running:  map[int]*itemState{},
+		saved:    map[int]savedItem{},
 	}
 	if kept := s.kept[job]; kept != nil {
 		run.items = kept
@@ -173,6 +192,7 @@
 		if err == nil {
 			var items []platform.JobItem
 			if items, err = platform.ParseJob(body); err == nil {
+				s.restore(ctx, run)
 				run.mu.Lock()
 				run.items = items
 				run.mu.Unlock()
--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -72,6 +72,8 @@
 	leaving bool
 	// kept are the items of jobs that were accepted here and do not run yet.
 	kept map[string][]platform.JobItem
+	// endedProgress are rows of progress that nobody needs any more.
+	endedProgress []rowstore.RowKey
 	// claiming are the jobs that are being taken over.
 	claiming map[string]bool
 	// unowned is since when the owner of a job has been missing.
@@ -107,6 +109,7 @@
 // Run follows the table and runs the jobs of this VM until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	s.tasks.Go(func() { s.follower.Run(ctx) })
+	s.tasks.Go(func() { s.checkpoints(ctx) })
 	ticker, sweeps := time.NewTicker(lookInterval), time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	defer sweeps.Stop()
--- a/internal/batchjobs/store.go
+++ b/internal/batchjobs/store.go
@@ -9,7 +9,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 )
 
-// Tables of the platform's store. All rows share one partition, since a transaction cannot span two.
+// Tables of the platform's store. All of these rows share one partition, since a transaction cannot span two.
 const (
 	tableHeads  = "rosemarydyke-jobs"
 	tableBodies = "rosemarydyke-job-bodies"
@@ -115,12 +115,12 @@
 	return head, page.Rows[0].Version, err
 }
 
-// readRows reads all rows whose keys have a prefix and joins their values.
-func (s *store) readRows(ctx context.Context, table, prefix string, want int) ([]platform.TableRow, error) {
+// readRows reads the rows whose keys have a prefix, until there are as many as wanted or no more.
+func (s *store) readRows(ctx context.Context, table, part, prefix string, want int) ([]platform.TableRow, error) {
 	var rows []platform.TableRow
 	from := prefix
 	for len(rows) < want {
-		page, err := s.rows.Read(ctx, table, "", platform.KeyRange{From: from, To: prefix[:len(prefix)-1] + "0"})
+		page, err := s.rows.Read(ctx, table, part, platform.KeyRange{From: from, To: prefix[:len(prefix)-1] + "0"})
 		if err != nil {
 			return nil, err
 		}
@@ -135,7 +135,7 @@
 
 // readBody reads the submission of a job.
 func (s *store) readBody(ctx context.Context, job string, count int) ([]byte, error) {
-	rows, err := s.readRows(ctx, tableBodies, job+"/", count)
+	rows, err := s.readRows(ctx, tableBodies, "", job+"/", count)
 	if err != nil {
 		return nil, err
 	}
@@ -154,7 +154,7 @@
 	if result.TextRows == 0 {
 		return nil, nil
 	}
-	rows, err := s.readRows(ctx, tableTexts, fmt.Sprintf("%s/%03d/", job, position), result.TextRows)
+	rows, err := s.readRows(ctx, tableTexts, "", fmt.Sprintf("%s/%03d/", job, position), result.TextRows)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/batchjobs/sweep.go
+++ b/internal/batchjobs/sweep.go
@@ -37,7 +37,10 @@
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		err := s.store.remove(call, job, e.head, e.version)
+		err := s.store.removeProgress(call, job)
+		if err == nil {
+			err = s.store.remove(call, job, e.head, e.version)
+		}
 		cancel()
 		if err != nil {
 			s.config.Log.Warn().Err(err).Str("job", job).Msg("outdated job cannot be removed yet")
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -63,15 +64,17 @@
 	mu     sync.Mutex
 	faults []Fault
 	runs   map[string]int
-	active int
-	most   int
+	// resumed are the last events that the senders of runs had already, the latest run last.
+	resumed map[string][]int64
+	active  int
+	most    int
 	// cancelled counts requests whose sender went away.
 	cancelled int
 }
 
 // Start starts a target on 127.0.0.1. Close ends it.
 func Start(config Config) *Target {
-	t := &Target{config: config, runs: map[string]int{}}
+	t := &Target{config: config, runs: map[string]int{}, resumed: map[string][]int64{}}
 	t.server = httptest.NewServer(http.HandlerFunc(t.serve))
 	return t
 }
@@ -102,6 +105,13 @@
 	return t.runs[id]
 }
 
+// Resumed returns the last events that the senders of the runs of a request had already, in the order of the runs.
+func (t *Target) Resumed(id string) []int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.resumed[id])
+}
+
 // Load returns the number of requests that run now, and the most at any time.
 func (t *Target) Load() (now, most int) {
 	t.mu.Lock()
@@ -128,7 +138,7 @@
 	return strings.Join(lines, "\n")
 }
 
-func (t *Target) begin(id string) Fault {
+func (t *Target) begin(call platform.TargetCall) Fault {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	fault := None
@@ -136,7 +146,8 @@
 		fault, t.faults = t.faults[0], t.faults[1:]
 	}
 	if fault != Shed && fault != Misdirect {
-		t.runs[id]++
+		t.runs[call.ID]++
+		t.resumed[call.ID] = append(t.resumed[call.ID], call.LastEvent)
 	}
 	t.active++
 	t.most = max(t.most, t.active)
@@ -162,7 +173,7 @@
 		platform.WriteReplaced(w, t.config.ID)
 		return
 	}
-	fault := t.begin(call.ID)
+	fault := t.begin(call)
 	defer t.end(r)
 	switch fault {
 	case Shed:
