Results that cannot be listed go to the next owner at a stop

Change: such results are passed on like progress, marked as ended, and listed by the next owner; inherited progress is passed on, and kept for 20 s (outages of the store take up to 8 s). The test failed first: 4 runs of two items.

--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -15,9 +16,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/batchjobs"
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
@@ -67,6 +70,32 @@
 	targets   []*streamtarget.Target
 	slots     *scheduling.Service
 	vms       map[string]*vm
+	// links carry calls between VMs. Without one of its own, a VM is cut off from the others.
+	links map[string]*link
+}
+
+// link is the transport of one of two VMs.
+type link struct {
+	handlers map[peer.Method]peer.CallHandler
+	other    *link
+}
+
+// linkVMs connects two VMs that are about to start.
+func (w *world) linkVMs(a, b string) {
+	one, other := &link{handlers: map[peer.Method]peer.CallHandler{}}, &link{handlers: map[peer.Method]peer.CallHandler{}}
+	one.other, other.other = other, one
+	w.links = map[string]*link{a: one, b: other}
+}
+
+func (l *link) HandleCall(method peer.Method, handler peer.CallHandler) { l.handlers[method] = handler }
+
+func (l *link) Call(ctx context.Context, _ netip.AddrPort, method peer.Method, request, _ any) error {
+	content, err := cbor.Marshal(request)
+	if err != nil {
+		return err
+	}
+	_, err = l.other.handlers[method](ctx, peer.Identity{}, func(into any) error { return cbor.Unmarshal(content, into) })
+	return err
 }
 
 func newWorld(t *testing.T, quota int64) *world { return newWorldOf(t, quota, time.Millisecond) }
@@ -94,9 +123,13 @@
 func (w *world) start(name string, store rowstore.Rows, others ...string) *vm {
 	ctx, cancel := context.WithCancel(context.Background())
 	v := &vm{members: schedulingtest.NewMembers(name, others...), stop: cancel, stopped: make(chan struct{})}
+	node := batchjobs.Node(schedulingtest.SilentNode)
+	if l := w.links[name]; l != nil {
+		node = l
+	}
 	v.Service = batchjobs.New(batchjobs.Config{
 		VM: name, Rows: store, Members: v.members, Configuration: w.config, Slots: w.slots,
-		Targets: platform.NewTargets(), Node: schedulingtest.SilentNode, ResultRetention: w.retention, Log: zerolog.Nop(),
+		Targets: platform.NewTargets(), Node: node, ResultRetention: w.retention, Log: zerolog.Nop(),
 	})
 	go func() {
 		defer close(v.stopped)
@@ -382,6 +415,31 @@
 	qt.Assert(t, time.Since(began) < 5*time.Second, qt.IsTrue)
 }
 
+// trouble-2 of both sites: VMs are stopped one after the other while the store is away.
+func TestResultsThatCannotBeListedAreNotRunAgainAfterAStop(t *testing.T) {
+	w := newWorld(t, 0)
+	w.linkVMs("a", "b")
+	store := &faulty{Rows: w.state}
+	a, b := w.start("a", store, "b"), w.start("b", w.state, "a")
+	w.accept(a, "j", 2)
+	store.refuse.Store(1000)
+	runs := func() int {
+		total := 0
+		for _, id := range []string{"j-0", "j-1"} {
+			total += w.targets[0].Runs(id) + w.targets[1].Runs(id)
+		}
+		return total
+	}
+	w.eventually("both items run", func() bool { return runs() == 2 })
+	time.Sleep(200 * time.Millisecond)
+	a.Leave(t.Context())
+	a.stop()
+	<-a.stopped
+	b.members.Set("b")
+	w.checkWhole("j", 2, w.finish(b, "j", 2))
+	qt.Assert(t, runs(), qt.Equals, 2)
+}
+
 // quiet-1 of candado-reservas, third of four runs: an item was done when its client ended the job, and was
 // never listed.
 func TestAResultThatIsReadyIsListedAlthoughItsJobIsEnded(t *testing.T) {
--- a/internal/batchjobs/checkpoint.go
+++ b/internal/batchjobs/checkpoint.go
@@ -49,10 +49,13 @@
 	Text []byte `cbor:"3,keyasint"`
 	// Failures counts the targets that answered with a failure.
 	Failures int `cbor:"4,keyasint,omitempty"`
+	// Ended says that the item has its result, the text or none if it was given up, which could not be listed.
+	Ended   bool `cbor:"5,keyasint,omitempty"`
+	GivenUp bool `cbor:"6,keyasint,omitempty"`
 }
 
 // worthKeeping reports whether there is anything that another run would have to repeat.
-func (p itemProgress) worthKeeping() bool { return p.Events > 0 || p.Failures > 0 }
+func (p itemProgress) worthKeeping() bool { return p.Events > 0 || p.Failures > 0 || p.Ended }
 
 // savedItem is what the store has of an item.
 type savedItem struct {
--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -113,6 +113,10 @@
 		return itemResult{}, false
 	}
 	state := run.begin(index)
+	if state.Ended {
+		run.finish(index)
+		return itemResult{index: index, givenUp: state.GivenUp, text: state.Text}, true
+	}
 	began := time.Now()
 	for ctx.Err() == nil {
 		route := s.route(head)
--- a/internal/batchjobs/list.go
+++ b/internal/batchjobs/list.go
@@ -71,7 +71,8 @@
 		}
 	}
 	if len(waiting) > 0 {
-		s.config.Log.Warn().Str("job", run.job).Int("results", len(waiting)).Msg("results that were ready are lost with the end of the job here")
+		s.config.Log.Warn().Str("job", run.job).Int("results", len(waiting)).Msg("results that are ready cannot be listed here, a new owner gets them if there is one")
+		run.keepResults(waiting)
 	}
 }
 
--- a/internal/batchjobs/owner.go
+++ b/internal/batchjobs/owner.go
@@ -135,6 +135,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
+	s.passOnInherited(ctx)
 	for ctx.Err() == nil && s.handOver(ctx, runs) {
 		time.Sleep(retryPause)
 	}
--- a/internal/batchjobs/progress.go
+++ b/internal/batchjobs/progress.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +18,9 @@
 	progressTimeout = 300 * time.Millisecond
 	// maxInheritedBytes bounds the texts of inherited items in memory.
 	maxInheritedBytes = 8 << 20
-	// inheritedFor is how long inherited items wait for their job: a hand-over takes less.
-	inheritedFor = 10 * time.Second
+	// inheritedFor is how long inherited items wait for their job. A job whose owner left while the store was away is
+	// taken over when the store is back: outages of the sites take up to 8 s.
+	inheritedFor = 20 * time.Second
 )
 
 // Node is the transport that the service needs.
@@ -39,21 +42,38 @@
 	case <-ctx.Done():
 		return
 	}
+	// An item may have ended after the last look at the results.
+	run.keepResults(drain(run.done, nil))
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	s.sendItems(ctx, run.job, run.progress, to)
+}
+
+// passOnInherited passes on the progress of jobs that this VM was to take over, and has not.
+func (s *Service) passOnInherited(ctx context.Context) {
+	for _, job := range s.inherited.waiting() {
+		if to := successor(job, s.config.VM, s.config.Members.Members()); to != "" {
+			s.sendItems(ctx, job, s.inherited.take(job), to)
+		}
+	}
+}
+
+func (s *Service) sendItems(ctx context.Context, job string, items map[int]itemProgress, to string) {
 	address, ok := s.addressOf(to)
 	if !ok {
+		s.config.Log.Warn().Str("job", job).Str("to", to).Int("items", len(items)).Msg("progress of items is not passed on: the VM is not known any more")
 		return
 	}
-	run.mu.Lock()
-	defer run.mu.Unlock()
-	for index, state := range run.progress {
+	for index, state := range items {
 		if !state.worthKeeping() {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, progressTimeout)
-		err := s.config.Node.Call(call, address, methodProgress, progressMessage{Job: run.job, Index: index, State: &state}, &struct{}{})
+		err := s.config.Node.Call(call, address, methodProgress, progressMessage{Job: job, Index: index, State: &state}, &struct{}{})
 		cancel()
 		if err != nil {
-			s.config.Log.Warn().Err(err).Str("job", run.job).Str("to", to).Int("events", state.Events).Msg("progress of an item is lost, it runs again")
+			s.config.Log.Warn().Err(err).Str("job", job).Str("to", to).Int("events", state.Events).Bool("ended", state.Ended).
+				Msg("progress of an item is lost, it runs again")
 		}
 	}
 }
@@ -123,6 +143,13 @@
 	delete(i.jobs, job)
 }
 
+// waiting returns the jobs whose items wait to be taken over.
+func (i *inheritance) waiting() []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Collect(maps.Keys(i.jobs))
+}
+
 // take returns the items of a job by index, which may be none, and forgets them.
 func (i *inheritance) take(job string) map[int]itemProgress {
 	i.mu.Lock()
--- a/internal/batchjobs/runner.go
+++ b/internal/batchjobs/runner.go
@@ -68,6 +68,15 @@
 	delete(r.running, index)
 }
 
+// keepResults keeps results that could not be listed.
+func (r *jobRun) keepResults(results []itemResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, result := range results {
+		r.progress[result.index] = itemProgress{Position: platform.NoEvent, Text: result.text, Ended: true, GivenUp: result.givenUp}
+	}
+}
+
 // itemResult is the end of an item.
 type itemResult struct {
 	index   int
