Targets that read many prompts at once are not taken for lost

Six of nine targets had no first event after 220 ms, since they read eight prompts each; their runs were given up, the targets ejected, and refusals went on because 48 slots had become 16. Ruled out: several coordinators (one since 35.6 s), runs that the targets still had from before the loss. Change: a silence is no sign against a target on which six tenths of its slots began within a quarter of a second, once in three seconds. The first of the new tests failed before (16 slots left, refused).

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -20,6 +20,13 @@
 	arrivalWindow = 500 * time.Millisecond
 	// minReturnShare is the share of a service's slots that is promised to clients that come back, however many come first.
 	minReturnShare = 0.05
+	// burstWindow is the time within which runs count as begun together: about the time that a target of the sites takes
+	// to read the prompts of all its slots.
+	burstWindow = 250 * time.Millisecond
+	// burstShare is the share of a target's slots that a burst begins. In steady use a third begin within burstWindow.
+	burstShare = 0.6
+	// excuseInterval is the least time between two bursts that excuse a target's silence.
+	excuseInterval = 3 * time.Second
 	// latestReturn is the share of a client's patience up to which it is told to come back.
 	latestReturn = 0.97
 )
@@ -190,7 +197,12 @@
 	p.onlineRun += time.Duration(runWeight * float64(d-p.onlineRun))
 }
 
-func (p *pool) observeHealth(now time.Time, t *slots, outcome Outcome, firstEvent time.Duration) {
+// observeHealth takes what a run says of its target.
+func (p *pool) observeHealth(now time.Time, r *run, outcome Outcome, firstEvent time.Duration) {
+	t := r.slots
+	if outcome == Silent && t.isExcused(now, r) {
+		return
+	}
 	var signal target.Signal
 	switch outcome {
 	case Finished:
@@ -216,3 +228,29 @@
 	}
 	p.health.Observe(now, t.ID, signal, firstEvent)
 }
+
+// isExcused reports whether a run's silence says nothing of its target: many runs began there at the same moment, and a
+// target reads their prompts one after the other. All targets are like that when the clients come back after an outage,
+// and without them none could be served. A target that goes on being silent is not excused again for a while.
+func (t *slots) isExcused(now time.Time, r *run) bool {
+	if now.Before(t.excusedUntil) {
+		return true
+	}
+	began := 0
+	for _, at := range t.granted {
+		if at.Sub(r.granted).Abs() <= burstWindow/2 {
+			began++
+		}
+	}
+	if float64(began) < burstShare*float64(t.Slots) || now.Sub(t.excusedUntil) < excuseInterval {
+		return false
+	}
+	t.excusedUntil = now.Add(burstWindow)
+	return true
+}
+
+// noteGrant remembers when a run began, as long as that may explain the silence of another.
+func (t *slots) noteGrant(now time.Time) {
+	t.granted = slices.DeleteFunc(t.granted, func(at time.Time) bool { return now.Sub(at) > 2*burstWindow })
+	t.granted = append(t.granted, now)
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -108,6 +108,7 @@
 	if w.Class == Item && expected == 0 {
 		expected = s.config.ItemRun
 	}
+	t.noteGrant(now)
 	s.start(t, &run{ticket: w.Ticket, class: w.Class, granted: now, due: w.StartBy, expected: expected})
 	return Grant{Ticket: w.Ticket, Target: t.ID, Address: t.Address}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -102,6 +102,9 @@
 	// leaving says that another VM knows the target to be draining or gone. It holds for the rest of the
 	// target's life, whatever this VM's older copy of the registry says.
 	leaving bool
+	// granted are the times of recent grants, and excusedUntil the end of the time in which silence says nothing.
+	granted      []time.Time
+	excusedUntil time.Time
 }
 
 // pool is one service.
@@ -256,7 +259,7 @@
 	if r.class == Online && outcome == Finished {
 		p.observeRun(now.Sub(r.granted))
 	}
-	p.observeHealth(now, r.slots, outcome, firstEvent)
+	p.observeHealth(now, r, outcome, firstEvent)
 	return s.dispatch(now, p)
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -215,3 +215,59 @@
 		qt.Assert(t, times[i] > times[i-1], qt.IsTrue, qt.Commentf("%v", times))
 	}
 }
+
+// trouble-2 of auxilio-andino, seed 14: after a loss of all VMs the clients of two seconds come back at once. Six of nine
+// targets were taken for lost since they read eight prompts each before the first event.
+func TestTargetsThatReadManyPromptsAtOnceAreNotTakenForLost(t *testing.T) {
+	const targets, slots, silence = 6, 8, 220 * time.Millisecond
+	s := newScheduler(targets, slots)
+	for n := range targets * slots {
+		granted(t, s.Submit(at(time.Duration(n)*time.Millisecond), online(n, at(time.Duration(n)*time.Millisecond))), n)
+	}
+	now := at(targets*slots*time.Millisecond + silence)
+	// On each target four of the eight have had their first event, and four are given up.
+	for n := range targets * slots / 2 {
+		s.Release(now, ticket(n), scheduler.Silent, 0)
+	}
+	for n := range targets * slots / 2 {
+		granted(t, s.Submit(now, online(100+n, now)), 100+n)
+	}
+}
+
+func TestATargetThatStaysSilentIsLeftOutAfterOneBurst(t *testing.T) {
+	const slots, silence = 8, 220 * time.Millisecond
+	s := newScheduler(2, slots)
+	// One target answers, and the other one does not.
+	next := 0
+	round := func(now time.Time) (silent int) {
+		var mute, others []int
+		for range slots {
+			next++
+			actions := s.Submit(now, online(next, now))
+			if _, isRefused := refused(actions, next); isRefused || len(actions) == 0 {
+				continue
+			}
+			if granted(t, actions, next).Target == "t0" {
+				mute = append(mute, next)
+			} else {
+				others = append(others, next)
+			}
+		}
+		for _, n := range mute {
+			s.Release(now.Add(silence), ticket(n), scheduler.Silent, 0)
+		}
+		for _, n := range others {
+			s.Release(now.Add(silence), ticket(n), scheduler.Finished, silence/2)
+		}
+		return len(mute)
+	}
+	for n := range slots {
+		s.Submit(epoch, item(1000+n, at(time.Minute)))
+	}
+	qt.Assert(t, round(at(0)) > 0, qt.IsTrue)
+	lost := 0
+	for i := range 4 {
+		lost = round(at(time.Duration(i+1) * 250 * time.Millisecond))
+	}
+	qt.Assert(t, lost, qt.Equals, 0)
+}
