Changes of the jobs gather for a quarter of a second

Readers on other VMs see a result up to 250 ms later, half of the time between two reads of a client.

--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -27,6 +27,9 @@
 	staleAfter = 2500 * time.Millisecond
 	// lookInterval is the time between two looks for jobs whose owner is gone.
 	lookInterval = 200 * time.Millisecond
+	// jobsPause is the time in which changes of the jobs gather: each result changes one, and every VM follows all. It is
+	// half of the time between two reads of a client.
+	jobsPause = 250 * time.Millisecond
 )
 
 var (
@@ -101,7 +104,7 @@
 	}
 	config.Node.HandleCall(methodProgress, s.handleProgress)
 	s.follower = follow.New(follow.Config{
-		Rows: config.Rows, Table: tableHeads, Log: config.Log, Replace: s.replace, Change: s.change,
+		Rows: config.Rows, Table: tableHeads, Pause: jobsPause, Log: config.Log, Replace: s.replace, Change: s.change,
 	})
 	return s
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -36,7 +36,7 @@
 	Change func(rows []platform.TableRow)
 	// Lost and Returned are called when the store stops answering and answers again. Optional.
 	Lost, Returned func()
-	// Pause is the time between two calls while the table changes, in which changes gather.
+	// Pause is the time between two calls while the table changes, in which changes gather. Hurry ends it.
 	Pause time.Duration
 	Log   zerolog.Logger
 }
@@ -50,11 +50,12 @@
 	clock     atomic.Pointer[Clock]
 	reachable bool
 	version   uint64
+	hurry     chan struct{}
 }
 
 // New returns a follower.
 func New(config Config) *Follower {
-	f := &Follower{config: config, started: time.Now(), reachable: true}
+	f := &Follower{config: config, started: time.Now(), reachable: true, hurry: make(chan struct{}, 1)}
 	f.confirmed.Store(-1)
 	return f
 }
@@ -183,10 +184,31 @@
 		return began.Add(feedWait), nil
 	}
 	f.config.Change(page.Rows)
-	sleep(ctx, f.config.Pause)
+	f.gather(ctx)
 	return began, nil
 }
 
+// Hurry ends the pause in which changes gather, for a caller that waits for one which has happened.
+func (f *Follower) Hurry() {
+	select {
+	case f.hurry <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) gather(ctx context.Context) {
+	if f.config.Pause <= 0 {
+		return
+	}
+	timer := time.NewTimer(f.config.Pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.hurry:
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -22,6 +22,8 @@
 type flaky struct {
 	platform.Rows
 	down atomic.Bool
+	// follows counts the calls that wait for changes.
+	follows atomic.Int64
 }
 
 func (f *flaky) Read(ctx context.Context, table, part string, keys platform.KeyRange) (platform.Page, error) {
@@ -32,6 +34,7 @@
 }
 
 func (f *flaky) Follow(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Page, error) {
+	f.follows.Add(1)
 	page, err := f.Rows.Follow(ctx, table, after, wait)
 	if f.down.Load() {
 		return platform.Page{}, errors.Join(platform.ErrUnavailable, err)
@@ -115,3 +118,36 @@
 		qt.Assert(t, age <= 1100*time.Millisecond, qt.IsTrue, qt.Commentf("age %s", age))
 	})
 }
+
+func TestChangesGatherInThePauseUntilSomebodyIsInAHurry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 250 * time.Millisecond
+		state := memory.New()
+		store := &flaky{Rows: state}
+		copied := &replica{}
+		f := follow.New(follow.Config{Rows: store, Table: "t", Pause: pause, Replace: copied.replace, Change: copied.change, Log: zerolog.Nop()})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		before := store.follows.Load()
+		for i := range 100 {
+			put(t, state, "key", fmt.Sprint(i))
+			time.Sleep(10 * time.Millisecond)
+		}
+		// One call a pause, and one that was waiting when the changes began.
+		calls := store.follows.Load() - before
+		qt.Assert(t, calls <= int64(time.Second/pause)+1, qt.IsTrue, qt.Commentf("%d calls", calls))
+		time.Sleep(pause)
+		qt.Assert(t, copied.get("key"), qt.Equals, "99")
+
+		put(t, state, "key", "first")
+		time.Sleep(10 * time.Millisecond)
+		put(t, state, "key", "second")
+		time.Sleep(10 * time.Millisecond)
+		qt.Assert(t, copied.get("key"), qt.Equals, "first")
+		f.Hurry()
+		time.Sleep(10 * time.Millisecond)
+		qt.Assert(t, copied.get("key"), qt.Equals, "second")
+	})
+}
