A VM that has not read the registry of targets coordinates nothing

Cause: eight of twelve VMs lost power and started again while the store was silent. They found the four others, one of them had the highest rank, and it refused all requests ("no_target_available by front-chupaca-3, 0 requests ahead on 0 slots") that the four could have served: these had the configuration and the targets. Ruled out: the directory (it named the four only). Change: such a VM says that it has not read the registry, and is passed over for a second; it takes itself for the coordinator only if there is no other. A VM that has read the registry and finds no target in it still refuses, so that a requester with an old copy does not overrule it.

--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -17,11 +17,15 @@
 }
 
 // coordinator returns the coordinator of a service: of the VMs that are not passed over, the one with the
-// highest rank. Suspects and leaving VMs are taken only if there is no other.
+// highest rank. Suspects and leaving VMs are taken only if there is no other, and this VM while it has not read the
+// registry of targets.
 func (s *Service) coordinator(now time.Time, service string) candidate {
 	self := s.config.Members.Self()
 	best := candidate{VM: self.VM}
 	bestTier, bestRank := tier(self), target.Rank(service, self.VM)
+	if !s.registered {
+		bestTier = tierUnable
+	}
 	for _, m := range s.config.Members.Members() {
 		if m.VM == self.VM || s.distrusted(now, m.VM) {
 			continue
@@ -39,6 +43,9 @@
 	return best
 }
 
+// tierUnable comes after those of all members.
+const tierUnable = 3
+
 // tier orders members by how far they can be relied on, the best first.
 func tier(m member.Member) int {
 	switch m.State {
@@ -57,7 +64,7 @@
 }
 
 // passOver makes the next VM in rank the coordinator for a while.
-func (s *Service) passOver(now time.Time, vm string) {
+func (s *Service) passOver(now time.Time, vm, reason string) {
 	d := s.distrust[vm]
 	if d == nil {
 		d = &distrust{next: distrustFor}
@@ -67,7 +74,7 @@
 		return
 	}
 	d.until = now.Add(d.next)
-	s.config.Log.Warn().Str("coordinator", vm).Dur("for_ms", d.next).Msg("coordinator does not answer, the next one is used")
+	s.config.Log.Warn().Str("coordinator", vm).Str("reason", reason).Dur("for_ms", d.next).Msg("coordinator is passed over, the next one is used")
 	d.next = min(2*d.next, maxDistrust)
 	s.sentReports[vm] = 0
 }
@@ -120,6 +127,10 @@
 func (s *Service) onSubmit(from peer.Identity, m submitMessage) {
 	now := time.Now()
 	s.note(now, m.Ticket.VM, from.Address)
+	if !s.registered {
+		s.send(from.Address, methodRefuse, refuseMessage{Sequence: m.Ticket.Sequence, Reason: scheduler.NoRegistry, RetryAfter: noRegistryRetry})
+		return
+	}
 	actions := s.scheduler.Submit(now, m.request(now))
 	if !concerns(actions, m.Ticket) {
 		s.send(from.Address, methodQueued, ticketMessage{Sequence: m.Ticket.Sequence})
--- a/internal/scheduling/service.go
+++ b/internal/scheduling/service.go
@@ -41,6 +41,8 @@
 	// distrustFor is how long a silent coordinator is passed over the first time; it doubles up to maxDistrust.
 	distrustFor = time.Second
 	maxDistrust = 4 * time.Second
+	// noRegistryRetry is when a client should come back if no VM has read the registry: outages of the store take seconds.
+	noRegistryRetry = time.Second
 )
 
 // Node is the transport that the service needs.
@@ -81,7 +83,9 @@
 	pending  map[uint64]*pending
 	runs     map[uint64]*Slot
 	services []string
-	distrust map[string]*distrust
+	// registered says that the registry of targets has been read. A VM that starts while the store is away knows none.
+	registered bool
+	distrust   map[string]*distrust
 	// sentReports counts reports to a coordinator since it was last heard of.
 	sentReports map[string]int
 }
@@ -145,6 +149,7 @@
 func (s *Service) SetTargets(targets []routing.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.registered = true
 	s.services = s.services[:0]
 	for _, t := range targets {
 		if !slices.Contains(s.services, t.Service) {
@@ -193,7 +198,7 @@
 			continue
 		}
 		if s.sentReports[c.VM]++; s.sentReports[c.VM] > silentSends {
-			s.passOver(now, c.VM)
+			s.passOver(now, c.VM, "it does not answer")
 		}
 		s.send(c.address, methodReport, reportMessage{VM: s.config.Process, Runs: runs})
 	}
--- a/internal/scheduling/service_test.go
+++ b/internal/scheduling/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -38,6 +39,11 @@
 
 // start starts VMs that share targets. The first one is the coordinator of the service.
 func start(t *testing.T, count, targets, slots int, usable func(vm, target string) bool) []*vm {
+	return startKnowing(t, count, targets, slots, usable, func(string) bool { return true })
+}
+
+// startKnowing starts VMs of which some have read the registry of targets.
+func startKnowing(t *testing.T, count, targets, slots int, usable func(vm, target string) bool, knows func(vm string) bool) []*vm {
 	members := make([]member.Member, count)
 	vms := make([]*vm, count)
 	var list []routing.Target
@@ -57,7 +63,9 @@
 		})}
 	}
 	for _, v := range vms {
-		v.SetTargets(list)
+		if knows(v.name) {
+			v.SetTargets(list)
+		}
 		v.node.Start()
 		tasks.Go(func() { v.Run(ctx) })
 	}
@@ -153,6 +161,38 @@
 	held.Release(scheduler.Finished, 0)
 }
 
+// store-away-at-the-start, seed 50190718449: eight of twelve VMs started again while the store was away. One of them had the
+// highest rank, and refused what the four others could have served for five seconds.
+func TestAVMThatHasNotReadTheRegistryCoordinatesNothing(t *testing.T) {
+	for _, informed := range []string{"vm-0", "vm-1", "vm-2"} {
+		t.Run("only "+informed+" has read it", func(t *testing.T) {
+			vms := startKnowing(t, 3, 1, 3, always, func(vm string) bool { return vm == informed })
+			var slots []*scheduling.Slot
+			for _, v := range vms {
+				slots = append(slots, acquire(t, v, online()))
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := vms[1].Acquire(ctx, online())
+			qt.Assert(t, err, qt.ErrorIs, context.DeadlineExceeded, qt.Commentf("a fourth slot of three"))
+			for _, slot := range slots {
+				slot.Release(scheduler.Finished, 0)
+			}
+		})
+	}
+	t.Run("nobody has read it, and requests are refused at once", func(t *testing.T) {
+		vms := startKnowing(t, 3, 1, 3, always, func(string) bool { return false })
+		for _, v := range vms {
+			began := time.Now()
+			_, err := v.Acquire(t.Context(), online())
+			var refusal *scheduling.RefusedError
+			qt.Assert(t, errors.As(err, &refusal), qt.IsTrue)
+			qt.Check(t, refusal.RetryAfter > 0, qt.IsTrue)
+			qt.Check(t, time.Since(began) < 200*time.Millisecond, qt.IsTrue)
+		}
+	})
+}
+
 func TestASlotOfATargetThatTheVMKnowsToLeaveIsGivenBack(t *testing.T) {
 	vms := start(t, 2, 2, 1, func(vm, target string) bool { return vm != "vm-1" && vm != "vm-0" || target != "t0" })
 	slot := acquire(t, vms[1], online())
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -86,6 +86,11 @@
 			if a.from == asked {
 				unanswered = 0
 			}
+			if a.refuse != nil && a.refuse.Reason == scheduler.NoRegistry && s.passOverOther(a.from, "it has not read the registry of targets") {
+				asked, unanswered = s.submit(request), 1
+				timer.Reset(submitInterval)
+				continue
+			}
 			if a.refuse != nil {
 				return nil, &RefusedError{
 					Reason:      a.refuse.Reason,
@@ -101,9 +106,7 @@
 			timer.Reset(renewInterval)
 		case <-timer.C:
 			if unanswered >= silentSends {
-				s.mu.Lock()
-				s.passOver(time.Now(), asked)
-				s.mu.Unlock()
+				s.passOverOther(asked, "it does not answer")
 				unanswered = 0
 			}
 			previous := asked
@@ -116,6 +119,17 @@
 	}
 }
 
+// passOverOther makes the next VM in rank the coordinator for a while. It reports false if the present one is this VM.
+func (s *Service) passOverOther(vm, reason string) bool {
+	if vm == s.config.Members.Self().VM {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.passOver(time.Now(), vm, reason)
+	return true
+}
+
 func (s *Service) slot(request scheduler.Request, grant *grantMessage) *Slot {
 	yielded := make(chan struct{})
 	slot := &Slot{
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -106,6 +106,8 @@
 const (
 	// NoTarget means that no target of the service can take requests.
 	NoTarget Reason = "no_target_available"
+	// NoRegistry means that the coordinator has not read the registry of targets yet, so that it cannot tell.
+	NoRegistry Reason = "targets_not_read"
 	// Overloaded means that the request could not have started in time.
 	Overloaded Reason = "overloaded"
 	// Late means that the request waited for longer than foreseen.
