A VM that starts while the store is away learns from the others

Change: a VM without a configuration or registry after 300 ms asks another one, and takes its rows until the store tells it itself. A configuration is adopted only if it is later, as ever; a registry only while none has been read.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -40,7 +41,10 @@
 	Rows store.Rows
 	// OnTargets takes the targets after each change.
 	OnTargets func([]routing.Target)
-	Log       zerolog.Logger
+	// Node and Others reach the other live VMs, which tell what they know while the store is away. Optional.
+	Node   Node
+	Others func() []netip.AddrPort
+	Log    zerolog.Logger
 }
 
 // Service keeps the newest configuration and the registered targets.
@@ -55,11 +59,15 @@
 	targets  map[string]routing.Target
 	// gone are targets that were registered once, and when they went.
 	gone map[string]time.Time
+	// registered says that the registry has been read, and targetRows and configRow are what was read last.
+	registered bool
+	targetRows map[string][]byte
+	configRow  []byte
 }
 
 // New returns a service that knows nothing yet.
 func New(config Config) *Service {
-	s := &Service{config: config, registry: routing.NewRegistry(), gone: map[string]time.Time{}}
+	s := &Service{config: config, registry: routing.NewRegistry(), gone: map[string]time.Time{}, targetRows: map[string][]byte{}}
 	s.settings = follow.New(follow.Config{
 		Rows: config.Rows, Table: platform.OperatorTable, Log: config.Log,
 		Replace: s.readConfig, Change: s.readConfig,
@@ -68,6 +76,9 @@
 		Rows: config.Rows, Table: platform.TargetTable, Log: config.Log, Pause: registryPause,
 		Replace: s.replaceTargets, Change: s.changeTargets, Returned: s.storeReturned,
 	})
+	if config.Node != nil {
+		config.Node.HandleCall(methodCopy, s.handleCopy)
+	}
 	return s
 }
 
@@ -76,6 +87,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { s.settings.Run(ctx) })
 	tasks.Go(func() { s.entries.Run(ctx) })
+	tasks.Go(func() { s.copyFromOthers(ctx) })
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
 	for {
@@ -108,6 +120,8 @@
 
 // readConfig adopts a configuration unless a later one is in force.
 func (s *Service) readConfig(rows []store.TableRow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, row := range rows {
 		if row.Key != platform.ConfigKey || row.Part != "" || row.Deleted {
 			continue
@@ -122,6 +136,7 @@
 			continue
 		}
 		s.table.Store(table)
+		s.configRow = row.Value
 		s.config.Log.Info().Uint64("version", table.Version).Int("routes", len(table.Routes)).Msg("configuration adopted")
 	}
 }
@@ -129,6 +144,12 @@
 func (s *Service) replaceTargets(rows []store.TableRow) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.replaceLocked(rows)
+}
+
+// replaceLocked takes the whole registry. The lock is held.
+func (s *Service) replaceLocked(rows []store.TableRow) {
+	s.registered = true
 	targets := make([]routing.Target, 0, len(rows))
 	for _, row := range rows {
 		if t, ok := s.decode(row); ok {
@@ -163,6 +184,7 @@
 		s.config.Log.Warn().Err(err).Uint64("row_version", row.Version).Msg("entry names no target to use")
 		return routing.Target{}, false
 	}
+	s.targetRows[t.ID] = row.Value
 	return t, true
 }
 
@@ -201,6 +223,7 @@
 		if _, known := s.targets[id]; !known {
 			changed = true
 			s.gone[id] = now
+			delete(s.targetRows, id)
 			s.config.Log.Info().Str("target", id).Msg("target is gone")
 		}
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/discovery"
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
 	"github.com/rosemarydyke/rosemarydyke/platform"
@@ -157,3 +160,70 @@
 		qt.Assert(t, w.service.Usable("gone"), qt.IsFalse)
 	})
 }
+
+// pair connects two services: each call of one is answered by the other.
+type pair struct {
+	handlers map[peer.Method]peer.CallHandler
+	other    *pair
+}
+
+func (p *pair) HandleCall(method peer.Method, handler peer.CallHandler) { p.handlers[method] = handler }
+
+func (p *pair) Call(ctx context.Context, _ netip.AddrPort, method peer.Method, request, response any) error {
+	recode := func(from, into any) error {
+		content, err := cbor.Marshal(from)
+		if err != nil {
+			return err
+		}
+		return cbor.Unmarshal(content, into)
+	}
+	answer, err := p.other.handlers[method](ctx, peer.Identity{}, func(into any) error { return recode(request, into) })
+	if err != nil {
+		return err
+	}
+	return recode(answer, response)
+}
+
+// store-away-at-the-start: VMs that lost power start again while the store is silent, and others know all that is needed.
+func TestAVMThatStartsWhileTheStoreIsAwayLearnsFromTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, other := &pair{handlers: map[peer.Method]peer.CallHandler{}}, &pair{handlers: map[peer.Method]peer.CallHandler{}}
+		one.other, other.other = other, one
+		others := func() []netip.AddrPort { return []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")} }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		startOn := func(store *away, node *pair) *world {
+			w := &world{t: t, state: store.Rows.(*memory.Platform), store: store}
+			w.service = discovery.New(discovery.Config{
+				Rows: store, Log: zerolog.Nop(), Node: node, Others: others,
+				OnTargets: func(targets []routing.Target) { w.targets.Store(&targets) },
+			})
+			go w.service.Run(ctx)
+			return w
+		}
+		state := memory.New()
+		informed := startOn(&away{Rows: state}, one)
+		informed.register("a", "ready")
+		informed.register("b", "draining")
+		informed.put(platform.OperatorTable, platform.ConfigKey, `{"version":3}`)
+		time.Sleep(settle)
+		informed.store.down.Store(true)
+
+		late := &away{Rows: state}
+		late.down.Store(true)
+		started := startOn(late, other)
+		qt.Assert(t, started.service.Current(), qt.IsNil)
+		time.Sleep(time.Second)
+		qt.Assert(t, started.service.Current().Version, qt.Equals, informed.service.Current().Version)
+		qt.Assert(t, started.known(), qt.Equals, 2)
+		qt.Assert(t, started.service.Usable("a"), qt.IsTrue)
+		qt.Assert(t, started.service.Usable("b"), qt.IsFalse)
+
+		started.put(platform.OperatorTable, platform.ConfigKey, `{"version":4}`)
+		started.register("c", "ready")
+		late.down.Store(false)
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, started.service.Current().Version, qt.Equals, uint64(4))
+		qt.Assert(t, started.known(), qt.Equals, 3)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,7 +126,13 @@
 		Log:        n.log,
 	})
 	process := s.VM.Name + "/" + strconv.FormatUint(uint64(rand.Uint32()), 36)
-	n.discovery = discovery.New(discovery.Config{Rows: n.rows, OnTargets: func(targets []routing.Target) { n.slots.SetTargets(targets) }, Log: n.log})
+	n.discovery = discovery.New(discovery.Config{
+		Rows:      n.rows,
+		OnTargets: func(targets []routing.Target) { n.slots.SetTargets(targets) },
+		Node:      n.transport,
+		Others:    n.otherPeers,
+		Log:       n.log,
+	})
 	n.slots = scheduling.New(scheduling.Config{
 		Process:          process,
 		AvailabilityZone: s.VM.AvailabilityZone,
