--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -14,6 +14,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/explain"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/periodic"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/settings"
 	"github.com/rosemarydyke/rosemarydyke/target"
@@ -127,23 +128,10 @@
 	c.ctx = ctx
 	c.mu.Unlock()
 	c.tick(time.Now())
-	go every(ctx, c.config.TickInterval, c.tick)
-	go every(ctx, c.config.RenewInterval, c.renew)
+	go periodic.Every(ctx, c.config.TickInterval, c.tick)
+	go periodic.Every(ctx, c.config.RenewInterval, c.renew)
 	if c.config.VMs != nil {
-		go every(ctx, c.config.VMListInterval, c.readVMList)
-	}
-}
-
-func every(ctx context.Context, interval time.Duration, work func(now time.Time)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			work(now)
-		}
+		go periodic.Every(ctx, c.config.VMListInterval, c.readVMList)
 	}
 }
 
--- a/internal/batchjobs/checkpoint.go
+++ b/internal/batchjobs/checkpoint.go
@@ -27,8 +27,8 @@
 	checkpointInterval = 2 * time.Second
 	// maxCheckpointBytes bounds the content of one checkpoint: as base64 it stays below the store's limit of 1 MB.
 	maxCheckpointBytes = 600_000
-	// maxCheckpointRows bounds the rows of one checkpoint, and maxDeletes those that it deletes: together they stay below
-	// the store's limit of 100 entries.
+	// maxCheckpointRows bounds the rows of one checkpoint, and maxEndedRows those that it deletes: together they stay
+	// below the store's limit of 100 entries.
 	maxCheckpointRows = 60
 	maxEndedRows      = 30
 )
@@ -57,6 +57,16 @@
 // worthKeeping reports whether there is anything that another run would have to repeat.
 func (p itemProgress) worthKeeping() bool { return p.Events > 0 || p.Failures > 0 || p.Ended }
 
+// mergedWith returns what to go on from when an item was passed on and saved as well.
+func (p itemProgress) mergedWith(saved itemProgress) itemProgress {
+	further := p
+	if !p.Ended && (saved.Ended || saved.Events > p.Events) {
+		further = saved
+	}
+	further.Failures = max(p.Failures, saved.Failures)
+	return further
+}
+
 // savedItem is what the store has of an item.
 type savedItem struct {
 	events, failures, rows int
@@ -122,20 +132,7 @@
 	return progress, counts, errors.Join(failures...)
 }
 
-// checkpoints saves what the items of this VM have reached, until ctx ends.
-func (s *Service) checkpoints(ctx context.Context) {
-	ticker := time.NewTicker(checkpointInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.checkpoint(ctx)
-		}
-	}
-}
-
+// checkpoint saves what the items of this VM have reached since the last one.
 func (s *Service) checkpoint(ctx context.Context) {
 	s.mu.Lock()
 	runs := slices.Collect(maps.Values(s.runs))
@@ -228,9 +225,10 @@
 	run.mu.Lock()
 	for index, p := range progress {
 		run.saved[index] = savedItem{p.Events, p.Failures, counts[index]}
-		if inherited, ok := run.progress[index]; !ok || inherited.Events < p.Events {
-			run.progress[index] = p
+		if inherited, ok := run.progress[index]; ok {
+			p = inherited.mergedWith(p)
 		}
+		run.progress[index] = p
 		events += p.Events
 	}
 	run.mu.Unlock()
--- a/internal/batchjobs/checkpoint_test.go
+++ b/internal/batchjobs/checkpoint_test.go
@@ -82,3 +82,21 @@
 		}
 	})
 }
+
+func TestWhatWasPassedOnIsMergedWithWhatWasSaved(t *testing.T) {
+	ended := itemProgress{Position: -1, Text: []byte("whole"), Ended: true}
+	short := itemProgress{Position: 1, Events: 2, Text: []byte("a\nb"), Failures: 1}
+	long := itemProgress{Position: 2, Events: 3, Text: []byte("a\nb\nc")}
+	for _, test := range []struct {
+		name                      string
+		passedOn, saved, expected itemProgress
+	}{
+		{"an ended item stays ended", ended, long, ended},
+		{"the longer text counts, and all failures", short, long, itemProgress{Position: 2, Events: 3, Text: long.Text, Failures: 1}},
+		{"what was passed on is as good", long, itemProgress{Position: 1, Events: 2, Text: short.Text}, long},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, test.passedOn.mergedWith(test.saved), qt.DeepEquals, test.expected)
+		})
+	}
+}
--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/follow"
+	"github.com/rosemarydyke/rosemarydyke/internal/periodic"
 	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/member"
@@ -112,7 +113,9 @@
 // Run follows the table and runs the jobs of this VM until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	s.tasks.Go(func() { s.follower.Run(ctx) })
-	s.tasks.Go(func() { s.checkpoints(ctx) })
+	s.tasks.Go(func() {
+		periodic.Every(ctx, checkpointInterval, func(time.Time) { s.checkpoint(ctx) })
+	})
 	ticker, sweeps := time.NewTicker(lookInterval), time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	defer sweeps.Stop()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -61,6 +61,8 @@
 	gone map[string]time.Time
 	// registered says that the registry has been read, and targetRows and configRow are what was read last.
 	registered bool
+	// published says that the targets have been passed on once, also if there are none.
+	published  bool
 	targetRows map[string][]byte
 	configRow  []byte
 }
@@ -202,7 +204,7 @@
 	}
 }
 
-// publish passes the targets on if they have changed.
+// publish passes the targets on if they have changed, and the first time.
 func (s *Service) publish() {
 	before := s.targets
 	s.targets = s.registry.Targets()
@@ -227,9 +229,10 @@
 			s.config.Log.Info().Str("target", id).Msg("target is gone")
 		}
 	}
-	if !changed {
+	if !changed && s.published {
 		return
 	}
+	s.published = true
 	list := make([]routing.Target, 0, len(s.targets))
 	for _, t := range s.targets {
 		list = append(list, t)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -92,6 +92,13 @@
 	return len(*w.targets.Load())
 }
 
+func TestARegistryWithoutTargetsIsPassedOnToo(t *testing.T) {
+	run(t, func(w *world) {
+		qt.Assert(t, w.targets.Load(), qt.IsNotNil)
+		qt.Assert(t, w.known(), qt.Equals, 0)
+	})
+}
+
 func TestTheConfigurationNeverGoesBack(t *testing.T) {
 	run(t, func(w *world) {
 		qt.Assert(t, w.service.Current(), qt.IsNil)
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/explain"
+	"github.com/rosemarydyke/rosemarydyke/internal/periodic"
 	"github.com/rosemarydyke/rosemarydyke/settings"
 )
 
@@ -19,16 +20,7 @@
 
 // readLoads tells admission what the engines that this VM owns report, until ctx ends. Each engine is read by its owner only.
 func (e *Entry) readLoads(ctx context.Context) {
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e.readOwnedLoads(ctx)
-		}
-	}
+	periodic.Every(ctx, loadInterval, func(time.Time) { e.readOwnedLoads(ctx) })
 }
 
 func (e *Entry) readOwnedLoads(ctx context.Context) {
