A checkpoint fits a message between VMs

Found on reading: a checkpoint of up to 600 kB could not be relayed by another VM, which takes 300 kB, so that a VM that the store turns away would have saved nothing once its items had made more than that. The bound is 200 kB now, and the rest comes with the next checkpoints. The test failed first (600,360 bytes in one transaction).

--- a/internal/batchjobs/checkpoint.go
+++ b/internal/batchjobs/checkpoint.go
@@ -25,8 +25,9 @@
 	// checkpointInterval is the time between two checkpoints of a VM's items. A lost VM's items lose half of it on
 	// average, beside the 5 s that an item of the sites takes.
 	checkpointInterval = 2 * time.Second
-	// maxCheckpointBytes bounds the content of one checkpoint: as base64 it stays below the store's limit of 1 MB.
-	maxCheckpointBytes = 600_000
+	// maxCheckpointBytes bounds the content of one checkpoint, so that another VM can relay it: a message between VMs
+	// takes 300 kB. An item that has more is not saved.
+	maxCheckpointBytes = 200_000
 	// maxCheckpointRows bounds the rows of one checkpoint, and maxEndedRows those that it deletes: together they stay
 	// below the store's limit of 100 entries.
 	maxCheckpointRows = 60
--- a/internal/batchjobs/checkpoint_test.go
+++ b/internal/batchjobs/checkpoint_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"maps"
 	"reflect"
 	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
 	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
@@ -83,6 +85,42 @@
 	})
 }
 
+// transactions keeps what is applied.
+type transactions struct {
+	rowstore.Rows
+	applied []rowstore.RowTxn
+}
+
+func (t *transactions) Apply(_ context.Context, txn rowstore.RowTxn) (uint64, error) {
+	t.applied = append(t.applied, txn)
+	return uint64(len(t.applied)), nil
+}
+
+func TestACheckpointFitsAMessageAndTheNextOnesSaveTheRest(t *testing.T) {
+	const items, size = 40, 15_000
+	rows := &transactions{}
+	run := &jobRun{job: "j", running: map[int]*itemState{}, saved: map[int]savedItem{}}
+	for i := range items {
+		run.running[i] = &itemState{itemProgress: itemProgress{Events: 1, Text: make([]byte, size)}}
+	}
+	s := &Service{config: Config{Rows: rows, Log: zerolog.Nop()}, runs: map[string]*jobRun{"j": run}}
+	for range items * size / maxCheckpointBytes * 2 {
+		s.checkpoint(t.Context())
+	}
+	saved := 0
+	for _, txn := range rows.applied {
+		bytes := 0
+		for _, write := range txn.Writes {
+			bytes += len(write.Value)
+		}
+		saved += len(txn.Writes)
+		// 300 kB is what a message between VMs takes.
+		qt.Check(t, bytes < 300_000*3/4, qt.IsTrue, qt.Commentf("%d bytes", bytes))
+	}
+	qt.Check(t, saved, qt.Equals, items)
+	qt.Check(t, run.unsaved(), qt.HasLen, 0)
+}
+
 func TestWhatWasPassedOnIsMergedWithWhatWasSaved(t *testing.T) {
 	ended := itemProgress{Position: -1, Text: []byte("whole"), Ended: true}
 	short := itemProgress{Position: 1, Events: 2, Text: []byte("a\nb"), Failures: 1}
