--- a/internal/batchjobs/takeover_test.go
+++ b/internal/batchjobs/takeover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"slices"
 	"testing"
 	"time"
