Items leave headroom for the online requests that are about to come

The logs name no refusal by a target, so these are items: in a step of the traffic each slot that becomes free goes to an item, and the next online request takes it back within some ms, before the prompt was read. 38% of the online requests found no slot in their zone.

Change: items do not take the last free slots: those that the requests of the next 200 ms will want at the rate of late, less those that end by then, plus two standard deviations; at most a quarter of the slots, and not for items that have to start now.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -151,14 +151,18 @@
 
 // spareShare is the share of the slots that new requests leave.
 func (p *pool) spareShare(now time.Time, interval time.Duration) float64 {
+	return max(1-p.arrivalsWithin(now, interval), minReturnShare)
+}
+
+// arrivalsWithin is the number of new requests that come in a time at the rate of late.
+func (p *pool) arrivalsWithin(now time.Time, d time.Duration) float64 {
 	recent := 0
 	for _, at := range p.arrivals {
 		if now.Sub(at) <= arrivalWindow {
 			recent++
 		}
 	}
-	used := float64(recent) * float64(interval) / float64(arrivalWindow)
-	return max(1-used, minReturnShare)
+	return float64(recent) * float64(d) / float64(arrivalWindow)
 }
 
 // takeReturn counts a client that came back against the earliest promise.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -75,7 +75,7 @@
 				continue
 			}
 			slack := r.slack(now)
-			isProtected := slack >= 0 && slack < s.config.ProtectedSlack
+			isProtected := s.isNearlyDue(slack)
 			if isProtected {
 				protected++
 			}
@@ -105,8 +105,8 @@
 
 func (s *Scheduler) grant(now time.Time, t *slots, w *waiting) Action {
 	expected := w.Expected
-	if w.Class == Item && expected == 0 {
-		expected = s.config.ItemRun
+	if w.Class == Item {
+		expected = s.expected(w)
 	}
 	t.noteGrant(now)
 	s.start(t, &run{ticket: w.Ticket, class: w.Class, granted: now, due: w.StartBy, expected: expected})
@@ -128,29 +128,25 @@
 		return actions
 	}
 	s.sortItems(now, p)
+	spare := p.freeSlots(now) - s.headroom(now, p)
 	for _, w := range slices.Clone(p.items) {
+		if spare <= 0 && !s.isUrgent(now, w) {
+			continue
+		}
 		t := p.pickFree(now, w)
 		if t == nil {
-			if p.full(now) {
+			if p.freeSlots(now) == 0 {
 				break
 			}
 			continue
 		}
 		s.forget(w)
 		actions = append(actions, s.grant(now, t, w))
+		spare--
 	}
 	return actions
 }
 
-func (p *pool) full(now time.Time) bool {
-	for _, t := range p.targets {
-		if p.free(now, t) > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // sortItems orders items by due time. Items that would miss it come after those that can still meet it.
 func (s *Scheduler) sortItems(now time.Time, p *pool) {
 	slices.SortStableFunc(p.items, func(a, b *waiting) int {
@@ -166,9 +162,13 @@
 }
 
 func (s *Scheduler) misses(now time.Time, w *waiting) bool {
-	expected := w.Expected
-	if expected == 0 {
-		expected = s.config.ItemRun
+	return now.Add(s.expected(w)).After(w.StartBy)
+}
+
+// expected is the slot time that an item is expected to need.
+func (s *Scheduler) expected(w *waiting) time.Duration {
+	if w.Expected == 0 {
+		return s.config.ItemRun
 	}
-	return now.Add(expected).After(w.StartBy)
+	return w.Expected
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -29,6 +29,10 @@
 	ProtectedSlack time.Duration
 	// ProtectedShare is the share of a service's slots that such items may hold. Default 0.5.
 	ProtectedShare float64
+	// ItemHeadroom is how far ahead slots are kept for the online requests that are about to come, rather than given to
+	// items that would lose them again. Default 200 ms: several times what an item needs until it makes events, a
+	// connection and the reading of its prompt and text.
+	ItemHeadroom time.Duration
 	// NoTargetRetry is when a client should come back if there is no target. Default 1 s.
 	NoTargetRetry time.Duration
 	// ReportGrace is the age from which a grant that its VM does not report is taken as over. Default 500 ms.
@@ -44,6 +48,7 @@
 	setDefault(&c.ItemRun, 5*time.Second)
 	setDefault(&c.ProtectedSlack, 1500*time.Millisecond)
 	setDefault(&c.ProtectedShare, 0.5)
+	setDefault(&c.ItemHeadroom, 200*time.Millisecond)
 	setDefault(&c.NoTargetRetry, time.Second)
 	setDefault(&c.ReportGrace, 500*time.Millisecond)
 	setDefault(&c.WaitLease, 600*time.Millisecond)
