Items of a VM wait for slots in the order of their due times

Each VM let 20 items run or wait, in the order in which they came. A job of 20 items held all of them, and the 8 items of the next job began 20 s after its submission, while other VMs had slots for items that were due later. The coordinator orders items by due time, but never saw these.

Ruled out: clock steps on these VMs (due times are taken from the store's clock and kept as monotonic times), the loss of all VMs (their jobs came after it or were restored within 0.1 s).

Change: the bound of 20 is on items that wait for a slot, not on those that run; who waits follows the coordinator's own order (scheduler.CompareItems), and an item that can't meet its due time lets the others pass each second.

Tests: an item that is due first waits before those that came earlier, a late one lets others pass, no turn is lost or given twice under cancels. The first two fail with an order of arrival.

--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -106,12 +106,6 @@
 
 // runItem runs an item to its end, and reports whether it has one.
 func (s *Service) runItem(ctx context.Context, run *jobRun, index int, head *Head) (itemResult, bool) {
-	select {
-	case s.permits <- struct{}{}:
-		defer func() { <-s.permits }()
-	case <-ctx.Done():
-		return itemResult{}, false
-	}
 	state := run.begin(index)
 	if state.Ended {
 		run.finish(index)
@@ -147,7 +141,7 @@
 
 // tryItem runs an item on one target, and reports whether that was its end.
 func (s *Service) tryItem(ctx context.Context, run *jobRun, index int, head *Head, route *routing.Route, state *itemState) (itemResult, bool) {
-	slot, err := s.config.Slots.Acquire(ctx, scheduler.Request{
+	slot, err := s.waits.acquire(ctx, scheduler.Request{
 		Class:    scheduler.Item,
 		Service:  route.Pick(rand.Float64()),
 		Tried:    state.tried,
--- a/internal/batchjobs/runner.go
+++ b/internal/batchjobs/runner.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// maxItems bounds the items that run or wait for a slot on one VM. Further items wait without a message.
-	maxItems = 20
 	// dueMargin is the part of a job's time that is left for listing its last result and for the client's read of it.
 	dueMargin = 1500 * time.Millisecond
 	// loadRetry is the pause after the submission of a job could not be read.
--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -83,7 +83,7 @@
 	// unowned is since when the owner of a job has been missing.
 	unowned map[string]time.Time
 	tasks   sync.WaitGroup
-	permits chan struct{}
+	waits   *waitQueue
 	started time.Time
 }
 
@@ -97,7 +97,7 @@
 		wake:      make(chan struct{}, 1),
 		runs:      map[string]*jobRun{},
 		unowned:   map[string]time.Time{},
-		permits:   make(chan struct{}, maxItems),
+		waits:     newWaitQueue(config.Slots, maxWaits),
 		kept:      map[string][]platform.JobItem{},
 		claiming:  map[string]bool{},
 		started:   time.Now(),
--- a/scheduler/headroom.go
+++ b/scheduler/headroom.go
@@ -28,7 +28,7 @@
 
 // isUrgent reports whether a waiting item has to start now to be done when it is due.
 func (s *Scheduler) isUrgent(now time.Time, w *waiting) bool {
-	return s.isNearlyDue(w.StartBy.Sub(now) - s.expected(w))
+	return s.isNearlyDue(w.Slack(now))
 }
 
 // isNearlyDue reports whether an item with this slack can meet its due time only if it is not kept waiting.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -104,12 +104,8 @@
 }
 
 func (s *Scheduler) grant(now time.Time, t *slots, w *waiting) Action {
-	expected := w.Expected
-	if w.Class == Item {
-		expected = s.expected(w)
-	}
 	t.noteGrant(now)
-	s.start(t, &run{ticket: w.Ticket, class: w.Class, granted: now, due: w.StartBy, expected: expected})
+	s.start(t, &run{ticket: w.Ticket, class: w.Class, granted: now, due: w.StartBy, expected: w.Expected})
 	return Grant{Ticket: w.Ticket, Target: t.ID, Address: t.Address}
 }
 
@@ -127,7 +123,7 @@
 	if len(p.items) == 0 {
 		return actions
 	}
-	s.sortItems(now, p)
+	sortItems(now, p.items)
 	spare := p.freeSlots(now) - s.headroom(now, p)
 	for _, w := range slices.Clone(p.items) {
 		if spare <= 0 && !s.isUrgent(now, w) {
@@ -147,28 +143,19 @@
 	return actions
 }
 
-// sortItems orders items by due time. Items that would miss it come after those that can still meet it.
-func (s *Scheduler) sortItems(now time.Time, p *pool) {
-	slices.SortStableFunc(p.items, func(a, b *waiting) int {
-		lateA, lateB := s.misses(now, a), s.misses(now, b)
-		switch {
-		case lateA != lateB && lateA:
-			return 1
-		case lateA != lateB:
-			return -1
-		}
-		return a.StartBy.Compare(b.StartBy)
-	})
-}
-
-func (s *Scheduler) misses(now time.Time, w *waiting) bool {
-	return now.Add(s.expected(w)).After(w.StartBy)
+// sortItems brings items into the order in which they get slots.
+func sortItems(now time.Time, items []*waiting) {
+	slices.SortStableFunc(items, func(a, b *waiting) int { return CompareItems(now, a.Request, b.Request) })
 }
 
-// expected is the slot time that an item is expected to need.
-func (s *Scheduler) expected(w *waiting) time.Duration {
-	if w.Expected == 0 {
-		return s.config.ItemRun
+// CompareItems orders items by due time. Items that would miss it come after those that can still meet it.
+func CompareItems(now time.Time, a, b Request) int {
+	lateA, lateB := a.Misses(now), b.Misses(now)
+	switch {
+	case lateA != lateB && lateA:
+		return 1
+	case lateA != lateB:
+		return -1
 	}
-	return w.Expected
+	return a.StartBy.Compare(b.StartBy)
 }
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -41,6 +41,12 @@
 	ReturnWithin time.Duration
 }
 
+// Slack is the time that an item may wait for a slot without missing its due time.
+func (r Request) Slack(now time.Time) time.Duration { return r.StartBy.Sub(now) - r.Expected }
+
+// Misses reports whether an item misses its due time even if it gets a slot now.
+func (r Request) Misses(now time.Time) bool { return r.Slack(now) < 0 }
+
 // Run is a run in progress, as the VM that carries it reports.
 type Run struct {
 	Sequence uint64        `cbor:"1,keyasint"`
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -245,6 +245,9 @@
 }
 
 func (s *Scheduler) enqueueItem(p *pool, w *waiting) {
+	if w.Expected == 0 {
+		w.Expected = s.config.ItemRun
+	}
 	s.waiting[w.Ticket] = w
 	p.items = append(p.items, w)
 }
