Benchmarks of the scheduler and of a slot between two VMs; recent grants are trimmed from the front

Change: they are in order, so those that are too old are cut off. No decision changes: the same grants are kept.

--- /dev/null
+++ b/internal/scheduling/bench_test.go
@@ -0,0 +1,19 @@
+package scheduling_test
+
+import (
+	"testing"
+
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+)
+
+// BenchmarkAcquire is a request of one VM for a slot that another one grants, and its end, on 60 targets of 7 slots of which
+// 300 are taken.
+func BenchmarkAcquire(b *testing.B) {
+	vms := start(b, 2, 60, 7, always)
+	for range 300 {
+		acquire(b, vms[1], online())
+	}
+	for b.Loop() {
+		acquire(b, vms[1], online()).Release(scheduler.Finished, 0)
+	}
+}
--- a/internal/scheduling/service_test.go
+++ b/internal/scheduling/service_test.go
@@ -73,12 +73,12 @@
 }
 
 // start starts VMs that share targets. The first one is the coordinator of the service.
-func start(t *testing.T, count, targets, slots int, usable func(vm, target string) bool) []*vm {
+func start(t testing.TB, count, targets, slots int, usable func(vm, target string) bool) []*vm {
 	return startKnowing(t, count, targets, slots, usable, func(string) bool { return true })
 }
 
 // startKnowing starts VMs of which some have read the registry of targets.
-func startKnowing(t *testing.T, count, targets, slots int, usable func(vm, target string) bool, knows func(vm string) bool) []*vm {
+func startKnowing(t testing.TB, count, targets, slots int, usable func(vm, target string) bool, knows func(vm string) bool) []*vm {
 	members := make([]member.Member, count)
 	vms := make([]*vm, count)
 	var list []routing.Target
@@ -135,7 +135,7 @@
 	return scheduler.Request{Class: scheduler.Item, Service: service, StartBy: due, Expires: due, Expected: time.Second}
 }
 
-func acquire(t *testing.T, v *vm, r scheduler.Request) *scheduling.Slot {
+func acquire(t testing.TB, v *vm, r scheduler.Request) *scheduling.Slot {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -266,6 +266,6 @@
 
 // noteGrant remembers when a run began, as long as that may explain the silence of another.
 func (t *slots) noteGrant(now time.Time) {
-	t.granted = slices.DeleteFunc(t.granted, func(at time.Time) bool { return now.Sub(at) > 2*burstWindow })
-	t.granted = append(t.granted, now)
+	recent, _ := slices.BinarySearchFunc(t.granted, now.Add(-2*burstWindow), time.Time.Compare)
+	t.granted = append(t.granted[recent:], now)
 }
