A VM without the registry is passed over for longer each time

While a VM that has not read the registry has the highest rank, the others pass it over for a second, ask it again, are refused, and pass it over for a second again: its refusal, and its answer to a report, counted as signs that it coordinates, which ended the doubling.

Change: a refusal for want of the registry is no such sign, and a VM without it answers no reports.

--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -107,7 +107,9 @@
 		s.granted(from.VM, m)
 	})
 	handle(s, methodRefuse, func(from peer.Identity, m refuseMessage) {
-		s.heardFrom(from.VM)
+		if m.Reason != scheduler.NoRegistry {
+			s.heardFrom(from.VM)
+		}
 		s.refused(from.VM, m)
 	})
 	handle(s, methodYield, func(_ peer.Identity, m ticketMessage) { s.yield(m.Sequence) })
@@ -142,6 +144,10 @@
 }
 
 func (s *Service) onReport(from peer.Identity, m reportMessage) {
+	if !s.registered {
+		// It coordinates nothing yet, and must not be taken for one that does.
+		return
+	}
 	now := time.Now()
 	s.note(now, m.VM, from.Address)
 	actions, unknown := s.scheduler.Report(now, m.VM, m.Runs, m.Waits)
--- a/internal/scheduling/service_test.go
+++ b/internal/scheduling/service_test.go
@@ -1,10 +1,12 @@
 package scheduling_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -38,6 +40,25 @@
 	*scheduling.Service
 	node *datagram.Node
 	wire *wire
+	log  *syncLog
+}
+
+// syncLog keeps what a VM has logged.
+type syncLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *syncLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+func (l *syncLog) count(message string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), message)
 }
 
 // wire counts a VM's messages, and loses those of one method.
@@ -92,10 +113,10 @@
 		node, err := datagram.Listen("127.0.0.1:0", name, zerolog.Nop())
 		qt.Assert(t, err, qt.IsNil)
 		members[i] = member.Member{VM: name, State: member.Alive, EntryPeers: node.Address().String()}
-		w := &wire{Node: node, sent: map[peer.Method]int{}}
-		vms[i] = &vm{name: name, node: node, wire: w, Service: scheduling.New(scheduling.Config{
+		w, log := &wire{Node: node, sent: map[peer.Method]int{}}, &syncLog{}
+		vms[i] = &vm{name: name, node: node, wire: w, log: log, Service: scheduling.New(scheduling.Config{
 			Process: name + "/1", AvailabilityZone: "a", Node: w, Members: view{name, &members},
-			Usable: func(target string) bool { return usable(name, target) }, Log: zerolog.Nop(),
+			Usable: func(target string) bool { return usable(name, target) }, Log: zerolog.New(log),
 		})}
 	}
 	for _, v := range vms {
@@ -216,6 +237,21 @@
 			}
 		})
 	}
+	t.Run("the others say so less and less often", func(t *testing.T) {
+		first := 0
+		for i := range 3 {
+			if target.Rank(service, fmt.Sprintf("vm-%d", i)) > target.Rank(service, fmt.Sprintf("vm-%d", first)) {
+				first = i
+			}
+		}
+		vms := startKnowing(t, 3, 1, 3, always, func(vm string) bool { return vm != fmt.Sprintf("vm-%d", first) })
+		for began := time.Now(); time.Since(began) < 4500*time.Millisecond; time.Sleep(50 * time.Millisecond) {
+			acquire(t, vms[1], online()).Release(scheduler.Finished, 0)
+		}
+		// At once, after 1 s and after another 2 s; the next time is 4 s later.
+		said := vms[1].log.count("coordinator is passed over")
+		qt.Assert(t, said > 0 && said <= 3, qt.IsTrue, qt.Commentf("%d times", said))
+	})
 	t.Run("nobody has read it, and requests are refused at once", func(t *testing.T) {
 		vms := startKnowing(t, 3, 1, 3, always, func(string) bool { return false })
 		for _, v := range vms {
