--- a/internal/batchjobs/waitqueue_test.go
+++ b/internal/batchjobs/waitqueue_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -43,6 +44,20 @@
 	}
 }
 
+// state returns who has asked so far, how many wait now and how many did so at the same time at the most.
+func (h *heldSlots) state() (asked []string, waiting, most int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.asked), h.waiting, h.most
+}
+
+// state returns the turns that are free and the items that wait for one.
+func (q *waitQueue) state() (free, queued int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.free, len(q.queued)
+}
+
 // queued is an item of 4 s, named by its service, that waits until it has a slot.
 func queued(ctx context.Context, q *waitQueue, name string, due time.Duration) {
 	request := scheduler.Request{Service: name, StartBy: time.Now().Add(due), Expected: 4 * time.Second}
@@ -74,7 +89,8 @@
 			slots.grant <- struct{}{}
 			synctest.Wait()
 		}
-		qt.Assert(t, slots.asked, qt.DeepEquals, []string{"first", "due first", "later", "too late"})
+		asked, _, _ := slots.state()
+		qt.Assert(t, asked, qt.DeepEquals, []string{"first", "due first", "later", "too late"})
 	})
 }
 
@@ -89,12 +105,14 @@
 		queued(ctx, q, "in time", 18*time.Second)
 		time.Sleep(lateWait)
 		synctest.Wait()
-		qt.Assert(t, slots.asked, qt.DeepEquals, []string{"late from the start", "in time"})
+		asked, _, _ := slots.state()
+		qt.Assert(t, asked, qt.DeepEquals, []string{"late from the start", "in time"})
 
 		time.Sleep(15 * time.Second)
 		synctest.Wait()
-		qt.Assert(t, slots.asked[2], qt.Equals, "late from the start", qt.Commentf("%v", slots.asked))
-		qt.Assert(t, slots.most, qt.Equals, 1)
+		asked, _, most := slots.state()
+		qt.Assert(t, asked[2], qt.Equals, "late from the start", qt.Commentf("%v", asked))
+		qt.Assert(t, most, qt.Equals, 1)
 	})
 }
 
@@ -117,13 +135,16 @@
 				time.Sleep(time.Duration(random.IntN(700)) * time.Millisecond)
 			}
 			synctest.Wait()
-			qt.Assert(t, slots.waiting+q.free, qt.Equals, waits)
-			qt.Assert(t, q.free == 0 || len(q.queued) == 0, qt.IsTrue)
+			_, waiting, _ := slots.state()
+			free, left := q.state()
+			qt.Assert(t, waiting+free, qt.Equals, waits)
+			qt.Assert(t, free == 0 || left == 0, qt.IsTrue)
 		}
 		for _, stop := range stops {
 			stop()
 		}
 		synctest.Wait()
-		qt.Assert(t, q.free, qt.Equals, waits)
+		free, _ := q.state()
+		qt.Assert(t, free, qt.Equals, waits)
 	})
 }
