The model of the scheduler replaces targets and counts anew

A count that missed the end of a run, or the runs of a target that is replaced, would lose slots for good. Nothing but the test changes.

--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -1,6 +1,9 @@
 package scheduler_test
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,6 +26,11 @@
 	arrived time.Time
 }
 
+// list returns the targets in the order of their IDs.
+func (o *oracle) list() []routing.Target {
+	return slices.SortedFunc(maps.Values(o.targets), func(a, b routing.Target) int { return strings.Compare(a.ID, b.ID) })
+}
+
 func (o *oracle) take(t *rapid.T, actions []scheduler.Action) {
 	for _, action := range actions {
 		switch a := action.(type) {
@@ -137,12 +145,36 @@
 			"finish": func(t *rapid.T) { end(t, false) },
 			"yield":  func(t *rapid.T) { end(t, true) },
 			"drain": func(t *rapid.T) {
-				list := fleet(count, slots)
-				for i := range list {
-					list[i].Draining = o.targets[list[i].ID].Draining || rapid.IntRange(0, 9).Draw(t, "drains") == 0
-					o.targets[list[i].ID] = list[i]
+				for _, target := range o.list() {
+					target.Draining = target.Draining || rapid.IntRange(0, 9).Draw(t, "drains") == 0
+					o.targets[target.ID] = target
+				}
+				o.take(t, s.SetTargets(o.now, o.list()))
+			},
+			"replace": func(t *rapid.T) {
+				target := rapid.SampledFrom(o.list()).Draw(t, "target")
+				target.Born++
+				target.Draining = false
+				o.targets[target.ID] = target
+				for ticket, on := range o.running {
+					if on == target.ID {
+						delete(o.running, ticket)
+						delete(o.yielding, ticket)
+					}
+				}
+				o.take(t, s.SetTargets(o.now, o.list()))
+			},
+			"count": func(t *rapid.T) {
+				online := 0
+				for ticket := range o.running {
+					if o.class[ticket] == scheduler.Online {
+						online++
+					}
+				}
+				load := s.Loads(o.now)[0]
+				if load.Online != online || load.Items != len(o.running)-online {
+					t.Fatalf("%d online requests and %d items are counted, %d and %d run", load.Online, load.Items, online, len(o.running)-online)
 				}
-				o.take(t, s.SetTargets(o.now, list))
 			},
 			"time": func(t *rapid.T) {
 				o.now = o.now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
