--- a/internal/batchjobs/waitqueue.go
+++ b/internal/batchjobs/waitqueue.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxWaits bounds the items of one VM that wait for a slot at a coordinator. Each is renewed several times a second;
-	// further items wait here without a message.
+	// maxWaits bounds the items of one VM that wait for a slot at a coordinator, which keeps and orders them all. Further
+	// items wait here, unknown to it.
 	maxWaits = 20
 	// lateWait is how long an item that misses its due time anyway waits before it lets the others pass.
 	lateWait = time.Second
@@ -54,14 +54,13 @@
 	return q.slots.Acquire(waiting, request)
 }
 
+// enter waits for the item's turn, which leave ends.
 func (q *waitQueue) enter(ctx context.Context, request scheduler.Request) error {
 	q.mu.Lock()
-	if err := ctx.Err(); err != nil || q.free > 0 {
-		if err == nil {
-			q.free--
-		}
+	if q.free > 0 {
+		q.free--
 		q.mu.Unlock()
-		return err
+		return nil
 	}
 	item := &queuedItem{request: request, turn: make(chan struct{})}
 	q.queued = append(q.queued, item)
@@ -78,6 +77,7 @@
 	}
 	q.mu.Unlock()
 	if index < 0 {
+		// The turn came at the same moment.
 		q.leave()
 	}
 	return ctx.Err()
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -27,6 +27,8 @@
 	burstShare = 0.6
 	// excuseInterval is the least time between two bursts that excuse a target's silence.
 	excuseInterval = 3 * time.Second
+	// endSteps is the number of steps into which the mean slot time is divided when ends of runs are foreseen: some ms each.
+	endSteps = 64
 	// latestReturn is the share of a client's patience up to which it is told to come back.
 	latestReturn = 0.97
 )
@@ -55,9 +57,6 @@
 	}, true
 }
 
-// endSteps is the number of steps into which the mean slot time is divided when ends of runs are foreseen: some ms each.
-const endSteps = 64
-
 // foreseeWait returns, from the ages of the runs, when the slot after those that go to the requests ahead becomes free.
 func (s *Scheduler) foreseeWait(now time.Time, p *pool, w *waiting, ahead int) time.Duration {
 	var ends [endSteps + 1]int
