--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -123,6 +123,7 @@
 	return append(actions, s.dispatchItems(now, p)...)
 }
 
+// dispatchItems grants the slots beyond the headroom, and those in it to items that have to start now.
 func (s *Scheduler) dispatchItems(now time.Time, p *pool) []Action {
 	free := p.freeSlots(now)
 	if len(p.items) == 0 || free == 0 {
