Quarantine: an item that is stopped while it crashes its target is a suspect

Cause (by reading, then by tests): two interleavings of a revoked slot and a crash. 1. The connection broke, and the slot was revoked before the runner recorded the outcome. The slot was revoked first, as it is for the item whose prompt is being processed, and the target ran the item until it noticed. The crash was no evidence against the item, which could then crash two more targets (3 crashes). Ruled out: two suspects on one target through the ledger; a crash counted twice by the stand-in.

Change: an attempt that ended with a broken connection is a crash whatever the slot; requests cancelled within 1 s of a crash of their target are suspects, and the entry tells the runner.

Conclusion: open is an item that is dispatched again before the crash of its last target is seen; a wait of 1 s before each retry of a preempted item would close it.

--- a/internal/admission/controller/batch.go
+++ b/internal/admission/controller/batch.go
@@ -135,6 +135,8 @@
 		c.quarantine.RecordCompletion(released.Fingerprint)
 	case admission.EndInterrupted:
 		c.recordCrash(t, released.Fingerprint, now)
+	case admission.EndCancelled:
+		c.recordCancellation(t, released.Fingerprint, now)
 	}
 }
 
--- a/internal/admission/controller/batchworker_test.go
+++ b/internal/admission/controller/batchworker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +22,9 @@
 	ctx            context.Context
 	stop           context.CancelFunc
 	grantsByTarget map[string]int
-	// quarantined are the fingerprints announced by the entry.
+	// quarantined and suspected are the fingerprints announced by the entry.
 	quarantined []uint64
+	suspected   []uint64
 }
 
 // cancelDelay is how long a batch process takes to cancel a stream.
@@ -59,6 +61,8 @@
 		time.AfterFunc(cancelDelay, func() { w.release(m.Revoked.Slot, admission.Outcome{}) })
 	case m.Quarantined != nil:
 		w.quarantined = append(w.quarantined, m.Quarantined.Fingerprints...)
+	case m.Suspected != nil:
+		w.suspected = append(w.suspected, m.Suspected.Fingerprints...)
 	}
 	return nil
 }
@@ -99,6 +103,12 @@
 	return slots
 }
 
+func (w *batchWorker) isSuspected(fingerprint uint64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Contains(w.suspected, fingerprint)
+}
+
 // runningOn returns the number of items running on a target.
 func (w *batchWorker) runningOn(target string) int {
 	w.mu.Lock()
--- a/internal/admission/controller/controller.go
+++ b/internal/admission/controller/controller.go
@@ -98,6 +98,10 @@
 	ledgerChanged chan struct{}
 	// suspectRunning is whether a suspect request of this VM is running on the target.
 	suspectRunning bool
+	// lastCrash is when the target last broke off a request of this VM, and cancelledRuns are the requests that were
+	// cancelled on it within cancelledRunWindow.
+	lastCrash     time.Time
+	cancelledRuns []cancelledRun
 }
 
 // New returns a controller. Call Register and then Start.
--- a/internal/admission/controller/failure_test.go
+++ b/internal/admission/controller/failure_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -223,6 +224,51 @@
 	})
 }
 
+// A target runs a cancelled request until it notices. If the request crashes it meanwhile, only the requests that ran
+// beside it are broken off.
+func TestRequestCancelledAroundACrashIsSuspected(t *testing.T) {
+	cancelled, interrupted := admission.Outcome{End: admission.EndCancelled}, admission.Outcome{End: admission.EndInterrupted}
+	for _, test := range []struct {
+		name          string
+		first, second admission.Outcome
+		between       time.Duration
+		want          quarantine.Status
+	}{
+		{"cancelled just before the crash", cancelled, interrupted, 100 * time.Millisecond, quarantine.Suspect},
+		{"cancelled just after the crash", interrupted, cancelled, 100 * time.Millisecond, quarantine.Suspect},
+		{"cancelled long before the crash", cancelled, interrupted, 2 * time.Second, quarantine.Clear},
+		{"cancelled long after the crash", interrupted, cancelled, 2 * time.Second, quarantine.Clear},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runFleet(t, 1, engines(1, 8), func(f *fleet) {
+				time.Sleep(4 * time.Second)
+				n := f.nodes["vm-1"]
+				first, err := n.acquireFingerprint(1001, nil)
+				qt.Assert(t, err, qt.IsNil)
+				second, err := n.acquireFingerprint(1002, nil)
+				qt.Assert(t, err, qt.IsNil)
+				batch := n.startBatch(2)
+				time.Sleep(time.Second)
+				qt.Assert(t, batch.running(), qt.Equals, 2)
+				first.Release(test.first)
+				batch.release(1, test.first)
+				time.Sleep(test.between)
+				second.Release(test.second)
+				batch.release(2, test.second)
+				time.Sleep(time.Millisecond)
+				synctest.Wait()
+				request, item := uint64(1001), uint64(1)
+				if test.second == cancelled {
+					request, item = 1002, 2
+				}
+				qt.Assert(t, n.QuarantineStatus(request), qt.Equals, test.want)
+				qt.Assert(t, n.QuarantineStatus(item), qt.Equals, test.want)
+				qt.Assert(t, batch.isSuspected(item), qt.Equals, test.want == quarantine.Suspect)
+			})
+		})
+	}
+}
+
 func TestSuspectBatchItemsRunOnePerTarget(t *testing.T) {
 	runFleet(t, 1, engines(2, 8), func(f *fleet) {
 		time.Sleep(4 * time.Second)
--- a/internal/admission/controller/release.go
+++ b/internal/admission/controller/release.go
@@ -42,6 +42,8 @@
 		c.reportRefusal(t, now)
 	case admission.EndInterrupted:
 		c.recordCrash(t, fingerprint, now)
+	case admission.EndCancelled:
+		c.recordCancellation(t, fingerprint, now)
 	}
 }
 
--- a/internal/admission/controller/suspects.go
+++ b/internal/admission/controller/suspects.go
@@ -9,8 +9,59 @@
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
 )
 
-// recordCrash records that a target failed while running a request, see admission.EndInterrupted.
+// cancelledRunWindow is how long a cancelled request may go on running until its target notices, and so how long
+// before or after a crash of the target its cancellation counts as an interruption by the crash.
+const cancelledRunWindow = time.Second
+
+// cancelledRun is a request that was cancelled while it ran on a target.
+type cancelledRun struct {
+	fingerprint uint64
+	at          time.Time
+}
+
+// recordCrash records that a target failed while running a request, see admission.EndInterrupted. The requests that
+// were cancelled there shortly before may have caused it, since a target runs a cancelled request until it notices.
 func (c *Controller) recordCrash(t *targetState, fingerprint uint64, now time.Time) {
+	t.lastCrash = now
+	c.addCrash(t, fingerprint, now)
+	c.suspectCancelled(t, now)
+}
+
+// recordCancellation records that a request was cancelled while it ran on a target.
+func (c *Controller) recordCancellation(t *targetState, fingerprint uint64, now time.Time) {
+	if fingerprint == 0 {
+		return
+	}
+	t.cancelledRuns = slices.DeleteFunc(t.cancelledRuns, func(r cancelledRun) bool { return now.Sub(r.at) > cancelledRunWindow })
+	t.cancelledRuns = append(t.cancelledRuns, cancelledRun{fingerprint, now})
+	if now.Sub(t.lastCrash) <= cancelledRunWindow {
+		c.suspectCancelled(t, now)
+	}
+}
+
+// suspectCancelled makes the requests suspects that were cancelled on a target around the time of its crash.
+func (c *Controller) suspectCancelled(t *targetState, now time.Time) {
+	runs := t.cancelledRuns
+	t.cancelledRuns = nil
+	var suspected []uint64
+	for _, r := range runs {
+		if now.Sub(r.at) > cancelledRunWindow {
+			continue
+		}
+		c.addCrash(t, r.fingerprint, now)
+		if c.quarantine.Status(r.fingerprint) == quarantine.Suspect {
+			suspected = append(suspected, r.fingerprint)
+		}
+	}
+	if len(suspected) == 0 {
+		return
+	}
+	c.config.Log.Info().Str("target", t.settings.Name).Uints64("fingerprints", suspected).
+		Msg("target broke off shortly after these requests were cancelled there; they run apart from others until one completes")
+	c.sendToBatch(batchslots.ToBatch{Suspected: &batchslots.Suspected{Fingerprints: suspected}})
+}
+
+func (c *Controller) addCrash(t *targetState, fingerprint uint64, now time.Time) {
 	before := c.quarantine.Status(fingerprint)
 	if c.quarantine.RecordCrash(now, fingerprint, t.settings.Name) == quarantine.Quarantined && before != quarantine.Quarantined {
 		c.announceQuarantine(fingerprint)
--- a/internal/batchslots/messages.go
+++ b/internal/batchslots/messages.go
@@ -45,6 +45,7 @@
 	Granted     *Granted     `cbor:"1,keyasint,omitempty"`
 	Revoked     *Revoked     `cbor:"2,keyasint,omitempty"`
 	Quarantined *Quarantined `cbor:"3,keyasint,omitempty"`
+	Suspected   *Suspected   `cbor:"4,keyasint,omitempty"`
 }
 
 // Granted grants one slot, for one item.
@@ -68,3 +69,9 @@
 type Quarantined struct {
 	Fingerprints []uint64 `cbor:"1,keyasint"`
 }
+
+// Suspected adds fingerprints of items that were stopped on a target shortly before it broke off other requests. They
+// may have crashed it, and run only in slots that were granted for them.
+type Suspected struct {
+	Fingerprints []uint64 `cbor:"1,keyasint"`
+}
--- a/internal/runner/cancellation_test.go
+++ b/internal/runner/cancellation_test.go
@@ -170,6 +170,46 @@
 	}
 }
 
+func TestItemStoppedWhileItsTargetBrokeOffIsDispatchedAsSuspect(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		events func(r *Runner, a attempt)
+	}{
+		{"the slot is revoked when the connection has just broken", func(r *Runner, a attempt) {
+			r.finishAttempt(a, connectionLostOutcome(), errPreempted)
+		}},
+		{"the entry suspects the item that was stopped", func(r *Runner, a attempt) {
+			r.finishAttempt(a, ItemOutcome{End: admission.EndCancelled, Err: &verdict.Error{Verdict: verdict.MayHaveRun}}, errPreempted)
+			r.addSuspects([]uint64{a.fingerprint})
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := memory.New()
+				store := jobstore.New(p, p.Objects())
+				createJob(t, store, 1, plainLine)
+				r := newTestRunner(store, &fakeEntry{}, &fakeItems{dispatches: map[string]int{}})
+				r.renew(context.Background(), time.Hour, 1)
+				_, err := r.discover(context.Background(), false)
+				qt.Assert(t, err, qt.IsNil)
+				r.confirmJobs(context.Background())
+				a, ok := r.nextAttempt(grantOf(model), nil)
+				qt.Assert(t, ok, qt.IsTrue)
+				test.events(r, a)
+				time.Sleep(time.Second)
+				r.confirmJobs(context.Background())
+				_, ok = r.nextAttempt(grantOf(model), nil)
+				qt.Assert(t, ok, qt.IsFalse)
+				qt.Assert(t, r.demand()[0].Suspects, qt.DeepEquals, []uint64{a.fingerprint})
+				grant := grantOf(model)
+				grant.Suspect = a.fingerprint
+				_, ok = r.nextAttempt(grant, nil)
+				qt.Assert(t, ok, qt.IsTrue)
+			})
+		})
+	}
+}
+
 func connectionLostOutcome() ItemOutcome {
 	return ItemOutcome{End: admission.EndInterrupted, Err: &verdict.Error{Verdict: verdict.MayHaveRun, Code: verdict.CodeTargetFailed}}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -87,9 +87,11 @@
 	// The channels wake the loops that commit results, send the demand and search for chunks.
 	wakeCommit, wakeDemand, wakeDiscovery chan struct{}
 
-	mu           sync.Mutex
-	held         map[string]*heldChunk
-	quarantined  map[uint64]struct{}
+	mu          sync.Mutex
+	held        map[string]*heldChunk
+	quarantined map[uint64]struct{}
+	// suspected are fingerprints of items that become suspects at their next dispatch.
+	suspected    map[uint64]struct{}
 	ownLease     *lease.Holder
 	leaseWatcher *lease.Watcher
 	// cursor is the key after which the next scan of open work starts. earliestKey is the key of the work that is due first.
@@ -113,6 +115,7 @@
 		wakeDiscovery: make(chan struct{}, 1),
 		held:          map[string]*heldChunk{},
 		quarantined:   map[uint64]struct{}{},
+		suspected:     map[uint64]struct{}{},
 		leaseWatcher:  lease.NewWatcher(),
 		starvation:    newStarvation(),
 	}
--- a/internal/runner/slots.go
+++ b/internal/runner/slots.go
@@ -163,6 +163,8 @@
 		s.handleGrant(ctx, *m.Granted)
 	case m.Revoked != nil:
 		s.handleRevocation(m.Revoked.Slot)
+	case m.Suspected != nil:
+		s.runner.addSuspects(m.Suspected.Fingerprints)
 	case m.Quarantined != nil:
 		s.runner.addQuarantined(m.Quarantined.Fingerprints)
 	}
@@ -189,6 +191,16 @@
 	}
 }
 
+// addSuspects keeps items with these fingerprints out of ordinary slots, because the entry suspects them although
+// their attempts did not end with a broken connection.
+func (r *Runner) addSuspects(fingerprints []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range fingerprints {
+		r.suspected[f] = struct{}{}
+	}
+}
+
 // failQuarantined fails the chunk's pending suspects with the fingerprint, including those that wait for
 // a retry: the entry no longer grants them a slot. The caller holds the lock.
 func (r *Runner) failQuarantined(h *heldChunk, fingerprint uint64) {
@@ -287,6 +299,14 @@
 			return attempt{}, false
 		}
 		a := r.newAttempt(h, grant, d)
+		if _, ok := r.suspected[a.fingerprint]; ok {
+			delete(r.suspected, a.fingerprint)
+			h.run.UndoDispatch(d.Index)
+			h.markSuspect(a)
+			h.events.add(d.Index, "suspected: a target broke off shortly after this item was stopped there")
+			signal(r.wakeDemand)
+			continue
+		}
 		if _, ok := r.quarantined[a.fingerprint]; !ok {
 			return a, true
 		}
@@ -326,6 +346,7 @@
 	defer signal(r.wakeDemand)
 	switch {
 	case o.Err == nil:
+		delete(r.suspected, a.fingerprint)
 		run.Answered(a.index, o.Status, a.call.RequestID, o.Body, now)
 		r.bufferedBytes += len(o.Body)
 		r.metrics.answered.Inc()
@@ -335,10 +356,11 @@
 		run.Failed(a.index, o.Err, now)
 		a.chunk.events.add(a.index, "not run by target "+a.target+": "+o.Err.Message)
 		return 0
-	case cause != nil:
+	case cause != nil && o.End != admission.EndInterrupted:
 		a.chunk.events.add(a.index, "stopped on target "+a.target+": "+cause.Error())
 		wasted = r.recordPreemption(a, o, now)
 	default:
+		// The target may also break off at the moment at which the slot is revoked. That is evidence against the item.
 		if o.End == admission.EndInterrupted {
 			a.chunk.markSuspect(a)
 		}
