--- a/internal/batchapi/batchapi_test.go
+++ b/internal/batchapi/batchapi_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -147,16 +148,18 @@
 
 func TestLostTableResponseCausesNoDuplicateOrRejectedJob(t *testing.T) {
 	for _, fault := range []faulty.Fault{faulty.ResponseLost, faulty.RequestLost, faulty.Delayed, faulty.Unavailable} {
-		f := newFixture(t)
-		_, file := f.upload("batch", line("1", "m"))
-		f.table.Inject(fault)
-		response, first := f.create("a", file["id"])
-		f.Assert(response.Code, qt.Equals, http.StatusOK)
-		f.table.Flush(context.Background())
-		_, again := f.create("a", file["id"])
-		f.Assert(again["id"], qt.Equals, first["id"])
-		_, list := f.send("a", "GET", "/v1/batches", "", "")
-		f.Assert(list["data"], qt.HasLen, 1)
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t)
+			_, file := f.upload("batch", line("1", "m"))
+			f.table.Inject(fault)
+			response, first := f.create("a", file["id"])
+			f.Assert(response.Code, qt.Equals, http.StatusOK)
+			f.table.Flush(context.Background())
+			_, again := f.create("a", file["id"])
+			f.Assert(again["id"], qt.Equals, first["id"])
+			_, list := f.send("a", "GET", "/v1/batches", "", "")
+			f.Assert(list["data"], qt.HasLen, 1)
+		})
 	}
 }
 
