DRAIN: a target that says it is leaving is sent no more requests by this VM

The header was ignored.

Change: the client of targets reports the header of any response (streams before their first event, refusals, failures, items; not of another process at the address). The VM takes the target for unusable until it starts again under its ID, releases slots of it that were granted before, and tells the coordinator. A VM that is cut off needs nobody: its own mark is enough. The tests fail without the change (MarkLeaving and ReportLeaving did not exist).

--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -130,7 +130,7 @@
 	}
 	v.Service = batchjobs.New(batchjobs.Config{
 		VM: name, Rows: store, Members: v.members, Configuration: c.config, Slots: c.slots,
-		Targets: platform.NewTargetClient(), Node: node, ResultRetention: c.retention, Log: zerolog.Nop(),
+		Targets: platform.NewTargetClient(func(string) {}), Node: node, ResultRetention: c.retention, Log: zerolog.Nop(),
 	})
 	go func() {
 		defer close(v.stopped)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -59,6 +59,8 @@
 	targets  map[string]routing.Target
 	// goneSince holds the removal times of targets that were registered before.
 	goneSince map[string]time.Time
+	// leaving holds the targets that said in a response that they are leaving.
+	leaving map[string]incarnation
 	// registryLoaded is true once the registry has been read.
 	registryLoaded bool
 	// published is true once OnTargets has been called, even with no targets.
@@ -68,9 +70,22 @@
 	configRow  []byte
 }
 
+// incarnation is one start of a target's process.
+type incarnation struct {
+	startedUnixMilli int64
+	// known is false until the registry has shown which start it is.
+	known bool
+}
+
 // New returns a service without configuration or targets.
 func New(config Config) *Service {
-	s := &Service{config: config, registry: routing.NewRegistry(), goneSince: map[string]time.Time{}, targetRows: map[string][]byte{}}
+	s := &Service{
+		config:     config,
+		registry:   routing.NewRegistry(),
+		goneSince:  map[string]time.Time{},
+		leaving:    map[string]incarnation{},
+		targetRows: map[string][]byte{},
+	}
 	s.configFollower = follow.New(follow.Config{
 		Rows: config.Rows, Table: platform.OperatorTable, Log: config.Log,
 		Replace: s.readConfig, Change: s.readConfig,
@@ -113,13 +128,45 @@
 	return age
 }
 
-// Usable reports whether a target is neither removed nor draining as far as this VM knows. A target that is not known
-// yet is usable.
+// Usable reports whether a target is neither removed nor draining nor leaving as far as this VM knows. A target that is
+// not known yet is usable.
 func (s *Service) Usable(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, gone := s.goneSince[id]
-	return !gone && !s.targets[id].Draining
+	_, leaving := s.leaving[id]
+	return !gone && !leaving && !s.targets[id].Draining
+}
+
+// MarkLeaving records that a target is leaving, by its own response. It holds for the registered process, so that a
+// later start under the same ID is usable. It returns the start time of the process, zero if that is not known, and
+// whether this is news.
+func (s *Service) MarkLeaving(id string) (startedUnixMilli int64, news bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, known := s.targets[id]
+	if _, marked := s.leaving[id]; marked {
+		return t.StartedUnixMilli, false
+	}
+	s.leaving[id] = incarnation{startedUnixMilli: t.StartedUnixMilli, known: known}
+	s.config.Log.Info().Str("target", id).Int64("started_ms", t.StartedUnixMilli).Bool("registered", known).
+		Msg("target says that it is leaving; it is sent no more requests")
+	return t.StartedUnixMilli, true
+}
+
+// updateLeaving drops the marks of processes that were replaced by another start under their ID, or that were removed
+// long ago. s.mu must be held.
+func (s *Service) updateLeaving() {
+	for id, marked := range s.leaving {
+		t, registered := s.targets[id]
+		_, gone := s.goneSince[id]
+		switch {
+		case registered && !marked.known:
+			s.leaving[id] = incarnation{startedUnixMilli: t.StartedUnixMilli, known: true}
+		case registered && marked.startedUnixMilli != t.StartedUnixMilli, !registered && marked.known && !gone:
+			delete(s.leaving, id)
+		}
+	}
 }
 
 // readConfig adopts a configuration unless the current one has the same or a later version.
@@ -231,6 +278,7 @@
 			s.config.Log.Info().Str("target", id).Msg("target removed")
 		}
 	}
+	s.updateLeaving()
 	if !changed && s.published {
 		return
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -149,6 +149,38 @@
 	})
 }
 
+func TestTargetThatSaysItLeavesIsNotUsable(t *testing.T) {
+	registerStart := func(f *fixture, started int) {
+		f.put(platform.TargetTable, "a", fmt.Sprintf(`{"service":"s","address":"10.0.0.1:1","zone":"z","slots":8,"state":"ready","born":%d}`, started))
+		time.Sleep(propagationDelay)
+	}
+	t.Run("until it starts again under its ID", func(t *testing.T) {
+		run(t, func(f *fixture) {
+			registerStart(f, 1)
+			started, news := f.service.MarkLeaving("a")
+			qt.Assert(t, started, qt.Equals, int64(1))
+			qt.Assert(t, news, qt.IsTrue)
+			_, news = f.service.MarkLeaving("a")
+			qt.Assert(t, news, qt.IsFalse)
+			f.register("b", "ready")
+			time.Sleep(propagationDelay)
+			qt.Assert(t, f.service.Usable("a"), qt.IsFalse)
+			registerStart(f, 2)
+			qt.Assert(t, f.service.Usable("a"), qt.IsTrue)
+		})
+	})
+	t.Run("also if its entry was not known", func(t *testing.T) {
+		run(t, func(f *fixture) {
+			f.service.MarkLeaving("a")
+			qt.Assert(t, f.service.Usable("a"), qt.IsFalse)
+			registerStart(f, 1)
+			qt.Assert(t, f.service.Usable("a"), qt.IsFalse)
+			registerStart(f, 2)
+			qt.Assert(t, f.service.Usable("a"), qt.IsTrue)
+		})
+	})
+}
+
 func TestEntryMissingAfterStoreOutageIsKeptForGracePeriod(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.register("back", "ready")
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -81,7 +81,7 @@
 	server.Config.Handler = ingress.New(ingress.Config{
 		Configuration: configuration{table(strings.TrimPrefix(server.URL, "http://"))},
 		Slots:         schedulingtest.Start(t, service, slots, f.targets...),
-		Targets:       platform.NewTargetClient(), Jobs: noJobs{}, Log: zerolog.Nop(),
+		Targets:       platform.NewTargetClient(func(string) {}), Jobs: noJobs{}, Log: zerolog.Nop(),
 		Quarantine: evidence.NewSharedTracker(quarantine.Config{CrashThreshold: 3, MassFailureTargets: 100, MassFailureWindow: time.Millisecond}),
 	})
 	f.url = server.URL
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,7 +142,7 @@
 		Usable:           n.discovery.Usable,
 		Log:              n.log,
 	})
-	targets := platform.NewTargetClient()
+	targets := platform.NewTargetClient(n.markLeaving)
 	n.jobs = batchjobs.New(batchjobs.Config{
 		VM:              s.VM.Name,
 		Rows:            n.rows,
@@ -174,6 +174,13 @@
 	})
 }
 
+// markLeaving keeps this VM from sending further requests to a target that is leaving, and tells its coordinator.
+func (n *Node) markLeaving(target string) {
+	if started, news := n.discovery.MarkLeaving(target); news {
+		n.slots.ReportLeaving(target, started)
+	}
+}
+
 // seedPeers returns the peer addresses of the seeds. All VMs use the same peer port.
 func seedPeers(s *config.Ingress) []string {
 	_, port, err := net.SplitHostPort(s.Peers)
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -18,6 +18,7 @@
 	methodGrant     peer.Method = "slots.grant"
 	methodRefuse    peer.Method = "slots.refuse"
 	methodPreempt   peer.Method = "slots.yield"
+	methodLeaving   peer.Method = "slots.leaving"
 )
 
 // submitMessage requests a slot, and is repeated until the coordinator responds.
@@ -75,6 +76,13 @@
 	Sequence uint64 `cbor:"1,keyasint"`
 }
 
+// leavingMessage tells a coordinator that a target is leaving. If it is lost, the next grant of the target to the same VM
+// is released with the outcome Draining.
+type leavingMessage struct {
+	Target           string `cbor:"1,keyasint"`
+	StartedUnixMilli int64  `cbor:"2,keyasint,omitempty"`
+}
+
 type grantMessage struct {
 	Sequence uint64 `cbor:"1,keyasint"`
 	Target   string `cbor:"2,keyasint"`
--- a/internal/scheduling/service_test.go
+++ b/internal/scheduling/service_test.go
@@ -144,6 +144,16 @@
 	return vms
 }
 
+// A target that leaves may still be registered as ready, and its coordinator may not have heard that it leaves.
+func TestLeavingTargetIsNotGranted(t *testing.T) {
+	vms := start(t, 3, 2, 4, always)
+	vms[1].ReportLeaving("t0", 0)
+	time.Sleep(100 * time.Millisecond)
+	for range 4 {
+		qt.Assert(t, acquire(t, vms[2], online()).Target, qt.Equals, "t1")
+	}
+}
+
 func always(string, string) bool { return true }
 
 func online() scheduler.Request {
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -68,6 +68,7 @@
 	lastEventIDs map[string][]int64
 	active       int
 	peak         int
+	leaving      bool
 	// cancelled counts the requests whose sender disconnected.
 	cancelled int
 }
@@ -98,6 +99,19 @@
 	t.faults = append(t.faults, faults...)
 }
 
+// Leave makes the target say in all its responses that it is leaving.
+func (t *Target) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = true
+}
+
+func (t *Target) isLeaving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leaving
+}
+
 // Runs returns how often the request with this ID was run.
 func (t *Target) Runs(id string) int {
 	t.mu.Lock()
@@ -170,6 +184,9 @@
 		return
 	}
 	call := platform.ParseTargetCall(r.Header)
+	if t.isLeaving() {
+		platform.SetLeaving(w)
+	}
 	if call.Instance != t.config.ID {
 		platform.WriteReplaced(w, t.config.ID)
 		return
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -279,6 +279,14 @@
 	return s.dispatch(now, p)
 }
 
+// ReportDraining records that another VM found a target draining or gone. It is ignored if the target has started again
+// since; a start time of zero means that the VM does not know it.
+func (s *Scheduler) ReportDraining(id string, startedUnixMilli int64) {
+	if t := s.targets[id]; t != nil && (startedUnixMilli == 0 || startedUnixMilli == t.StartedUnixMilli) {
+		t.reportedDraining = true
+	}
+}
+
 func (s *Scheduler) startRun(t *targetState, r *run) {
 	r.target = t
 	t.runs = append(t.runs, r)
