datagram: a call whose first send fails has not run

Cause: Call set Sent also when no packet had left the process, so that callers took the outcome for unknown. The test fails before the change.

--- a/internal/datagram/node.go
+++ b/internal/datagram/node.go
@@ -155,7 +155,8 @@
 	if err != nil {
 		return fmt.Errorf("encode message %s: %w", method, err)
 	}
-	return n.send(to, envelope{Kind: kindMessage, Method: method, Payload: payload})
+	_, err = n.send(to, envelope{Kind: kindMessage, Method: method, Payload: payload})
+	return err
 }
 
 // Call retransmits a request until a response arrives or ctx ends. It returns *peer.RemoteError if the
@@ -177,9 +178,9 @@
 	}()
 	ticker := time.NewTicker(callInterval)
 	defer ticker.Stop()
-	for {
-		if err := n.send(to, call); err != nil {
-			return &peer.UnansweredError{Sent: true, Cause: err}
+	for sent := false; ; sent = true {
+		if anySent, err := n.send(to, call); err != nil {
+			return &peer.UnansweredError{Sent: sent || anySent, Cause: err}
 		}
 		select {
 		case reply := <-responses:
@@ -207,18 +208,20 @@
 	return nil
 }
 
-func (n *Node) send(to netip.AddrPort, message envelope) error {
+// send sends a message in one or more packets, and reports whether any of them was sent.
+func (n *Node) send(to netip.AddrPort, message envelope) (anySent bool, err error) {
 	message.From = n.vm
 	content, err := cbor.Marshal(message)
 	if err != nil {
-		return fmt.Errorf("encode envelope: %w", err)
+		return false, fmt.Errorf("encode envelope: %w", err)
 	}
 	for _, packet := range fragment(n.nextMessageID.Add(1), content) {
 		if _, err := n.conn.WriteToUDPAddrPort(packet, to); err != nil {
-			return fmt.Errorf("send to %s: %w", to, err)
+			return anySent, fmt.Errorf("send to %s: %w", to, err)
 		}
+		anySent = true
 	}
-	return nil
+	return true, nil
 }
 
 func (n *Node) read() {
@@ -298,7 +301,7 @@
 }
 
 func (n *Node) sendResponse(to netip.AddrPort, reply envelope) {
-	if err := n.send(to, reply); err != nil {
+	if _, err := n.send(to, reply); err != nil {
 		n.log.Debug().Err(err).Stringer("to", to).Msg("response not sent")
 	}
 }
--- a/internal/datagram/node_test.go
+++ b/internal/datagram/node_test.go
@@ -84,3 +84,12 @@
 	err := client.Call(ctx, netip.MustParseAddrPort("127.0.0.1:9"), "x", 1, nil)
 	qt.Assert(t, errors.As(err, &unanswered), qt.IsTrue, qt.Commentf("%v", err))
 }
+
+func TestCallThatCannotBeSentHasNotRun(t *testing.T) {
+	client := listen(t, "client")
+	qt.Assert(t, client.Close(), qt.IsNil)
+	err := client.Call(t.Context(), netip.MustParseAddrPort("127.0.0.1:9"), "echo", struct{}{}, nil)
+	var unanswered *peer.UnansweredError
+	qt.Assert(t, errors.As(err, &unanswered), qt.IsTrue)
+	qt.Assert(t, unanswered.Sent, qt.IsFalse)
+}
