ingress: a request without a timeout is no retry, and the longest patience is measured anew each minute

Cause: a client that states no timeout was below 0.98 of any other's patience, one that stated an hour made all others of its route look like retries for good, and RetryWithin became slightly negative without a timeout. Tests fail before.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -162,7 +162,7 @@
 		StartBy:     startBy,
 		Expires:     expires,
 		Retry:       e.retry || repeated,
-		RetryWithin: time.Duration(retryWithinShare * float64(time.Until(e.arrived.Add(e.client.Timeout)))),
+		RetryWithin: max(time.Duration(retryWithinShare*float64(time.Until(e.arrived.Add(e.client.Timeout)))), 0),
 	})
 	waited := time.Since(now)
 	slotWait.Update(waited.Seconds())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -76,12 +76,12 @@
 type Server struct {
 	config   Config
 	draining atomic.Bool
-	retries  retryDetector
+	retries  *retryDetector
 }
 
 // New returns a server.
 func New(config Config) *Server {
-	return &Server{config: config, retries: retryDetector{longest: map[string]time.Duration{}}}
+	return &Server{config: config, retries: newRetryDetector()}
 }
 
 // Drain makes the server ask clients to use other connections. Requests are still served.
@@ -165,7 +165,7 @@
 		body:          body,
 		arrived:       now,
 		deadline:      now.Add(timeout),
-		retry:         s.retries.observe(route.Name, parsed.Timeout),
+		retry:         s.retries.observe(now, route.Name, parsed.Timeout),
 		lastEvent:     parsed.LastEvent,
 		configVersion: table.Version,
 		fingerprint:   quarantine.Fingerprint(r.Host, r.URL.Path, body),
--- a/internal/ingress/retry_detector.go
+++ b/internal/ingress/retry_detector.go
@@ -5,24 +5,46 @@
 	"time"
 )
 
-// retryPatienceShare is the share of the longest patience (how long a client waits) on a route below which a request is
-// considered a retry: its client has already spent a part of its time on a refused attempt.
-const retryPatienceShare = 0.98
+const (
+	// retryPatienceShare is the share of the longest patience (how long a client waits) on a route below which a request is
+	// considered a retry: its client has already spent a part of its time on a refused attempt.
+	retryPatienceShare = 0.98
+	// patiencePeriod is the time after which the longest patience of a route is measured anew, so that a single patient
+	// client does not make all others look like retries. The longest one of the previous period counts as well.
+	patiencePeriod = time.Minute
+)
 
 // retryDetector recognizes requests that clients retry after a refusal. A second attempt has an ID of its own,
 // but less time left than the first attempts on its route.
 type retryDetector struct {
-	mu      sync.Mutex
-	longest map[string]time.Duration
+	mu     sync.Mutex
+	routes map[string]*patience
+}
+
+// patience is the longest patience on a route in the current period and in the one before.
+type patience struct {
+	since             time.Time
+	current, previous time.Duration
 }
 
-// observe reports whether a request with this patience is a second attempt.
-func (d *retryDetector) observe(route string, patience time.Duration) bool {
+func newRetryDetector() *retryDetector { return &retryDetector{routes: map[string]*patience{}} }
+
+// observe reports whether a request with this patience is a second attempt. Zero means that the client states none, which
+// says nothing.
+func (d *retryDetector) observe(now time.Time, route string, stated time.Duration) bool {
+	if stated <= 0 {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if patience >= d.longest[route] {
-		d.longest[route] = patience
-		return false
+	p := d.routes[route]
+	if p == nil {
+		p = &patience{since: now}
+		d.routes[route] = p
+	}
+	if now.Sub(p.since) >= patiencePeriod {
+		p.since, p.previous, p.current = now, p.current, 0
 	}
-	return float64(patience) < retryPatienceShare*float64(d.longest[route])
+	p.current = max(p.current, stated)
+	return float64(stated) < retryPatienceShare*float64(max(p.current, p.previous))
 }
