entry: the orders of managed targets run once; engine test: no unspecified order of evaluation

Cause: Run was started twice, so each target was passed over twice an interval; steps of a target never overlapped. No test: what differs is only how often the owned targets are listed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -289,7 +289,6 @@
 	tasks.Go(func() { e.evidence.Run(tasksCtx) })
 	tasks.Go(func() { e.orders.Run(tasksCtx) })
 	tasks.Go(func() { e.pollLoads(tasksCtx) })
-	tasks.Go(func() { e.orders.Run(tasksCtx) })
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- e.server.Serve(e.listener) }()
 	if err := e.updateReady(ctx, serveErr); err != nil {
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -57,7 +57,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var completion chatResponse
-	return completion, json.NewDecoder(response.Body).Decode(&completion)
+	err = json.NewDecoder(response.Body).Decode(&completion)
+	return completion, err
 }
 
 // streamChat returns the events of a streamed response, and whether it ended with [DONE]. It may run outside the test
