--- a/internal/ingress/retry_detector.go
+++ b/internal/ingress/retry_detector.go
@@ -42,8 +42,11 @@
 		p = &patience{since: now}
 		d.routes[route] = p
 	}
-	if now.Sub(p.since) >= patiencePeriod {
-		p.since, p.previous, p.current = now, p.current, 0
+	switch age := now.Sub(p.since); {
+	case age >= 2*patiencePeriod:
+		*p = patience{since: now}
+	case age >= patiencePeriod:
+		*p = patience{since: now, previous: p.current}
 	}
 	p.current = max(p.current, stated)
 	return float64(stated) < retryPatienceShare*float64(max(p.current, p.previous))
