scheduling: groups of targets with a coordinator each, and a directory by processor share

Cause: one VM coordinated all slots of a service, whatever its processor.

Change: services with more than 32 targets are divided by availability zone, each group with a coordinator of its own among the VMs with processor to spare; full groups pass requests on; a coordinator that does not respond is avoided and replaced only if it stays silent; VMs without runs report nothing; choosing a coordinator is cached.

--- a/internal/config/ingress.go
+++ b/internal/config/ingress.go
@@ -27,7 +27,11 @@
 	ResultRetention time.Duration `yaml:"result_retention" validate:"min=0"`
 	// MemoryMB is the memory of the VM, in MB. Default 256.
 	MemoryMB int64 `yaml:"memory_mb" validate:"min=0"`
-	Log      Log   `yaml:"log"`
+	// CPUShare is the share of a core that the process may use, and CoreSpeed the speed of that core relative to the other
+	// VMs'. Both default to 1. VMs with more processor time coordinate slots and are listed to clients more often.
+	CPUShare  float64 `yaml:"cpu_share" validate:"min=0"`
+	CoreSpeed float64 `yaml:"core_speed" validate:"min=0"`
+	Log       Log     `yaml:"log"`
 }
 
 const (
@@ -37,6 +41,9 @@
 	defaultMemoryMB        = 256
 )
 
+// Millicores returns the processor share of the VM in thousandths of a core.
+func (i *Ingress) Millicores() int { return max(int(i.CPUShare*i.CoreSpeed*1000), 1) }
+
 // SetDefaults sets omitted optional settings to their defaults.
 func (i *Ingress) SetDefaults() {
 	if i.StopGrace == 0 {
@@ -48,6 +55,12 @@
 	if i.ResultRetention == 0 {
 		i.ResultRetention = defaultResultRetention
 	}
+	if i.CPUShare == 0 {
+		i.CPUShare = 1
+	}
+	if i.CoreSpeed == 0 {
+		i.CoreSpeed = 1
+	}
 	if i.MemoryMB == 0 {
 		i.MemoryMB = defaultMemoryMB
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -118,6 +119,7 @@
 			Region:           s.VM.Region,
 			Callers:          s.Clients,
 			EntryPeers:       s.Peers,
+			Millicores:       s.Millicores(),
 		},
 		Node:       n.transport,
 		VMs:        n.registry,
@@ -142,6 +144,7 @@
 		Usable:           n.discovery.Usable,
 		Log:              n.log,
 	})
+	n.members.OnChange(func([]member.Member) { n.slots.MembersChanged() })
 	targets := platform.NewTargetClient(n.markLeaving)
 	n.jobs = batchjobs.New(batchjobs.Config{
 		VM:              s.VM.Name,
@@ -255,15 +258,10 @@
 
 // serveDirectory lists the live VMs, including this one unless it is leaving.
 func (n *Node) serveDirectory(w http.ResponseWriter, _ *http.Request) {
-	var addresses []string
-	for _, m := range n.members.Members() {
-		if m.State != member.Alive || m.VM == n.settings.VM.Name && n.leaving.Load() {
-			continue
-		}
-		addresses = append(addresses, m.Callers)
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	addresses = addresses[:min(len(addresses), platform.MaxAddresses)]
+	listed := slices.DeleteFunc(n.members.Members(), func(m member.Member) bool {
+		return m.State != member.Alive || m.VM == n.settings.VM.Name && n.leaving.Load()
+	})
+	addresses := sampleAddresses(listed, platform.MaxAddresses, rand.Float64)
 	if len(addresses) == 0 {
 		platform.WriteText(w, http.StatusServiceUnavailable, "no VM takes requests")
 		return
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -4,86 +4,97 @@
 	"net/netip"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/group"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
-	"github.com/rosemarydyke/rosemarydyke/target"
 )
 
-// coordinatorVM is the VM that coordinates a service.
+// coordinatorVM is the VM that coordinates a group.
 type coordinatorVM struct {
 	VM      string
 	address netip.AddrPort
+	at      time.Time
 }
 
-// coordinator returns the coordinator of a service: the VM with the highest rendezvous rank that is not in backoff.
-// Suspect and leaving VMs are chosen only if there is no other, and this VM, while it has not read the registry of
-// targets, only if no member is left.
-func (s *Service) coordinator(now time.Time, service string) coordinatorVM {
-	self := s.config.Members.Self()
-	best := coordinatorVM{VM: self.VM}
-	bestTier, bestRank := tier(self), target.Rank(service, self.VM)
-	if !s.hasRegistry {
-		bestTier = tierNoRegistry
+// coordinatorCacheTime is how long the choice of a coordinator is kept while the members do not change, because choosing
+// goes through all of them.
+const coordinatorCacheTime = 250 * time.Millisecond
+
+// MembersChanged makes the service choose the coordinators anew.
+func (s *Service) MembersChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.coordinators)
+}
+
+// coordinator returns the coordinator of a group: the best candidate that has not been replaced because it does not
+// respond.
+func (s *Service) coordinator(now time.Time, key string) coordinatorVM {
+	if c, known := s.coordinators[key]; known && now.Sub(c.at) < coordinatorCacheTime {
+		return c
 	}
+	self := s.config.Members.Self()
+	best := coordinatorVM{VM: self.VM, at: now}
+	bestCandidate := group.NewCandidate(key, self, s.hasRegistry)
 	for _, m := range s.config.Members.Members() {
-		if m.VM == self.VM || s.inBackoff(now, m.VM) {
+		if m.VM == self.VM || s.isReplaced(now, m.VM) {
 			continue
 		}
-		t, rank := tier(m), target.Rank(service, m.VM)
-		if t > bestTier || t == bestTier && rank <= bestRank {
+		candidate := group.NewCandidate(key, m, true)
+		if !candidate.Better(bestCandidate) {
 			continue
 		}
-		address, ok := peerAddress(m)
-		if !ok {
-			continue
+		if address, ok := peerAddress(m); ok {
+			best, bestCandidate = coordinatorVM{VM: m.VM, address: address, at: now}, candidate
 		}
-		best, bestTier, bestRank = coordinatorVM{VM: m.VM, address: address}, t, rank
 	}
+	s.coordinators[key] = best
 	return best
 }
 
-// tierNoRegistry ranks below the tiers of all members.
-const tierNoRegistry = 3
-
-// tier ranks members by reliability; lower is better.
-func tier(m member.Member) int {
-	switch m.State {
-	case member.Alive:
-		return 0
-	case member.Suspect:
-		return 1
-	default:
-		return 2
-	}
-}
-
 func (s *Service) inBackoff(now time.Time, vm string) bool {
 	b := s.backoffs[vm]
 	return b != nil && now.Before(b.until)
 }
 
-// startBackoff excludes a VM from coordination for a while, so that the next VM in rank coordinates.
-func (s *Service) startBackoff(now time.Time, vm, reason string) {
+// isReplaced reports whether the next VM in rank coordinates instead of this one.
+func (s *Service) isReplaced(now time.Time, vm string) bool {
+	return s.inBackoff(now, vm) && s.backoffs[vm].replaced
+}
+
+// avoids reports whether requests are sent to other groups because the coordinator of this one does not respond.
+func (s *Service) avoids(now time.Time, key string) bool {
+	return s.inBackoff(now, s.coordinator(now, key).VM)
+}
+
+// startBackoff makes this VM avoid a coordinator for a while. If its service has several groups, requests go to another
+// one at first: a coordinator that is late because it is overloaded must not be replaced by all VMs at once, since the
+// next VM in rank knows nothing of the runs in progress. It is replaced when it does not respond for longer.
+func (s *Service) startBackoff(now time.Time, vm, reason string, replace bool) {
 	b := s.backoffs[vm]
 	if b == nil {
-		b = &backoff{next: initialBackoff}
+		b = &backoff{next: initialBackoff, replaced: replace}
 		s.backoffs[vm] = b
-	}
-	if now.Before(b.until) {
+	} else if now.Before(b.until) {
 		return
+	} else {
+		b.replaced = true
 	}
 	b.until = now.Add(b.next)
-	s.config.Log.Warn().Str("coordinator", vm).Str("reason", reason).Dur("for_ms", b.next).Msg("coordinator is in backoff; using the next VM in rank")
+	s.config.Log.Warn().Str("coordinator", vm).Str("reason", reason).Dur("for_ms", b.next).Bool("replaced", b.replaced).
+		Msg("coordinator is in backoff; using another group, or the next VM in rank if it is replaced")
 	b.next = min(2*b.next, maxBackoff)
 	s.unansweredReports[vm] = 0
+	clear(s.coordinators)
 }
 
 // recordResponse records that a coordinator responds, and ends its backoff.
 func (s *Service) recordResponse(vm string) {
 	s.unansweredReports[vm] = 0
-	if b := s.backoffs[vm]; b != nil {
+	if s.backoffs[vm] != nil {
 		delete(s.backoffs, vm)
+		clear(s.coordinators)
 		s.config.Log.Info().Str("coordinator", vm).Msg("coordinator responds again; its backoff has ended")
 	}
 }
@@ -112,6 +123,7 @@
 		}
 		s.onRefuse(from.VM, m)
 	})
+	handle(s, methodLoad, func(_ peer.Identity, m loadMessage) { s.onLoad(m) })
 	handle(s, methodLeaving, func(_ peer.Identity, m leavingMessage) { s.scheduler.ReportDraining(m.Target, m.StartedUnixMilli) })
 	handle(s, methodPreempt, func(_ peer.Identity, m ticketMessage) { s.onPreempt(m.Sequence) })
 }
@@ -137,6 +149,10 @@
 		s.send(from.Address, methodRefuse, refuseMessage{Sequence: m.Ticket.Sequence, Reason: scheduler.NoRegistry, RetryAfter: noRegistryRetry})
 		return
 	}
+	if key, redirected := s.redirect(now, m.request(now), m.Redirects); redirected {
+		s.send(from.Address, methodRefuse, refuseMessage{Sequence: m.Ticket.Sequence, Reason: scheduler.Redirected, Group: key})
+		return
+	}
 	actions := s.scheduler.Submit(now, m.request(now))
 	if !decides(actions, m.Ticket) {
 		s.send(from.Address, methodQueued, ticketMessage{Sequence: m.Ticket.Sequence})
@@ -199,11 +215,11 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case scheduler.Grant:
-			message := grantMessage{Sequence: a.Ticket.Sequence, Target: a.Target, Address: a.Address}
-			s.deliver(a.Ticket, methodGrant, message, func() { s.onGrant(s.config.Members.Self().VM, message) })
+			message := grantMessage{Sequence: a.Ticket.Sequence, Target: a.Target, Address: a.Address, Group: s.division.Of(a.Target)}
+			s.deliver(a.Ticket, methodGrant, message, func() { s.onGrant(s.vm, message) })
 		case scheduler.Refuse:
 			message := refuseMessage{Sequence: a.Ticket.Sequence, RetryAfter: a.RetryAfter, Reason: a.Reason, Ahead: a.Ahead, Slots: a.Slots}
-			s.deliver(a.Ticket, methodRefuse, message, func() { s.onRefuse(s.config.Members.Self().VM, message) })
+			s.deliver(a.Ticket, methodRefuse, message, func() { s.onRefuse(s.vm, message) })
 		case scheduler.Preempt:
 			s.deliver(a.Ticket, methodPreempt, ticketMessage{Sequence: a.Ticket.Sequence}, func() { s.onPreempt(a.Ticket.Sequence) })
 		}
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -19,20 +19,40 @@
 	methodRefuse    peer.Method = "slots.refuse"
 	methodPreempt   peer.Method = "slots.yield"
 	methodLeaving   peer.Method = "slots.leaving"
+	methodLoad      peer.Method = "slots.load"
 )
 
 // submitMessage requests a slot, and is repeated until the coordinator responds.
 type submitMessage struct {
-	Ticket           scheduler.Ticket `cbor:"1,keyasint"`
-	Class            scheduler.Class  `cbor:"2,keyasint,omitempty"`
-	Service          string           `cbor:"3,keyasint"`
-	AvailabilityZone string           `cbor:"4,keyasint"`
-	Tried            []string         `cbor:"5,keyasint,omitempty"`
-	StartIn          time.Duration    `cbor:"6,keyasint"`
-	ExpiresIn        time.Duration    `cbor:"7,keyasint"`
-	Expected         time.Duration    `cbor:"8,keyasint,omitempty"`
-	Retry            bool             `cbor:"9,keyasint,omitempty"`
-	RetryWithin      time.Duration    `cbor:"10,keyasint,omitempty"`
+	Ticket scheduler.Ticket `cbor:"1,keyasint"`
+	Class  scheduler.Class  `cbor:"2,keyasint,omitempty"`
+	// Service is the key of a group.
+	Service          string        `cbor:"3,keyasint"`
+	AvailabilityZone string        `cbor:"4,keyasint"`
+	Tried            []string      `cbor:"5,keyasint,omitempty"`
+	StartIn          time.Duration `cbor:"6,keyasint"`
+	ExpiresIn        time.Duration `cbor:"7,keyasint"`
+	Expected         time.Duration `cbor:"8,keyasint,omitempty"`
+	Retry            bool          `cbor:"9,keyasint,omitempty"`
+	RetryWithin      time.Duration `cbor:"10,keyasint,omitempty"`
+	// Redirects is the number of coordinators that have sent the request to another group.
+	Redirects int `cbor:"11,keyasint,omitempty"`
+}
+
+func newSubmitMessage(now time.Time, r scheduler.Request, redirects int) submitMessage {
+	return submitMessage{
+		Ticket:           r.Ticket,
+		Class:            r.Class,
+		Service:          r.Service,
+		AvailabilityZone: r.AvailabilityZone,
+		Tried:            r.Tried,
+		StartIn:          r.StartBy.Sub(now),
+		ExpiresIn:        r.Expires.Sub(now),
+		Expected:         r.Expected,
+		Retry:            r.Retry,
+		RetryWithin:      r.RetryWithin,
+		Redirects:        redirects,
+	}
 }
 
 func (m *submitMessage) request(now time.Time) scheduler.Request {
@@ -87,6 +107,8 @@
 	Sequence uint64 `cbor:"1,keyasint"`
 	Target   string `cbor:"2,keyasint"`
 	Address  string `cbor:"3,keyasint"`
+	// Group is the group of the target, which may differ from the one that the request was last sent to.
+	Group string `cbor:"4,keyasint,omitempty"`
 }
 
 type refuseMessage struct {
@@ -95,4 +117,15 @@
 	Reason     scheduler.Reason `cbor:"3,keyasint"`
 	Ahead      int              `cbor:"4,keyasint,omitempty"`
 	Slots      int              `cbor:"5,keyasint,omitempty"`
+	// Group is the group that a redirected request is to be sent to.
+	Group string `cbor:"6,keyasint,omitempty"`
+}
+
+// loadMessage tells the coordinators of a service's other groups the load of a group. A lost one is replaced by the next.
+type loadMessage struct {
+	Group   string `cbor:"1,keyasint"`
+	Slots   int    `cbor:"2,keyasint"`
+	Open    int    `cbor:"3,keyasint,omitempty"`
+	Spare   int    `cbor:"4,keyasint,omitempty"`
+	Waiting int    `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/scheduling/service.go
+++ b/internal/scheduling/service.go
@@ -1,21 +1,22 @@
 // Package scheduling connects the VMs to the schedulers that grant slots.
 //
-// Each service has one coordinator among the live VMs, chosen by rendezvous hashing. Every VM runs a scheduler, so a
-// failed coordinator is replaced without an election: the next VM in rank learns the runs in progress from the
-// reports of the others. While two VMs briefly coordinate the same service, they grant too many slots; the only effect
-// is that requests wait inside the targets.
+// The targets of a service are divided into groups (package group), and each group has one coordinator among the live
+// VMs, chosen by rendezvous hashing. Every VM runs a scheduler, so a failed coordinator is replaced without an election:
+// the next VM in rank learns the runs in progress from the reports of the others. While two VMs briefly coordinate the
+// same group, they grant too many slots; the only effect is that requests wait inside the targets.
 package scheduling
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarydyke/rosemarydyke/group"
 	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/member"
@@ -38,6 +39,9 @@
 	vmLease = 2 * time.Second
 	// tickInterval is the time between two ticks of the scheduler.
 	tickInterval = 25 * time.Millisecond
+	// abandonedReportTime is how long a VM reports to a coordinator after it abandoned a request there, because a grant
+	// may still arrive or have been lost: longer than the scheduler's ReportGrace.
+	abandonedReportTime = time.Second
 	// initialBackoff is the first backoff of a coordinator that does not respond; it doubles up to maxBackoff.
 	initialBackoff = time.Second
 	maxBackoff     = 4 * time.Second
@@ -78,12 +82,24 @@
 
 	mu        sync.Mutex
 	scheduler *scheduler.Scheduler
+	// vm is the name of this VM.
+	vm     string
+	random *rand.Rand
 	// vms are the VMs that report to this one.
-	vms      map[string]*reporter
-	next     uint64
-	pending  map[uint64]*pending
-	runs     map[uint64]*Slot
-	services []string
+	vms     map[string]*reporter
+	next    uint64
+	pending map[uint64]*pending
+	runs    map[uint64]*Slot
+	// division divides the registered targets into groups, and loads holds the last known loads of the groups that share
+	// a service with one that this VM coordinates.
+	division *group.Division
+	loads    map[string]group.Load
+	// reported are the groups whose coordinators were told of runs or waits by the last report, and abandoned the times
+	// at which a request was last abandoned in a group.
+	reported  map[string]bool
+	abandoned map[string]time.Time
+	// coordinators caches the coordinators of groups.
+	coordinators map[string]coordinatorVM
 	// hasRegistry means that the registry of targets has been read. A VM that starts during an outage of the store
 	// knows no targets.
 	hasRegistry bool
@@ -101,13 +117,16 @@
 type backoff struct {
 	until time.Time
 	next  time.Duration
+	// replaced means that the next VM in rank coordinates meanwhile.
+	replaced bool
 }
 
 // pending is a request that waits for a response of a coordinator.
 type pending struct {
 	responses chan response
 	class     scheduler.Class
-	// queuedAt is the coordinator that has queued the request, if any.
+	// group is the group that the request was last sent to, and queuedAt the coordinator that has queued it, if any.
+	group    string
 	queuedAt string
 }
 
@@ -122,9 +141,17 @@
 
 // New returns a service, and registers its handlers at the node.
 func New(config Config) *Service {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	s := &Service{
 		config:            config,
-		scheduler:         scheduler.New(config.Scheduler, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		scheduler:         scheduler.New(config.Scheduler, random),
+		vm:                config.Members.Self().VM,
+		random:            random,
+		division:          group.Divide(nil),
+		loads:             map[string]group.Load{},
+		reported:          map[string]bool{},
+		abandoned:         map[string]time.Time{},
+		coordinators:      map[string]coordinatorVM{},
 		vms:               map[string]*reporter{},
 		pending:           map[uint64]*pending{},
 		runs:              map[uint64]*Slot{},
@@ -137,9 +164,10 @@
 
 // Run sends reports and ticks the scheduler until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	tick, report := time.NewTicker(tickInterval), time.NewTicker(reportInterval)
+	tick, report, share := time.NewTicker(tickInterval), time.NewTicker(reportInterval), time.NewTicker(loadInterval)
 	defer tick.Stop()
 	defer report.Stop()
+	defer share.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -148,6 +176,8 @@
 			s.tick()
 		case <-report.C:
 			s.report()
+		case <-share.C:
+			s.shareLoads()
 		}
 	}
 }
@@ -157,13 +187,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hasRegistry = true
-	s.services = s.services[:0]
-	for _, t := range targets {
-		if !slices.Contains(s.services, t.Service) {
-			s.services = append(s.services, t.Service)
-		}
-	}
-	s.execute(s.scheduler.SetTargets(time.Now(), targets))
+	now, previous := time.Now(), s.division
+	s.division = group.Divide(targets)
+	clear(s.coordinators)
+	maps.DeleteFunc(s.loads, func(key string, _ group.Load) bool { return s.division.Group(key) == nil })
+	s.execute(s.scheduler.SetTargets(now, groupedTargets(s.division, targets)))
+	s.redirectFromRemoved(now, previous)
 }
 
 // Loads returns the loads of the services as this VM's scheduler knows them.
@@ -180,6 +209,9 @@
 	for vm, r := range s.vms {
 		if now.Sub(r.lastSeen) > vmLease {
 			delete(s.vms, vm)
+			if !s.scheduler.Holds(vm) {
+				continue
+			}
 			s.config.Log.Info().Str("process", vm).Dur("silent_ms", now.Sub(r.lastSeen)).Msg("VM sends no reports; its slots are released")
 			s.execute(s.scheduler.RemoveVM(now, vm))
 		}
@@ -187,56 +219,89 @@
 	s.execute(s.scheduler.Tick(now))
 }
 
-// report tells the coordinators of all services the runs of this VM.
+// coordinatorReport is what a VM reports to one coordinator.
+type coordinatorReport struct {
+	to    coordinatorVM
+	runs  []scheduler.Run
+	waits []uint64
+	// replace means that the coordinator's group has no other one to turn to.
+	replace bool
+}
+
+// report tells coordinators the runs and waits of this VM in their groups. A VM without any is silent, after one last
+// report that clears what lost messages have left behind.
 func (s *Service) report() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	runs := s.reportedRuns(now)
-	reported := map[string]bool{}
-	for _, service := range s.services {
-		c := s.coordinator(now, service)
-		if reported[c.VM] {
-			continue
-		}
-		reported[c.VM] = true
-		waits := s.reportedWaits(c.VM)
-		if c.VM == s.config.Members.Self().VM {
-			actions, unknown := s.scheduler.Report(now, s.config.Process, runs, waits)
+	for _, r := range s.reports(now) {
+		if r.to.VM == s.vm {
+			actions, unknown := s.scheduler.Report(now, s.config.Process, r.runs, r.waits)
 			s.execute(actions)
-			s.onUnknown(c.VM, unknown)
+			s.onUnknown(s.vm, unknown)
 			continue
 		}
-		if s.unansweredReports[c.VM]++; s.unansweredReports[c.VM] > maxUnansweredSends {
-			s.startBackoff(now, c.VM, "it does not respond")
+		if s.unansweredReports[r.to.VM]++; s.unansweredReports[r.to.VM] > maxUnansweredSends {
+			s.startBackoff(now, r.to.VM, "it does not respond", r.replace)
 		}
-		s.send(c.address, methodReport, reportMessage{VM: s.config.Process, Runs: runs, Waits: waits})
+		s.send(r.to.address, methodReport, reportMessage{VM: s.config.Process, Runs: r.runs, Waits: r.waits})
 	}
 }
 
-func (s *Service) reportedRuns(now time.Time) []scheduler.Run {
-	runs := make([]scheduler.Run, 0, len(s.runs))
+// reports returns the reports that are due, one for each coordinator.
+func (s *Service) reports(now time.Time) map[string]*coordinatorReport {
+	reports := map[string]*coordinatorReport{}
+	at := func(key string) *coordinatorReport {
+		c := s.coordinator(now, key)
+		if reports[c.VM] == nil {
+			reports[c.VM] = &coordinatorReport{to: c, replace: len(s.division.Groups(group.ServiceOf(key))) <= 1}
+		}
+		return reports[c.VM]
+	}
+	previous := s.reported
+	s.reported = map[string]bool{}
 	for sequence, slot := range s.runs {
-		runs = append(runs, scheduler.Run{
-			Sequence: sequence,
-			Class:    slot.request.Class,
-			Target:   slot.Target,
-			DueIn:    slot.request.StartBy.Sub(now),
-			Expected: slot.request.Expected,
-		})
+		key := s.groupOf(slot)
+		r := at(key)
+		r.runs = append(r.runs, slot.run(now, sequence))
+		s.reported[key] = true
 	}
-	return runs
-}
-
-// reportedWaits returns the items that a coordinator has queued.
-func (s *Service) reportedWaits(coordinator string) []uint64 {
-	var waits []uint64
 	for sequence, p := range s.pending {
-		if p.class == scheduler.Item && p.queuedAt == coordinator {
-			waits = append(waits, sequence)
+		if p.class == scheduler.Item && p.queuedAt != "" {
+			if r := at(p.group); r.to.VM == p.queuedAt {
+				r.waits = append(r.waits, sequence)
+			}
+			s.reported[p.group] = true
 		}
 	}
-	return waits
+	for key, since := range s.abandoned {
+		if now.Sub(since) > abandonedReportTime {
+			delete(s.abandoned, key)
+		}
+		at(key)
+	}
+	for key := range previous {
+		at(key)
+	}
+	return reports
+}
+
+// groupOf returns the present group of a slot's target, which may have changed since the slot was granted.
+func (s *Service) groupOf(slot *Slot) string {
+	if key := s.division.Of(slot.Target); key != "" {
+		return key
+	}
+	return slot.request.Service
+}
+
+func (s *Slot) run(now time.Time, sequence uint64) scheduler.Run {
+	return scheduler.Run{
+		Sequence: sequence,
+		Class:    s.request.Class,
+		Target:   s.Target,
+		DueIn:    s.request.StartBy.Sub(now),
+		Expected: s.request.Expected,
+	}
 }
 
 func (s *Service) send(to netip.AddrPort, method peer.Method, message any) {
--- a/internal/scheduling/service_test.go
+++ b/internal/scheduling/service_test.go
@@ -32,7 +32,14 @@
 }
 
 func (v fixedMembers) Members() []member.Member { return *v.all }
-func (v fixedMembers) Self() member.Member      { return member.Member{VM: v.self, State: member.Alive} }
+func (v fixedMembers) Self() member.Member {
+	for _, m := range *v.all {
+		if m.VM == v.self {
+			return m
+		}
+	}
+	return member.Member{VM: v.self, State: member.Alive}
+}
 
 // vm is one VM of a fleet.
 type vm struct {
@@ -100,11 +107,17 @@
 
 // startWithRegistry starts VMs of which only some have read the registry of targets.
 func startWithRegistry(t testing.TB, count, targets, slots int, usable func(vm, target string) bool, hasRegistry func(vm string) bool) []*vm {
+	return startInZones(t, 1, count, targets, slots, usable, hasRegistry)
+}
+
+// startInZones starts VMs and targets that are spread evenly over availability zones.
+func startInZones(t testing.TB, zones, count, targets, slots int, usable func(vm, target string) bool, hasRegistry func(vm string) bool) []*vm {
+	zone := func(i int) string { return string(rune('a' + i%zones)) }
 	members := make([]member.Member, count)
 	vms := make([]*vm, count)
 	var list []routing.Target
 	for i := range targets {
-		list = append(list, routing.Target{ID: fmt.Sprintf("t%d", i), Service: service, Address: "10.0.0.1:1", AvailabilityZone: "a", Slots: slots})
+		list = append(list, routing.Target{ID: fmt.Sprintf("t%d", i), Service: service, Address: "10.0.0.1:1", AvailabilityZone: zone(i), Slots: slots})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
@@ -112,10 +125,10 @@
 		name := fmt.Sprintf("vm-%d", i)
 		node, err := datagram.Listen("127.0.0.1:0", name, zerolog.Nop())
 		qt.Assert(t, err, qt.IsNil)
-		members[i] = member.Member{VM: name, State: member.Alive, EntryPeers: node.Address().String()}
+		members[i] = member.Member{VM: name, State: member.Alive, AvailabilityZone: zone(i), EntryPeers: node.Address().String()}
 		lossy, log := &lossyNode{Node: node, sent: map[peer.Method]int{}}, &syncLog{}
 		vms[i] = &vm{name: name, node: node, lossy: lossy, log: log, Service: scheduling.New(scheduling.Config{
-			Process: name + "/1", AvailabilityZone: "a", Node: lossy, Members: fixedMembers{name, &members},
+			Process: name + "/1", AvailabilityZone: zone(i), Node: lossy, Members: fixedMembers{name, &members},
 			Usable: func(target string) bool { return usable(name, target) }, Log: zerolog.New(log),
 		})}
 	}
@@ -144,6 +157,110 @@
 	return vms
 }
 
+// zoneFleet is two availability zones with a group of 20 targets and two VMs each.
+type zoneFleet struct {
+	// coordinators are the VMs that coordinate the groups of zones a and b, and others the other VMs of the zones.
+	coordinators, others map[string]*vm
+}
+
+func startZones(t testing.TB, hasRegistry func(vm string) bool) *zoneFleet {
+	f := &zoneFleet{coordinators: map[string]*vm{}, others: map[string]*vm{}}
+	byName := map[string]*vm{}
+	for _, v := range startInZones(t, 2, 4, 40, 1, always, hasRegistry) {
+		byName[v.name] = v
+	}
+	for zone, names := range map[string][]string{"a": {"vm-0", "vm-2"}, "b": {"vm-1", "vm-3"}} {
+		key := service + "@" + zone
+		if target.Rank(key, names[1]) > target.Rank(key, names[0]) {
+			names[0], names[1] = names[1], names[0]
+		}
+		f.coordinators[zone], f.others[zone] = byName[names[0]], byName[names[1]]
+	}
+	return f
+}
+
+// zoneOf returns the zone of a slot's target.
+func zoneOf(slot *scheduling.Slot) string {
+	var i int
+	_, _ = fmt.Sscanf(slot.Target, "t%d", &i)
+	return string(rune('a' + i%2))
+}
+
+func TestGroups(t *testing.T) {
+	t.Run("serve the requests of their availability zone", func(t *testing.T) {
+		f := startZones(t, func(string) bool { return true })
+		for zone, v := range f.others {
+			slot := acquire(t, v, online())
+			qt.Assert(t, zoneOf(slot), qt.Equals, zone)
+			slot.Release(scheduler.Finished, 0)
+			qt.Assert(t, v.lossy.count("slots.submit"), qt.Equals, 1)
+		}
+	})
+	t.Run("pass requests on when they are full and another is not", func(t *testing.T) {
+		f := startZones(t, func(string) bool { return true })
+		time.Sleep(500 * time.Millisecond)
+		count := map[string]int{}
+		for range 40 {
+			began := time.Now()
+			count[zoneOf(acquire(t, f.others["a"], online()))]++
+			qt.Assert(t, time.Since(began) < time.Second, qt.IsTrue)
+		}
+		qt.Assert(t, count, qt.DeepEquals, map[string]int{"a": 20, "b": 20})
+	})
+	t.Run("take over waiting items when they have spare slots", func(t *testing.T) {
+		f := startZones(t, func(string) bool { return true })
+		var held []*scheduling.Slot
+		for range 20 {
+			acquire(t, f.others["a"], online())
+			held = append(held, acquire(t, f.others["b"], online()))
+		}
+		granted := make(chan *scheduling.Slot, 1)
+		go func() {
+			if slot, err := f.others["a"].Acquire(t.Context(), item()); err == nil {
+				granted <- slot
+			}
+		}()
+		time.Sleep(300 * time.Millisecond)
+		for _, slot := range held {
+			slot.Release(scheduler.Finished, 0)
+		}
+		select {
+		case <-granted:
+		case <-time.After(2 * time.Second):
+			t.Fatal("the item still waits although a slot has become free")
+		}
+	})
+	t.Run("serve the requests of a group whose coordinator does not respond", func(t *testing.T) {
+		f := startZones(t, func(string) bool { return true })
+		qt.Assert(t, f.coordinators["a"].node.Close(), qt.IsNil)
+		began := time.Now()
+		slot := acquire(t, f.others["a"], online())
+		qt.Assert(t, zoneOf(slot), qt.Equals, "b")
+		qt.Assert(t, time.Since(began) < time.Second, qt.IsTrue)
+		// After longer silence the other VM of the zone coordinates it.
+		for deadline := time.Now().Add(5 * time.Second); zoneOf(slot) != "a"; time.Sleep(50 * time.Millisecond) {
+			qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
+			slot.Release(scheduler.Finished, 0)
+			slot = acquire(t, f.others["a"], online())
+		}
+	})
+	t.Run("are found by a VM that has not read the registry", func(t *testing.T) {
+		f := startZones(t, func(vm string) bool { return vm != "vm-0" })
+		for _, v := range []*vm{f.coordinators["a"], f.others["a"]} {
+			acquire(t, v, online()).Release(scheduler.Finished, 0)
+		}
+	})
+}
+
+func TestIdleVMSendsNoReports(t *testing.T) {
+	vms := start(t, 3, 1, 1, always)
+	acquire(t, vms[1], online()).Release(scheduler.Finished, 0)
+	time.Sleep(time.Second)
+	before := vms[1].lossy.count("slots.report")
+	time.Sleep(time.Second)
+	qt.Assert(t, vms[1].lossy.count("slots.report"), qt.Equals, before)
+}
+
 // A target that leaves may still be registered as ready, and its coordinator may not have heard that it leaves.
 func TestLeavingTargetIsNotGranted(t *testing.T) {
 	vms := start(t, 3, 2, 4, always)
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -63,92 +63,178 @@
 	s.mu.Unlock()
 	request.Ticket = scheduler.Ticket{VM: s.config.Process, Sequence: sequence}
 	request.AvailabilityZone = s.config.AvailabilityZone
-	slot, err := s.await(ctx, p, request)
+	a := &acquisition{service: s, pending: p, request: request, name: request.Service}
+	slot, err := a.await(ctx)
 	s.mu.Lock()
 	delete(s.pending, sequence)
+	p.releaseUnusedGrants(s)
 	s.mu.Unlock()
 	if err != nil && ctx.Err() != nil {
-		s.release(request, scheduler.Abandoned, 0)
+		s.release(a.request, scheduler.Abandoned, 0)
 	}
 	return slot, err
 }
 
-// await submits the request until a coordinator decides on it.
-func (s *Service) await(ctx context.Context, p *pending, request scheduler.Request) (*Slot, error) {
+// releaseUnusedGrants releases the grants of coordinators that the request was sent to before the last one.
+func (p *pending) releaseUnusedGrants(s *Service) {
+	for {
+		select {
+		case r := <-p.responses:
+			if r.grant != nil {
+				s.onGrant(r.from, *r.grant)
+			}
+		default:
+			return
+		}
+	}
+}
+
+// acquisition is a request that is submitted until a coordinator decides on it.
+type acquisition struct {
+	service *Service
+	pending *pending
+	// request is sent to the group request.Service of the service with this name.
+	request scheduler.Request
+	name    string
+	// redirects counts the coordinators that have sent the request to another group.
+	redirects int
+	// coordinator is the VM that the request was last sent to, and unanswered the number of sends without a response.
+	coordinator string
+	unanswered  int
+}
+
+func (a *acquisition) await(ctx context.Context) (*Slot, error) {
+	s := a.service
 	timer := time.NewTimer(submitInterval)
 	defer timer.Stop()
-	coordinator, unanswered := s.submit(request), 1
+	a.sendTo(s.lockedChooseGroup(a.name, a.request.AvailabilityZone))
 	for {
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case r := <-p.responses:
-			if r.from == coordinator {
-				unanswered = 0
+		case r := <-a.pending.responses:
+			next, slot, err := a.handle(r)
+			if slot != nil || err != nil {
+				return slot, err
 			}
-			if r.unknown {
-				if r.from == coordinator {
-					coordinator, unanswered = s.submit(request), 1
-					timer.Reset(submitInterval)
-				}
-				continue
-			}
-			if r.refuse != nil && r.refuse.Reason == scheduler.NoRegistry && s.startBackoffUnlessSelf(r.from, "it has not read the registry of targets") {
-				coordinator, unanswered = s.submit(request), 1
-				timer.Reset(submitInterval)
-				continue
-			}
-			if r.refuse != nil {
-				return nil, &RefusedError{
-					Reason:      r.refuse.Reason,
-					RetryAfter:  r.refuse.RetryAfter,
-					Coordinator: r.from,
-					Ahead:       r.refuse.Ahead,
-					Slots:       r.refuse.Slots,
-				}
-			}
-			if r.grant != nil {
-				return s.newSlot(request, r.grant), nil
-			}
-			timer.Reset(renewInterval)
+			timer.Reset(next)
 		case <-timer.C:
-			if s.isRenewedByReports(p, request) {
-				timer.Reset(renewInterval)
-				continue
-			}
-			if unanswered >= maxUnansweredSends {
-				s.startBackoffUnlessSelf(coordinator, "it does not respond")
-				unanswered = 0
-			}
-			previous := coordinator
-			if coordinator = s.submit(request); coordinator != previous {
-				unanswered = 0
-			}
-			unanswered++
-			timer.Reset(submitInterval)
+			timer.Reset(a.resubmit())
+		}
+	}
+}
+
+// sendTo sends the request to the coordinator of a group.
+func (a *acquisition) sendTo(key string) {
+	a.request.Service = key
+	a.coordinator, a.unanswered = a.service.submit(a.request, a.redirects), 1
+}
+
+// handle processes a response. It returns the time until the request is submitted again if there is none.
+func (a *acquisition) handle(r response) (next time.Duration, slot *Slot, err error) {
+	s := a.service
+	if r.from == a.coordinator {
+		a.unanswered = 0
+	}
+	switch {
+	case r.unknown && r.from != a.coordinator:
+	case r.unknown:
+		a.sendTo(a.request.Service)
+		return submitInterval, nil, nil
+	case r.refuse != nil && r.refuse.Reason == scheduler.Redirected:
+		a.redirects++
+		a.sendTo(r.refuse.Group)
+		return submitInterval, nil, nil
+	case r.refuse != nil && r.refuse.Reason == scheduler.NoRegistry && s.startBackoffUnlessSelf(r.from, "it has not read the registry of targets", true):
+		a.sendTo(a.request.Service)
+		return submitInterval, nil, nil
+	case r.refuse != nil:
+		return 0, nil, &RefusedError{
+			Reason:      r.refuse.Reason,
+			RetryAfter:  r.refuse.RetryAfter,
+			Coordinator: r.from,
+			Ahead:       r.refuse.Ahead,
+			Slots:       r.refuse.Slots,
+		}
+	case r.grant != nil:
+		return 0, s.newSlot(a.request, r.grant), nil
+	}
+	return renewInterval, nil, nil
+}
+
+// resubmit renews the wait, or sends the request again if there was no response. It returns the time until the next call.
+func (a *acquisition) resubmit() time.Duration {
+	s := a.service
+	if s.isRenewedByReports(a.pending, a.request) {
+		return renewInterval
+	}
+	if a.unanswered >= maxUnansweredSends {
+		if key := s.leaveCoordinator(a); key != a.request.Service {
+			// The coordinator may only be late, and must not grant a slot that is not used.
+			s.release(a.request, scheduler.Abandoned, 0)
+			a.sendTo(key)
+			return submitInterval
 		}
+		a.unanswered = 0
+	}
+	unanswered, previous := a.unanswered, a.coordinator
+	a.sendTo(a.request.Service)
+	if a.coordinator == previous {
+		a.unanswered = unanswered + 1
+	}
+	return submitInterval
+}
+
+func (s *Service) lockedChooseGroup(service, zone string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.chooseGroup(time.Now(), service, zone)
+}
+
+// leaveCoordinator starts the backoff of a coordinator that does not respond, and returns the group to try next: another
+// one, or the same if its coordinator is replaced or no other coordinator responds either.
+func (s *Service) leaveCoordinator(a *acquisition) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if a.coordinator != s.vm {
+		s.startBackoff(now, a.coordinator, "it does not respond", len(s.division.Groups(a.name)) <= 1)
+	}
+	if !s.avoids(now, a.request.Service) {
+		return a.request.Service
 	}
+	key := s.chooseGroup(now, a.name, a.request.AvailabilityZone)
+	if s.avoids(now, key) {
+		s.backoffs[a.coordinator].replaced = true
+		clear(s.coordinators)
+		return a.request.Service
+	}
+	return key
 }
 
 // isRenewedByReports reports whether the reports renew an item's wait at the current coordinator.
 func (s *Service) isRenewedByReports(p *pending, request scheduler.Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return p.class == scheduler.Item && p.queuedAt == s.coordinator(time.Now(), request.Service).VM
+	now := time.Now()
+	return p.class == scheduler.Item && p.queuedAt == s.coordinator(now, request.Service).VM && !s.avoids(now, request.Service)
 }
 
 // startBackoffUnlessSelf starts the backoff of a coordinator. It reports false if the coordinator is this VM.
-func (s *Service) startBackoffUnlessSelf(vm, reason string) bool {
-	if vm == s.config.Members.Self().VM {
+func (s *Service) startBackoffUnlessSelf(vm, reason string, replace bool) bool {
+	if vm == s.vm {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.startBackoff(time.Now(), vm, reason)
+	s.startBackoff(time.Now(), vm, reason, replace)
 	return true
 }
 
 func (s *Service) newSlot(request scheduler.Request, grant *grantMessage) *Slot {
+	if grant.Group != "" {
+		request.Service = grant.Group
+	}
 	preempted := make(chan struct{})
 	slot := &Slot{
 		Target:    grant.Target,
@@ -171,6 +257,7 @@
 	s.releaseOnce.Do(func() {
 		s.service.mu.Lock()
 		delete(s.service.runs, s.sequence)
+		s.request.Service = s.service.groupOf(s)
 		s.service.mu.Unlock()
 		s.service.release(s.request, outcome, firstEvent)
 	})
@@ -180,43 +267,47 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if outcome == scheduler.Abandoned {
+		s.abandoned[request.Service] = now
+	}
 	c := s.coordinator(now, request.Service)
-	if c.VM == s.config.Members.Self().VM {
+	if c.VM == s.vm {
 		s.execute(s.scheduler.Release(now, request.Ticket, outcome, firstEvent))
 		return
 	}
 	s.send(c.address, methodRelease, releaseMessage{Ticket: request.Ticket, Outcome: outcome, FirstEvent: firstEvent})
 }
 
-// submit sends the request to the current coordinator, and returns its name.
-func (s *Service) submit(request scheduler.Request) string {
+// submit sends the request to the current coordinator of its group, and returns its name.
+func (s *Service) submit(request scheduler.Request, redirects int) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if p := s.pending[request.Ticket.Sequence]; p != nil {
+		p.group = request.Service
+	}
 	c := s.coordinator(now, request.Service)
-	if c.VM == s.config.Members.Self().VM {
-		actions := s.scheduler.Submit(now, request)
-		if !decides(actions, request.Ticket) {
-			s.deliverResponse(request.Ticket.Sequence, response{from: c.VM})
-		}
-		s.execute(actions)
+	if c.VM == s.vm {
+		s.submitHere(now, request, redirects)
 		return c.VM
 	}
-	s.send(c.address, methodSubmit, submitMessage{
-		Ticket:           request.Ticket,
-		Class:            request.Class,
-		Service:          request.Service,
-		AvailabilityZone: request.AvailabilityZone,
-		Tried:            request.Tried,
-		StartIn:          request.StartBy.Sub(now),
-		ExpiresIn:        request.Expires.Sub(now),
-		Expected:         request.Expected,
-		Retry:            request.Retry,
-		RetryWithin:      request.RetryWithin,
-	})
+	s.send(c.address, methodSubmit, newSubmitMessage(now, request, redirects))
 	return c.VM
 }
 
+// submitHere submits a request of this VM to its own scheduler.
+func (s *Service) submitHere(now time.Time, request scheduler.Request, redirects int) {
+	if key, redirected := s.redirect(now, request, redirects); redirected {
+		s.onRefuse(s.vm, refuseMessage{Sequence: request.Ticket.Sequence, Reason: scheduler.Redirected, Group: key})
+		return
+	}
+	actions := s.scheduler.Submit(now, request)
+	if !decides(actions, request.Ticket) {
+		s.deliverResponse(request.Ticket.Sequence, response{from: s.vm})
+	}
+	s.execute(actions)
+}
+
 // deliverResponse passes a response to its request, and reports whether the request still waits.
 func (s *Service) deliverResponse(sequence uint64, r response) bool {
 	p := s.pending[sequence]
@@ -238,14 +329,24 @@
 }
 
 func (s *Service) onGrant(from string, m grantMessage) {
-	if s.deliverResponse(m.Sequence, response{from: from, grant: &m}) || s.runs[m.Sequence] != nil {
+	if s.deliverResponse(m.Sequence, response{from: from, grant: &m}) {
+		return
+	}
+	if run := s.runs[m.Sequence]; run != nil && run.Target == m.Target {
 		return
 	}
-	// The request was abandoned, so its slot is released. If the release is lost, the next report, which lacks the
-	// run, frees the slot.
+	// The request was abandoned or runs elsewhere, so the slot is released. If the release is lost, the next report,
+	// which lacks the run, frees the slot.
+	if m.Group != "" {
+		s.abandoned[m.Group] = time.Now()
+	}
 	ticket := scheduler.Ticket{VM: s.config.Process, Sequence: m.Sequence}
+	if from == s.vm {
+		s.execute(s.scheduler.Release(time.Now(), ticket, scheduler.Abandoned, 0))
+		return
+	}
 	for _, mem := range s.config.Members.Members() {
-		if mem.VM != from || mem.VM == s.config.Members.Self().VM {
+		if mem.VM != from {
 			continue
 		}
 		if address, ok := peerAddress(mem); ok {
--- a/member/message.go
+++ b/member/message.go
@@ -50,6 +50,7 @@
 	EntryPeers       string `cbor:"4,keyasint"`
 	BatchPeers       string `cbor:"5,keyasint"`
 	OperatorPeers    string `cbor:"6,keyasint"`
+	Millicores       int    `cbor:"7,keyasint,omitempty"`
 }
 
 func contactOf(m Member) *Contact {
@@ -60,6 +61,7 @@
 		EntryPeers:       m.EntryPeers,
 		BatchPeers:       m.BatchPeers,
 		OperatorPeers:    m.OperatorPeers,
+		Millicores:       m.Millicores,
 	}
 }
 
@@ -70,12 +72,13 @@
 	m.EntryPeers = c.EntryPeers
 	m.BatchPeers = c.BatchPeers
 	m.OperatorPeers = c.OperatorPeers
+	m.Millicores = c.Millicores
 }
 
 // Upper bounds of the encoded size of an update and its contact without their strings, in bytes.
 const (
 	updateOverheadBytes  = 24
-	contactOverheadBytes = 20
+	contactOverheadBytes = 26
 )
 
 // size returns an upper bound of the update's encoded size in bytes.
--- a/member/types.go
+++ b/member/types.go
@@ -34,6 +34,8 @@
 	EntryPeers    string `cbor:"7,keyasint"`
 	BatchPeers    string `cbor:"8,keyasint"`
 	OperatorPeers string `cbor:"9,keyasint"`
+	// Millicores is the VM's processor share in thousandths of a core. Zero means unknown.
+	Millicores int `cbor:"10,keyasint,omitempty"`
 }
 
 // View provides the members known to this VM, itself included.
--- a/scheduler/loads.go
+++ b/scheduler/loads.go
@@ -14,6 +14,69 @@
 	Targets, Usable, PendingRetries int
 }
 
+// Capacity is what a service can take now.
+type Capacity struct {
+	// Slots is the number of slots of usable targets.
+	Slots int
+	// Open is the number of slots that online requests could get at once: free ones, and those of items that would be
+	// preempted for them. Spare is the number that items could get beyond the headroom.
+	Open, Spare int
+	// Waiting is the number of queued online requests.
+	Waiting int
+}
+
+// Capacity returns what a service can take now.
+func (s *Scheduler) Capacity(now time.Time, service string) Capacity {
+	p := s.pools[service]
+	if p == nil {
+		return Capacity{}
+	}
+	c := Capacity{Slots: p.usableSlots(now), Waiting: len(p.online)}
+	free, items, protected := p.freeSlots(now), 0, 0
+	for _, t := range p.targets {
+		if t.probing || !p.usable(now, t) {
+			continue
+		}
+		for _, r := range t.runs {
+			if r.class != Item || r.preempted {
+				continue
+			}
+			items++
+			if s.isNearlyDue(r.slack(now)) {
+				protected++
+			}
+		}
+	}
+	if len(p.online) == 0 {
+		c.Open = free + items - min(protected, int(s.config.ProtectedShare*float64(c.Slots)))
+	}
+	if len(p.items) == 0 {
+		c.Spare = max(free-s.headroom(now, p), 0)
+	}
+	return c
+}
+
+// Withdraw removes up to n waiting requests of a class, so that they can be sent to another coordinator: the online
+// requests that would wait longest, or the items that are due first.
+func (s *Scheduler) Withdraw(now time.Time, service string, class Class, n int) []Ticket {
+	p := s.pools[service]
+	if p == nil {
+		return nil
+	}
+	list := slices.Clone(p.online)
+	slices.Reverse(list)
+	if class == Item {
+		list = slices.Clone(p.items)
+		sortItems(now, list)
+	}
+	var tickets []Ticket
+	for _, w := range list[:min(n, len(list))] {
+		s.dequeue(w)
+		tickets = append(tickets, w.Ticket)
+	}
+	return tickets
+}
+
 // Loads returns the loads of all services, sorted by name.
 func (s *Scheduler) Loads(now time.Time) []Load {
 	loads := make([]Load, 0, len(s.pools))
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -114,6 +114,8 @@
 	NoTarget Reason = "no_target_available"
 	// NoRegistry means that the coordinator has not read the registry of targets yet and cannot decide.
 	NoRegistry Reason = "targets_not_read"
+	// Redirected means that another coordinator has free slots; the request is sent there.
+	Redirected Reason = "redirected"
 	// Overloaded means that the request could not have started in time.
 	Overloaded Reason = "overloaded"
 	// StartDeadlineExceeded means that the request waited longer than estimated.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -344,12 +344,37 @@
 			unknown = append(unknown, sequence)
 		}
 	}
+	freed := map[*pool]bool{}
 	for ticket, r := range s.running {
 		if ticket.VM == vm && !reported[ticket.Sequence] && now.Sub(r.granted) > s.config.ReportGrace {
 			s.endRun(r)
+			freed[r.target.pool] = true
 		}
 	}
-	return append(actions, s.Tick(now)...), unknown
+	for p := range freed {
+		actions = append(actions, s.dispatch(now, p)...)
+	}
+	return actions, unknown
+}
+
+// Knows reports whether a request holds a slot or waits for one.
+func (s *Scheduler) Knows(ticket Ticket) bool {
+	return s.running[ticket] != nil || s.waiting[ticket] != nil
+}
+
+// Holds reports whether any request of a VM holds a slot or waits for one.
+func (s *Scheduler) Holds(vm string) bool {
+	for ticket := range s.running {
+		if ticket.VM == vm {
+			return true
+		}
+	}
+	for ticket := range s.waiting {
+		if ticket.VM == vm {
+			return true
+		}
+	}
+	return false
 }
 
 // restore records a run that another coordinator has granted.
