--- a/group/choose.go
+++ b/group/choose.go
@@ -13,8 +13,9 @@
 type Load struct {
 	// Slots is the number of slots of usable targets.
 	Slots int
-	// Open is the number of slots that online requests could get at once, and Spare the number that items could get.
-	Open, Spare int
+	// Free is the number of free slots, and Spare the number of these beyond what is kept for online requests. Open is the
+	// number of slots that online requests could get at once, also by preempting items.
+	Free, Spare, Open int
 	// Waiting is the number of online requests in the queue.
 	Waiting int
 	// At is when the load was received.
@@ -47,18 +48,12 @@
 	return ""
 }
 
-// Redirect decides whether a request that would have to wait in a group is sent to another one instead, and to which. A
-// group of which another coordinator has said that it has free slots is chosen in proportion to these, because several
-// coordinators redirect at the same time; without any, an online request goes to the group with the shortest queue if it
-// is less than half as long.
+// Redirect decides whether a request is sent on from its group to another one, and to which. Requests leave a group that
+// has no slot for them without preempting an item, if another one has slots to spare; online requests also leave one in
+// which they would have to wait, for one in which they would not, or only in a queue less than half as long. Of several
+// groups one is chosen in proportion to the slots, because several coordinators redirect at the same time.
 func (d *Division) Redirect(own *Group, load Load, loads map[string]Load, item bool, now time.Time, random *rand.Rand) (string, bool) {
-	available := func(l Load) int {
-		if item {
-			return l.Spare
-		}
-		return l.Open
-	}
-	if available(load) > 0 {
+	if !item && load.Free > 0 || item && load.Spare > 0 {
 		return "", false
 	}
 	var others []*Group
@@ -67,12 +62,15 @@
 			others = append(others, g)
 		}
 	}
-	if g := pick(others, func(g *Group) int { return max(available(loads[g.Key]), 0) }, random); g != nil {
+	if g := pick(others, func(g *Group) int { return max(loads[g.Key].Spare, 0) }, random); g != nil {
 		return g.Key, true
 	}
-	if item {
+	if item || load.Open > 0 {
 		return "", false
 	}
+	if g := pick(others, func(g *Group) int { return max(loads[g.Key].Open, 0) }, random); g != nil {
+		return g.Key, true
+	}
 	var best *Group
 	for _, g := range others {
 		if best == nil || loads[g.Key].waitRatio() < loads[best.Key].waitRatio() {
--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -177,6 +177,8 @@
 		}
 	case errors.Is(err, errSlotPreempted):
 		itemsPreempted.Inc()
+		s.config.Log.Info().Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).Int("events", state.Events-eventsBefore).
+			Dur("ran_ms", time.Since(began)).Msg("item preempted: its slot was needed for an online request; it continues in another slot")
 	case ctx.Err() == nil:
 		state.tried = []string{slot.Target}
 		s.config.Log.Info().AnErr("cause", err).Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -172,18 +172,6 @@
 	s.send(from.Address, methodReportAck, reportAckMessage{Unknown: unknown})
 }
 
-// ReportLeaving tells the coordinator of a target's service that the target is leaving.
-func (s *Service) ReportLeaving(id string, startedUnixMilli int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.scheduler.ReportDraining(id, startedUnixMilli)
-	for _, service := range s.services {
-		if c := s.coordinator(time.Now(), service); c.VM != s.config.Members.Self().VM {
-			s.send(c.address, methodLeaving, leavingMessage{Target: id, StartedUnixMilli: startedUnixMilli})
-		}
-	}
-}
-
 func decides(actions []scheduler.Action, ticket scheduler.Ticket) bool {
 	for _, a := range actions {
 		switch a := a.(type) {
--- a/internal/scheduling/groups.go
+++ b/internal/scheduling/groups.go
@@ -53,28 +53,24 @@
 	}
 	key, redirected = s.division.Redirect(own, loadOf(s.scheduler.Capacity(now, own.Key), now), s.loads, r.Class == scheduler.Item, now, s.random)
 	if redirected {
-		s.takeFrom(key, r.Class)
+		s.takeFrom(key)
 	}
 	return key, redirected
 }
 
 // takeFrom reduces the last known load of another group by a request that is sent there.
-func (s *Service) takeFrom(key string, class scheduler.Class) {
+func (s *Service) takeFrom(key string) {
 	l := s.loads[key]
-	if class == scheduler.Item {
-		l.Spare--
-	} else {
-		l.Open--
-	}
+	l.Spare, l.Open = l.Spare-1, l.Open-1
 	s.loads[key] = l
 }
 
 func loadOf(c scheduler.Capacity, at time.Time) group.Load {
-	return group.Load{Slots: c.Slots, Open: c.Open, Spare: c.Spare, Waiting: c.Waiting, At: at}
+	return group.Load{Slots: c.Slots, Free: c.Free, Spare: c.Spare, Open: c.Open, Waiting: c.Waiting, At: at}
 }
 
 func (s *Service) onLoad(m loadMessage) {
-	s.loads[m.Group] = group.Load{Slots: m.Slots, Open: m.Open, Spare: m.Spare, Waiting: m.Waiting, At: time.Now()}
+	s.loads[m.Group] = group.Load{Slots: m.Slots, Free: m.Free, Spare: m.Spare, Open: m.Open, Waiting: m.Waiting, At: time.Now()}
 }
 
 // shareLoads tells the coordinators of other groups the loads of the groups that this VM coordinates, and sends waiting
@@ -98,7 +94,7 @@
 		for _, other := range others {
 			if c := s.coordinator(now, other.Key); !told[c.VM] {
 				told[c.VM] = true
-				s.send(c.address, methodLoad, loadMessage{Group: key, Slots: load.Slots, Open: load.Open, Spare: load.Spare, Waiting: load.Waiting})
+				s.send(c.address, methodLoad, loadMessage{Group: key, Slots: load.Slots, Open: load.Open, Spare: load.Spare, Waiting: load.Waiting, Free: load.Free})
 			}
 		}
 		s.redirectWaiting(now, own, load, scheduler.Online)
@@ -109,19 +105,15 @@
 // redirectWaiting sends waiting requests of a group without free slots to groups that have some.
 func (s *Service) redirectWaiting(now time.Time, own *group.Group, load group.Load, class scheduler.Class) {
 	for {
-		key, ok := s.division.Redirect(own, load, s.loads, true, now, s.random)
-		if class == scheduler.Online {
-			key, ok = s.division.Redirect(own, load, s.loads, false, now, s.random)
-			ok = ok && s.loads[key].Open > 0
-		}
-		if !ok {
+		key, ok := s.division.Redirect(own, load, s.loads, class == scheduler.Item, now, s.random)
+		if !ok || s.loads[key].Open <= 0 {
 			return
 		}
 		tickets := s.scheduler.Withdraw(now, own.Key, class, 1)
 		if len(tickets) == 0 {
 			return
 		}
-		s.takeFrom(key, class)
+		s.takeFrom(key)
 		s.sendElsewhere(tickets[0], key)
 	}
 }
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -128,4 +128,5 @@
 	Open    int    `cbor:"3,keyasint,omitempty"`
 	Spare   int    `cbor:"4,keyasint,omitempty"`
 	Waiting int    `cbor:"5,keyasint,omitempty"`
+	Free    int    `cbor:"6,keyasint,omitempty"`
 }
--- a/scheduler/loads.go
+++ b/scheduler/loads.go
@@ -18,9 +18,9 @@
 type Capacity struct {
 	// Slots is the number of slots of usable targets.
 	Slots int
-	// Open is the number of slots that online requests could get at once: free ones, and those of items that would be
-	// preempted for them. Spare is the number that items could get beyond the headroom.
-	Open, Spare int
+	// Free is the number of free slots, and Spare the number of these beyond the headroom. Open is the number of slots that
+	// online requests could get at once: free ones, and those of items that would be preempted for them.
+	Free, Spare, Open int
 	// Waiting is the number of queued online requests.
 	Waiting int
 }
@@ -32,7 +32,9 @@
 		return Capacity{}
 	}
 	c := Capacity{Slots: p.usableSlots(now), Waiting: len(p.online)}
-	free, items, protected := p.freeSlots(now), 0, 0
+	c.Free = p.freeSlots(now)
+	c.Spare = max(c.Free-s.headroom(now, p), 0)
+	items, protected := 0, 0
 	for _, t := range p.targets {
 		if t.probing || !p.usable(now, t) {
 			continue
@@ -48,10 +50,7 @@
 		}
 	}
 	if len(p.online) == 0 {
-		c.Open = free + items - min(protected, int(s.config.ProtectedShare*float64(c.Slots)))
-	}
-	if len(p.items) == 0 {
-		c.Spare = max(free-s.headroom(now, p), 0)
+		c.Open = c.Free + items - min(protected, int(s.config.ProtectedShare*float64(c.Slots)))
 	}
 	return c
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -344,6 +344,7 @@
 			unknown = append(unknown, sequence)
 		}
 	}
+	s.dropExpiredWaits(now)
 	freed := map[*pool]bool{}
 	for ticket, r := range s.running {
 		if ticket.VM == vm && !reported[ticket.Sequence] && now.Sub(r.granted) > s.config.ReportGrace {
@@ -409,14 +410,18 @@
 	return s.Tick(now)
 }
 
-// Tick drops expired requests and grants slots that have become available.
-func (s *Scheduler) Tick(now time.Time) []Action {
-	var actions []Action
+func (s *Scheduler) dropExpiredWaits(now time.Time) {
 	for _, w := range s.waiting {
 		if now.Sub(w.renewed) > s.config.WaitLease {
 			s.dequeue(w)
 		}
 	}
+}
+
+// Tick drops expired requests and grants slots that have become available.
+func (s *Scheduler) Tick(now time.Time) []Action {
+	var actions []Action
+	s.dropExpiredWaits(now)
 	// A Preempt may be lost or overtake its Grant, so it is repeated until the run has ended.
 	for ticket, r := range s.running {
 		if r.preempted {
