Log: bounded lines about members and targets that change together

Change: eight lines a second about members, and one line with the removed IDs when more than eight targets change at once. The test about targets fails before (200 lines); that of members is left to zerolog's sampler.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -253,15 +253,32 @@
 	}
 }
 
+// maxLoggedTargets is the number of targets with a log line each when they change at the same time.
+const maxLoggedTargets = 8
+
+func (s *Service) logChanges(changed, removed []string) {
+	if len(changed)+len(removed) > maxLoggedTargets {
+		slices.Sort(removed)
+		s.config.Log.Info().Int("registered", len(changed)).Strs("removed", removed).Int("targets", len(s.targets)).Msg("many targets changed")
+		return
+	}
+	for _, id := range changed {
+		t := s.targets[id]
+		s.config.Log.Info().Str("target", id).Str("service", t.Service).Str("address", t.Address).Bool("draining", t.Draining).Msg("target registered")
+	}
+	for _, id := range removed {
+		s.config.Log.Info().Str("target", id).Msg("target removed")
+	}
+}
+
 // publish calls OnTargets if the targets have changed or it has not been called yet.
 func (s *Service) publish() {
 	before := s.targets
 	s.targets = s.registry.Targets()
-	changed := false
+	var changed, removed []string
 	for id, t := range s.targets {
 		if old, known := before[id]; !known || old != t {
-			changed = true
-			s.config.Log.Info().Str("target", id).Str("service", t.Service).Str("address", t.Address).Bool("draining", t.Draining).Msg("target registered")
+			changed = append(changed, id)
 		}
 	}
 	now := time.Now()
@@ -272,14 +289,14 @@
 	}
 	for id := range before {
 		if _, known := s.targets[id]; !known {
-			changed = true
+			removed = append(removed, id)
 			s.goneSince[id] = now
 			delete(s.targetRows, id)
-			s.config.Log.Info().Str("target", id).Msg("target removed")
 		}
 	}
 	s.updateLeaving()
-	if !changed && s.published {
+	s.logChanges(changed, removed)
+	if len(changed)+len(removed) == 0 && s.published {
 		return
 	}
 	s.published = true
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -135,6 +136,26 @@
 	})
 }
 
+// At the planned size every VM reads hundreds of targets when it starts.
+func TestLogIsBoundedWhenManyTargetsChange(t *testing.T) {
+	var output strings.Builder
+	state := memory.New()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{t: t, state: state}
+		for i := range 200 {
+			f.register(fmt.Sprintf("t%d", i), "ready")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		service := discovery.New(discovery.Config{Rows: state, Log: zerolog.New(&output), OnTargets: func([]routing.Target) {}})
+		go service.Run(ctx)
+		time.Sleep(propagationDelay)
+		cancel()
+		synctest.Wait()
+	})
+	qt.Assert(t, strings.Count(output.String(), "\n") <= 2, qt.IsTrue, qt.Commentf("%s", output.String()))
+	qt.Assert(t, output.String(), qt.Contains, `"registered":200`)
+}
+
 func TestDrainingOrRemovedTargetIsNotUsable(t *testing.T) {
 	run(t, func(f *fixture) {
 		f.register("a", "ready")
--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -52,9 +52,14 @@
 	Log      zerolog.Logger
 }
 
+// changeLogBurst is the number of lines per second about changed members. When all VMs start together, each of them learns
+// of all others within seconds; the number of members in the next line tells what was not logged.
+const changeLogBurst = 8
+
 // Service runs the membership protocol and maintains this VM's view of the members.
 type Service struct {
-	cfg Config
+	cfg       Config
+	changeLog zerolog.Logger
 
 	mu         sync.Mutex
 	machine    *member.Machine
@@ -94,6 +99,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{
 		cfg:            cfg,
+		changeLog:      cfg.Log.Sample(&zerolog.BurstSampler{Burst: changeLogBurst, Period: time.Second}),
 		machine:        member.New(cfg.Protocol, cfg.Self, random, now),
 		syncing:        map[string]struct{}{},
 		wake:           make(chan struct{}, 1),
@@ -232,7 +238,7 @@
 func (s *Service) publishMembers() {
 	members := s.machine.Members()
 	for _, m := range changedMembers(s.members, members) {
-		s.cfg.Log.Info().Str("member", m.VM).Stringer("state", m.State).Uint64("incarnation", m.Incarnation).Msg("member changed")
+		s.changeLog.Info().Str("member", m.VM).Stringer("state", m.State).Uint64("incarnation", m.Incarnation).Int("members", len(members)).Msg("member changed")
 	}
 	s.members = members
 	updateMetrics(members, s.machine.Score())
