--- a/group/group_test.go
+++ b/group/group_test.go
@@ -188,3 +188,28 @@
 		})
 	}
 }
+
+// With one coordinator for a service, its VM handles every request however many VMs there are. Here the load of the busiest
+// VM stays about the same from the smallest fleet that is divided to the planned size.
+func TestNoVMCoordinatesALoadThatGrowsWithTheFleet(t *testing.T) {
+	for _, size := range []struct{ vms, targets, zones int }{{12, 20, 3}, {79, 71, 3}, {295, 122, 5}, {360, 830, 8}, {1000, 2300, 8}} {
+		t.Run(fmt.Sprintf("%d VMs before %d targets", size.vms, size.targets), func(t *testing.T) {
+			d := group.Divide(fleet(size.targets, size.zones))
+			coordinated := map[string]int{}
+			for _, g := range d.Groups(service) {
+				qt.Check(t, g.Targets <= 48, qt.IsTrue, qt.Commentf("%d targets in %s", g.Targets, g.Key))
+				best, candidate := "", group.Candidate{}
+				for i := range size.vms {
+					m := member.Member{VM: fmt.Sprintf("vm-%d", i), State: member.Alive, AvailabilityZone: fmt.Sprintf("az-%d", i%size.zones), Millicores: 800}
+					if c := group.NewCandidate(g.Key, m, true); best == "" || c.Better(candidate) {
+						best, candidate = m.VM, c
+					}
+				}
+				coordinated[best] += g.Targets
+			}
+			for vm, targets := range coordinated {
+				qt.Check(t, targets <= 96, qt.IsTrue, qt.Commentf("%s coordinates %d targets", vm, targets))
+			}
+		})
+	}
+}
