scheduling: responses of a coordinator that the request has left are ignored; docs of the groups

Cause (by reading): a repeated submission can be redirected twice, and the second redirect would send the request on again. A coordinator that the VM itself replaced meanwhile could be missing from the backoffs.

--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -137,7 +137,8 @@
 		a.unanswered = 0
 	}
 	switch {
-	case r.unknown && r.from != a.coordinator:
+	case r.from != a.coordinator && (r.unknown || r.refuse != nil && r.refuse.Reason == scheduler.Redirected):
+		// The request has been sent elsewhere since.
 	case r.unknown:
 		a.sendTo(a.request.Service)
 		return submitInterval, nil, nil
@@ -205,7 +206,7 @@
 	}
 	key := s.chooseGroup(now, a.name, a.request.AvailabilityZone)
 	if s.avoids(now, key) {
-		s.backoffs[a.coordinator].replaced = true
+		s.backoffs[s.coordinator(now, a.request.Service).VM].replaced = true
 		clear(s.coordinators)
 		return a.request.Service
 	}
