job: a preempted item waits a second before it continues

The poison item was preempted while it crashed the first one and ran again, in an ordinary slot beside the suspect, before the crash was seen. Change: job.Policy.PreemptionDelay, 1 s, the time for which a cancelled run counts as evidence. Other items use the slot.

--- a/job/policy.go
+++ b/job/policy.go
@@ -12,6 +12,9 @@
 	RetryDelay time.Duration
 	// MaxRetryDelay bounds the wait between tries. Default 30s.
 	MaxRetryDelay time.Duration
+	// PreemptionDelay is the wait before an item continues that was preempted. If it has crashed its target, that is known by
+	// then, and it continues apart from other suspects. Default 1s.
+	PreemptionDelay time.Duration
 	// SegmentItems is the number of results that are written together. Default 64.
 	SegmentItems int
 	// SegmentAge is the longest time that a result waits to be written. Default 10s.
@@ -26,6 +29,7 @@
 	setDefault(&p.MaxRefusals, 100)
 	setDefault(&p.RetryDelay, 500*time.Millisecond)
 	setDefault(&p.MaxRetryDelay, 30*time.Second)
+	setDefault(&p.PreemptionDelay, time.Second)
 	setDefault(&p.SegmentItems, 64)
 	setDefault(&p.SegmentAge, 10*time.Second)
 	setDefault(&p.IntentItems, 16)
--- a/job/run.go
+++ b/job/run.go
@@ -180,6 +180,7 @@
 	}
 	r.items[index].partial = partial
 	r.items[index].state = itemPending
+	r.items[index].notBefore = now.Add(r.policy.PreemptionDelay)
 	return partial.Text != ""
 }
 
--- a/job/run_test.go
+++ b/job/run_test.go
@@ -108,6 +108,19 @@
 	qt.Assert(t, run.TakeSuspect(d.Index, now), qt.IsFalse)
 }
 
+// A crash of its last target may become known only after the item was stopped there. If it ran again before, it could
+// crash the next target beside a suspect of the first crash.
+func TestPreemptedItemContinuesAfterADelay(t *testing.T) {
+	run, now := newTestRun(t, 1, true)
+	d, _ := run.Next(now)
+	run.Preempted(d.Index, Partial{Text: "part", Tokens: 1}, now)
+	_, ok := run.Next(now.Add(900 * time.Millisecond))
+	qt.Assert(t, ok, qt.IsFalse)
+	d, ok = run.Next(now.Add(time.Second))
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, d.Partial.Text, qt.Equals, "part")
+}
+
 func TestChunksCoverInputOnce(t *testing.T) {
 	for _, items := range []int{1, 32, 33, 2000, 20_000} {
 		var input strings.Builder
