--- a/internal/admission/controller/suspects.go
+++ b/internal/admission/controller/suspects.go
@@ -10,8 +10,9 @@
 )
 
 // cancelledRunWindow is how long a cancelled request may go on running until its target notices, and so how long
-// before or after a crash of the target its cancellation counts as an interruption by the crash.
-const cancelledRunWindow = time.Second
+// before or after a crash of the target its cancellation counts as an interruption by the crash. It is well below
+// job.Policy.PreemptionDelay, so that a preempted item is known as a suspect before it continues.
+const cancelledRunWindow = 400 * time.Millisecond
 
 // cancelledRun is a request that was cancelled while it ran on a target.
 type cancelledRun struct {
