--- a/internal/runner/cancellation_test.go
+++ b/internal/runner/cancellation_test.go
@@ -137,6 +137,21 @@
 	})
 }
 
+// runOnlyItem returns a runner that holds a job of one item, and the attempt that has started it.
+func runOnlyItem(t *testing.T) (*Runner, attempt) {
+	p := memory.New()
+	store := jobstore.New(p, p.Objects())
+	createJob(t, store, 1, plainLine)
+	r := newTestRunner(store, &fakeEntry{}, &fakeItems{dispatches: map[string]int{}})
+	r.renew(context.Background(), time.Hour, 1)
+	_, err := r.discover(context.Background(), false)
+	qt.Assert(t, err, qt.IsNil)
+	r.confirmJobs(context.Background())
+	a, ok := r.nextAttempt(grantOf(model), nil)
+	qt.Assert(t, ok, qt.IsTrue)
+	return r, a
+}
+
 func TestQuarantinedSuspectFailsWithoutAnotherAttempt(t *testing.T) {
 	for _, test := range []struct {
 		name   string
@@ -152,16 +167,7 @@
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			p := memory.New()
-			store := jobstore.New(p, p.Objects())
-			createJob(t, store, 1, plainLine)
-			r := newTestRunner(store, &fakeEntry{}, &fakeItems{dispatches: map[string]int{}})
-			r.renew(context.Background(), time.Hour, 1)
-			_, err := r.discover(context.Background(), false)
-			qt.Assert(t, err, qt.IsNil)
-			r.confirmJobs(context.Background())
-			a, ok := r.nextAttempt(grantOf(model), nil)
-			qt.Assert(t, ok, qt.IsTrue)
+			r, a := runOnlyItem(t)
 			test.events(r, a)
 			results := a.chunk.run.Collect().Results
 			qt.Assert(t, results, qt.HasLen, 1)
@@ -185,20 +191,11 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				p := memory.New()
-				store := jobstore.New(p, p.Objects())
-				createJob(t, store, 1, plainLine)
-				r := newTestRunner(store, &fakeEntry{}, &fakeItems{dispatches: map[string]int{}})
-				r.renew(context.Background(), time.Hour, 1)
-				_, err := r.discover(context.Background(), false)
-				qt.Assert(t, err, qt.IsNil)
-				r.confirmJobs(context.Background())
-				a, ok := r.nextAttempt(grantOf(model), nil)
-				qt.Assert(t, ok, qt.IsTrue)
+				r, a := runOnlyItem(t)
 				test.events(r, a)
 				time.Sleep(time.Second)
 				r.confirmJobs(context.Background())
-				_, ok = r.nextAttempt(grantOf(model), nil)
+				_, ok := r.nextAttempt(grantOf(model), nil)
 				qt.Assert(t, ok, qt.IsFalse)
 				qt.Assert(t, r.demand()[0].Suspects, qt.DeepEquals, []uint64{a.fingerprint})
 				grant := grantOf(model)
