--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -74,7 +74,6 @@
 	onDeath func(observer, subject *simVM)
 	// onSuspicion is called for each suspect VM in a view, whenever the view changes.
 	onSuspicion func(observer, subject *simVM)
-	syncs       int
 }
 
 // One-way delays and jitter of the simulated network.
@@ -264,7 +263,6 @@
 	if to == nil {
 		return
 	}
-	s.syncs++
 	digest := from.Digest()
 	generation := from.generation
 	s.deliver(from, to, func() {
