--- a/target/health.go
+++ b/target/health.go
@@ -63,7 +63,8 @@
 	MaxEjection time.Duration
 	// MaxEjected is the share of a group that may be ejected at once. Default 0.5.
 	MaxEjected float64
-	// SlowStart is the time over which a returning target's share rises to 1. Default 10s.
+	// SlowStart is the time over which a returning target's share rises to 1. A single failure meanwhile ejects the target
+	// again, because only one probe speaks for it. Default 10s.
 	SlowStart time.Duration
 }
 
@@ -180,7 +181,7 @@
 	case Refused:
 		g.eject(now, h, reasonRefuses)
 	case Interrupted:
-		g.recordFailure(now, h, "cuts connections")
+		g.recordFailure(now, h, "breaks off responses or responds with errors")
 	case TimedOut:
 		g.recordFailure(now, h, "does not answer in time")
 	}
--- a/target/health_test.go
+++ b/target/health_test.go
@@ -76,6 +76,19 @@
 	qt.Assert(t, stateOf(g, "a"), qt.Equals, Healthy)
 }
 
+func TestTargetInSlowStartIsEjectedByOneFailure(t *testing.T) {
+	g := newGroup("a", "b")
+	g.Observe(start, "a", Unreachable, 0)
+	now := start.Add(time.Second)
+	g.DueProbes(now)
+	g.RecordProbe(now, "a", true)
+	qt.Assert(t, stateOf(g, "a"), qt.Equals, SlowStart)
+	g.Observe(now, "a", Interrupted, 0)
+	state, reason := g.State("a")
+	qt.Assert(t, state, qt.Equals, Ejected)
+	qt.Assert(t, reason, qt.Equals, "breaks off responses or responds with errors")
+}
+
 func TestLeavingTargetTakesNoWork(t *testing.T) {
 	g := newGroup("a", "b")
 	g.SetLeaving("a", "listed")
