--- a/internal/scheduling/service_test.go
+++ b/internal/scheduling/service_test.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,13 +27,17 @@
 
 const service = "llm"
 
-// fixedMembers is a member list that all VMs share.
+// fixedMembers is a member list that all VMs share, but for the VM that is hidden from one of them.
 type fixedMembers struct {
-	self string
-	all  *[]member.Member
+	self   string
+	all    *[]member.Member
+	hidden *atomic.Pointer[string]
 }
 
-func (v fixedMembers) Members() []member.Member { return *v.all }
+func (v fixedMembers) Members() []member.Member {
+	hidden := v.hidden.Load()
+	return slices.DeleteFunc(slices.Clone(*v.all), func(m member.Member) bool { return hidden != nil && m.VM == *hidden })
+}
 func (v fixedMembers) Self() member.Member {
 	for _, m := range *v.all {
 		if m.VM == v.self {
@@ -44,6 +50,8 @@
 // vm is one VM of a fleet.
 type vm struct {
 	name string
+	// hidden is the VM that is missing from this one's list of members.
+	hidden *atomic.Pointer[string]
 	*scheduling.Service
 	node  *datagram.Node
 	lossy *lossyNode
@@ -75,12 +83,30 @@
 	mu      sync.Mutex
 	sent    map[peer.Method]int
 	dropped peer.Method
+	// mute drops all messages that the VM sends.
+	mute bool
+	// frozen blocks the handling of received messages, which are handled later.
+	frozen sync.Mutex
+}
+
+func (n *lossyNode) HandleMessage(method peer.Method, handler datagram.MessageHandler) {
+	n.Node.HandleMessage(method, func(from peer.Identity, decode func(any) error) {
+		n.frozen.Lock()
+		defer n.frozen.Unlock()
+		handler(from, decode)
+	})
+}
+
+func (n *lossyNode) setMute(mute bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mute = mute
 }
 
 func (n *lossyNode) Send(to netip.AddrPort, method peer.Method, message any) error {
 	n.mu.Lock()
 	n.sent[method]++
-	drop := method == n.dropped
+	drop := n.mute || method == n.dropped
 	n.mu.Unlock()
 	if drop {
 		return nil
@@ -127,8 +153,9 @@
 		qt.Assert(t, err, qt.IsNil)
 		members[i] = member.Member{VM: name, State: member.Alive, AvailabilityZone: zone(i), EntryPeers: node.Address().String()}
 		lossy, log := &lossyNode{Node: node, sent: map[peer.Method]int{}}, &syncLog{}
-		vms[i] = &vm{name: name, node: node, lossy: lossy, log: log, Service: scheduling.New(scheduling.Config{
-			Process: name + "/1", AvailabilityZone: zone(i), Node: lossy, Members: fixedMembers{name, &members},
+		hidden := &atomic.Pointer[string]{}
+		vms[i] = &vm{name: name, hidden: hidden, node: node, lossy: lossy, log: log, Service: scheduling.New(scheduling.Config{
+			Process: name + "/1", AvailabilityZone: zone(i), Node: lossy, Members: fixedMembers{name, &members, hidden},
 			Usable: func(target string) bool { return usable(name, target) }, Log: zerolog.New(log),
 		})}
 	}
@@ -252,6 +279,82 @@
 	})
 }
 
+// groupSlots is the number of slots of a group of a zoneFleet.
+const groupSlots = 20
+
+// acquireAll acquires as many slots of zone a as there are, within the time in which lost messages are made up for.
+func (f *zoneFleet) acquireAll(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		var slots []*scheduling.Slot
+		inZone := 0
+		for range groupSlots {
+			slot := acquire(t, f.others["a"], online())
+			slots = append(slots, slot)
+			if zoneOf(slot) == "a" {
+				inZone++
+			}
+		}
+		for _, slot := range slots {
+			slot.Release(scheduler.Finished, 0)
+		}
+		if inZone == groupSlots {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("only %d of %d slots can be used", inZone, groupSlots)
+		}
+	}
+}
+
+func TestGroupRecoversAllSlots(t *testing.T) {
+	t.Run("when its coordinator was cut off one way", func(t *testing.T) {
+		f := startZones(t, func(string) bool { return true })
+		f.coordinators["a"].lossy.setMute(true)
+		for range 10 {
+			acquire(t, f.others["a"], online()).Release(scheduler.Finished, 0)
+		}
+		f.coordinators["a"].lossy.setMute(false)
+		f.acquireAll(t)
+	})
+	t.Run("when its coordinator was frozen and grants late", func(t *testing.T) {
+		f := startZones(t, func(string) bool { return true })
+		f.coordinators["a"].lossy.frozen.Lock()
+		var served []*scheduling.Slot
+		for range 10 {
+			served = append(served, acquire(t, f.others["a"], online()))
+		}
+		f.coordinators["a"].lossy.frozen.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		for _, slot := range served {
+			slot.Release(scheduler.Finished, 0)
+		}
+		f.acquireAll(t)
+	})
+	t.Run("when two VMs coordinated it for a while", func(t *testing.T) {
+		f := startZones(t, func(string) bool { return true })
+		second := f.others["a"]
+		second.hidden.Store(&f.coordinators["a"].name)
+		second.MembersChanged()
+		var slots []*scheduling.Slot
+		for range groupSlots / 2 {
+			slots = append(slots, acquire(t, second, online()), acquire(t, f.coordinators["a"], online()))
+		}
+		second.hidden.Store(nil)
+		second.MembersChanged()
+		time.Sleep(time.Second)
+		for _, load := range f.coordinators["a"].Loads() {
+			if load.Service == service+"@a" {
+				qt.Assert(t, load.Online, qt.Equals, groupSlots, qt.Commentf("runs that the coordinator knows"))
+			}
+		}
+		for _, slot := range slots {
+			slot.Release(scheduler.Finished, 0)
+		}
+		f.acquireAll(t)
+	})
+}
+
 func TestIdleVMSendsNoReports(t *testing.T) {
 	vms := start(t, 3, 1, 1, always)
 	acquire(t, vms[1], online()).Release(scheduler.Finished, 0)
