Quarantine: a cancelled run makes a suspect and quarantines none

Change: cancelled runs count only for requests that are no suspects yet. The test fails before. Conclusion: a poison item that is stopped at both of its first two crashes can crash a third target; not seen.

--- a/internal/admission/controller/failure_test.go
+++ b/internal/admission/controller/failure_test.go
@@ -269,6 +269,27 @@
 	}
 }
 
+// A suspect that was preempted leaves its target to the next one, which may crash it.
+func TestCancelledSuspectIsNotQuarantined(t *testing.T) {
+	runFleet(t, 1, engines(1, 8), func(f *fleet) {
+		time.Sleep(4 * time.Second)
+		n := f.nodes["vm-1"]
+		cancelled, err := n.acquireFingerprint(1001, nil)
+		qt.Assert(t, err, qt.IsNil)
+		crashing, err := n.acquireFingerprint(1002, nil)
+		qt.Assert(t, err, qt.IsNil)
+		cancelled.Release(admission.Outcome{End: admission.EndCancelled})
+		crashing.Release(admission.Outcome{End: admission.EndInterrupted})
+		qt.Assert(t, n.QuarantineStatus(1001), qt.Equals, quarantine.Suspect)
+		time.Sleep(3 * time.Second)
+		n.mu.Lock()
+		n.recordCancellation(n.targets["t0"], 1001, time.Now())
+		n.recordCrash(n.targets["t0"], 1003, time.Now())
+		n.mu.Unlock()
+		qt.Assert(t, n.QuarantineStatus(1001), qt.Equals, quarantine.Suspect)
+	})
+}
+
 func TestSuspectBatchItemsRunOnePerTarget(t *testing.T) {
 	runFleet(t, 1, engines(2, 8), func(f *fleet) {
 		time.Sleep(4 * time.Second)
--- a/internal/admission/controller/suspects.go
+++ b/internal/admission/controller/suspects.go
@@ -40,13 +40,14 @@
 	}
 }
 
-// suspectCancelled makes the requests suspects that were cancelled on a target around the time of its crash.
+// suspectCancelled makes the requests suspects that were cancelled on a target around the time of its crash. Those that are
+// suspects already are not quarantined for it: another suspect may have run there since and crashed it.
 func (c *Controller) suspectCancelled(t *targetState, now time.Time) {
 	runs := t.cancelledRuns
 	t.cancelledRuns = nil
 	var suspected []uint64
 	for _, r := range runs {
-		if now.Sub(r.at) > cancelledRunWindow {
+		if now.Sub(r.at) > cancelledRunWindow || c.quarantine.Status(r.fingerprint) != quarantine.Clear {
 			continue
 		}
 		c.addCrash(t, r.fingerprint, now)
