--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -107,7 +107,7 @@
 	s := a.service
 	timer := time.NewTimer(submitInterval)
 	defer timer.Stop()
-	a.sendTo(s.lockedChooseGroup(a.name, a.request.AvailabilityZone))
+	a.sendTo(s.groupFor(a.name, a.request.AvailabilityZone))
 	for {
 		select {
 		case <-ctx.Done():
@@ -186,7 +186,8 @@
 	return submitInterval
 }
 
-func (s *Service) lockedChooseGroup(service, zone string) string {
+// groupFor returns the group that a new request is sent to.
+func (s *Service) groupFor(service, zone string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.chooseGroup(time.Now(), service, zone)
