--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -261,6 +261,15 @@
 		c.submitUntilAccepted(a, "j", 6)
 		c.checkComplete("j", 6, c.waitForResults(a, "j", 6))
 	})
+	t.Run("are not given up for one target that fails all", func(t *testing.T) {
+		c := newCluster(t, 0)
+		for range 20 {
+			c.targets[0].Inject(streamtarget.Fail)
+		}
+		a := c.start("a", c.state)
+		c.submitUntilAccepted(a, "j", 6)
+		c.checkComplete("j", 6, c.waitForResults(a, "j", 6))
+	})
 	for name, faults := range map[string][]streamtarget.Fault{
 		"are given up when a target rejects them for good": {streamtarget.Reject},
 		"are given up at the route's limit of failures":    {streamtarget.Fail, streamtarget.Fail, streamtarget.Fail},
--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -154,6 +154,8 @@
 		Expected: s.estimator.remaining(state.Events),
 	})
 	if err != nil {
+		// There may be no other target than those that the item must not use.
+		state.tried = nil
 		sleep(ctx, itemRetryDelay)
 		return itemResult{}, false
 	}
@@ -161,6 +163,7 @@
 	status, firstEvent, err := s.send(ctx, slot, run.items[index], head, state)
 	outcome := outcomeOf(ctx, err)
 	slot.Release(outcome, firstEvent)
+	tried := state.tried
 	state.tried = nil
 	switch {
 	case err == nil && status/100 == 2:
@@ -169,6 +172,8 @@
 	case err == nil && status == http.StatusUnprocessableEntity:
 		return itemResult{index: index, givenUp: true}, true
 	case err == nil:
+		// A target that fails all requests at once has the most free slots, and would get the item again.
+		state.tried = append(tried, slot.Target)
 		state.addFailure()
 		itemsFailed.Inc()
 		s.config.Log.Warn().Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).Int("status", status).Int("failures", state.Failures).Msg("target responded to the item with a failure")
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -137,6 +137,9 @@
 	sortItems(now, eligible)
 	var actions []Action
 	for _, w := range eligible {
+		if p.hasTriedAll(now, w) {
+			w.Tried = nil
+		}
 		if spare <= 0 && !s.isUrgent(now, w) {
 			continue
 		}
@@ -154,6 +157,11 @@
 	return actions
 }
 
+// hasTriedAll reports whether an item has tried all usable targets. It may use them again, rather than wait for others.
+func (p *pool) hasTriedAll(now time.Time, w *waiter) bool {
+	return len(w.Tried) > 0 && !slices.ContainsFunc(p.targets, func(t *targetState) bool { return p.usable(now, t) && !slices.Contains(w.Tried, t.ID) })
+}
+
 // sortItems sorts items into the order in which they are granted slots.
 func sortItems(now time.Time, items []*waiter) {
 	slices.SortStableFunc(items, func(a, b *waiter) int { return CompareItems(now, a.Request, b.Request) })
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -301,3 +301,13 @@
 		}
 	})
 }
+
+func TestItemThatHasTriedAllTargetsUsesThemAgain(t *testing.T) {
+	s := newScheduler(2, 1)
+	w := item(1, at(time.Minute))
+	w.Tried = []string{"t0"}
+	qt.Assert(t, granted(t, s.Submit(epoch, w), 1).Target, qt.Equals, "t1")
+	w = item(2, at(time.Minute))
+	w.Tried = []string{"t0", "t1"}
+	qt.Assert(t, granted(t, s.Submit(epoch, w), 2).Target, qt.Equals, "t0")
+}
