--- a/group/coordinator.go
+++ b/group/coordinator.go
@@ -7,13 +7,9 @@
 	"github.com/rosemarydyke/rosemarydyke/target"
 )
 
-const (
-	// defaultMillicores is the assumed processor share of a VM that does not state it, in thousandths of a core.
-	defaultMillicores = 1000
-	// capacityExponent makes the weight of a VM rise faster than its processor share: a coordinator that is short of
-	// processor time delays all requests of its group.
-	capacityExponent = 3
-)
+// capacityExponent makes the weight of a VM rise faster than its processor share: a coordinator that is short of
+// processor time delays all requests of its group.
+const capacityExponent = 3
 
 // Candidate is the suitability of a VM as the coordinator of a group.
 type Candidate struct {
@@ -58,10 +54,6 @@
 
 // score is the weighted rendezvous hash -w/ln(u), where u is the rank scaled to (0, 1).
 func score(key string, m member.Member) float64 {
-	millicores := float64(m.Millicores)
-	if millicores == 0 {
-		millicores = defaultMillicores
-	}
 	u := (float64(target.Rank(key, m.VM)>>11) + 0.5) / (1 << 53)
-	return -math.Pow(millicores, capacityExponent) / math.Log(u)
+	return -math.Pow(float64(m.ProcessorShare()), capacityExponent) / math.Log(u)
 }
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -8,9 +8,6 @@
 	"github.com/rosemarydyke/rosemarydyke/member"
 )
 
-// defaultMillicores is the assumed processor share of a VM that does not state it, in thousandths of a core.
-const defaultMillicores = 1000
-
 // sampleAddresses returns the client addresses of at most n members in random order. Members are drawn with a probability
 // proportional to their processor share (Efraimidis and Spirakis 2006), because clients spread their requests evenly over
 // the addresses that they get. random returns numbers in [0, 1).
@@ -21,7 +18,7 @@
 	}
 	draws := make([]draw, len(members))
 	for i, m := range members {
-		weight := float64(cmp.Or(m.Millicores, defaultMillicores))
+		weight := float64(m.ProcessorShare())
 		draws[i] = draw{m.Callers, math.Log(1-random()) / weight}
 	}
 	slices.SortFunc(draws, func(a, b draw) int { return cmp.Compare(b.key, a.key) })
--- a/member/types.go
+++ b/member/types.go
@@ -3,6 +3,8 @@
 // incarnations.
 package member
 
+import "cmp"
+
 // State is the membership state of a VM.
 type State uint8
 
@@ -38,6 +40,12 @@
 	Millicores int `cbor:"10,keyasint,omitempty"`
 }
 
+// defaultMillicores is the assumed processor share of a VM that does not state it.
+const defaultMillicores = 1000
+
+// ProcessorShare returns the VM's processor share in thousandths of a core, or that of a whole core if it is unknown.
+func (m Member) ProcessorShare() int { return cmp.Or(m.Millicores, defaultMillicores) }
+
 // View provides the members known to this VM, itself included.
 type View interface {
 	// Members returns a copy of the members that are not dead, ordered by VM name.
