--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -73,12 +73,14 @@
 	target     string
 	waited     time.Duration
 	firstEvent time.Duration
-	outcome    string
+	// events is the number of events that the client received from this target.
+	events  int
+	outcome string
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (a attempt) MarshalZerologObject(e *zerolog.Event) {
-	e.Str("target", a.target).Dur("slot_wait_ms", a.waited).Dur("first_event_ms", a.firstEvent).Str("outcome", a.outcome)
+	e.Str("target", a.target).Dur("slot_wait_ms", a.waited).Dur("first_event_ms", a.firstEvent).Int("events", a.events).Str("outcome", a.outcome)
 }
 
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
@@ -259,7 +261,7 @@
 		LastEvent: e.lastEvent,
 	})
 	if err != nil {
-		return e.classifyFailure(ctx, idle, err), err
+		return e.classifyFailure(ctx, idle, err), idle.explain(slot.Target, err)
 	}
 	defer response.Close()
 	if e.route.Kind == routing.Streaming && response.Status/100 == 2 {
@@ -271,7 +273,7 @@
 		e.server.config.Quarantine.RecordCompletion(e.fingerprint)
 		return scheduler.Finished, err
 	}
-	return e.classifyFailure(ctx, idle, err), err
+	return e.classifyFailure(ctx, idle, err), idle.explain(slot.Target, err)
 }
 
 // recordCrash reports to the quarantine that a target broke off the connection while it ran the request, because the
@@ -362,6 +364,7 @@
 			return &clientError{err}
 		}
 		e.lastEvent = event.ID
+		a.events++
 	}
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,9 +66,28 @@
 type fixture struct {
 	url     string
 	targets []*streamtarget.Target
+	log     syncBuffer
 	n       int
 }
 
+// syncBuffer is a log that tests read while the server writes.
+type syncBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 func start(t *testing.T, slots int) *fixture {
 	f := &fixture{}
 	for i := range 2 {
@@ -81,7 +101,7 @@
 	server.Config.Handler = ingress.New(ingress.Config{
 		Configuration: configuration{table(strings.TrimPrefix(server.URL, "http://"))},
 		Slots:         schedulingtest.Start(t, service, slots, f.targets...),
-		Targets:       platform.NewTargetClient(func(string) {}), Jobs: noJobs{}, Log: zerolog.Nop(),
+		Targets:       platform.NewTargetClient(func(string) {}), Jobs: noJobs{}, Log: zerolog.New(&f.log),
 		Quarantine: evidence.NewSharedTracker(quarantine.Config{CrashThreshold: 3, MassFailureTargets: 100, MassFailureWindow: time.Millisecond}),
 	})
 	f.url = server.URL
@@ -187,6 +207,14 @@
 	}
 }
 
+func TestLogNamesTheSilenceForWhichATargetWasLeft(t *testing.T) {
+	f := start(t, 4)
+	f.targets[0].Inject(streamtarget.Hang)
+	got, _ := f.send(t, "/resumable/")
+	qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+	qt.Assert(t, f.log.String(), qt.Contains, `"outcome":"target \"i-0\" sent nothing for 220ms`)
+}
+
 func TestNonRetryableRequestRunsOnce(t *testing.T) {
 	for name, test := range map[string]struct {
 		path   string
