--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -30,6 +30,8 @@
 	events  = 6
 	// timeout is the timeout of the routes.
 	timeout = 600 * time.Millisecond
+	// pause is how long a healthy target may be silent: longer than the timeouts after which another one is tried.
+	pause = 400 * time.Millisecond
 )
 
 type configuration struct{ table *routing.Table }
@@ -91,7 +93,7 @@
 func start(t *testing.T, slots int) *fixture {
 	f := &fixture{}
 	for i := range 2 {
-		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Events: events, Interval: 2 * time.Millisecond})
+		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Events: events, Interval: 2 * time.Millisecond, Pause: pause})
 		t.Cleanup(target.Close)
 		f.targets = append(f.targets, target)
 	}
@@ -207,6 +209,56 @@
 	}
 }
 
+// occupy fills the slot of a target for the timeout of a route.
+func (f *fixture) occupy(t *testing.T, target *streamtarget.Target) {
+	target.Inject(streamtarget.Hang)
+	r, id := f.request(t.Context(), "/once/")
+	go func() {
+		if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	for target.Runs(id) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestStreamOfATargetThatIsSilentForAWhileIsNotCutForLackOfAnotherSlot(t *testing.T) {
+	full := func(t *testing.T, f *fixture) int {
+		f.occupy(t, f.targets[0])
+		return 1
+	}
+	faulty := func(fault streamtarget.Fault) func(*testing.T, *fixture) int {
+		return func(_ *testing.T, f *fixture) int {
+			f.targets[1].Inject(fault, fault, fault, fault)
+			return 0
+		}
+	}
+	for name, test := range map[string]struct {
+		silent streamtarget.Fault
+		// prepare makes one target unable to continue the stream, and returns the number of the other one.
+		prepare func(t *testing.T, f *fixture) int
+	}{
+		"before the first event, and the other target is full":   {streamtarget.PauseFirst, full},
+		"midway, and the other target is full":                   {streamtarget.PauseMidStream, full},
+		"before the first event, and the other target refuses":   {streamtarget.PauseFirst, faulty(streamtarget.Shed)},
+		"midway, and the other target refuses":                   {streamtarget.PauseMidStream, faulty(streamtarget.Shed)},
+		"midway, and the other target resets the connection":     {streamtarget.PauseMidStream, faulty(streamtarget.CutBefore)},
+		"midway, and the other target sends nothing for as long": {streamtarget.PauseMidStream, faulty(streamtarget.Hang)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, 1)
+			silent := f.targets[test.prepare(t, f)]
+			silent.Inject(test.silent)
+			got, id := f.send(t, "/resumable/")
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+			qt.Assert(t, got.body, qt.Equals, wholeStream(id))
+			qt.Assert(t, silent.Runs(id), qt.Equals, 1)
+		})
+	}
+}
+
 func TestLogNamesTheSilenceForWhichATargetWasLeft(t *testing.T) {
 	f := start(t, 4)
 	f.targets[0].Inject(streamtarget.Hang)
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -44,6 +44,10 @@
 	Reject
 	// Hang runs the request and sends nothing.
 	Hang
+	// PauseFirst sends nothing for Config.Pause before the first event.
+	PauseFirst
+	// PauseMidStream sends nothing for Config.Pause before the third event.
+	PauseMidStream
 )
 
 // Config configures a Target.
@@ -54,6 +58,8 @@
 	Events int
 	// Interval is the time between events.
 	Interval time.Duration
+	// Pause is how long a target with one of the pause faults is silent before it continues.
+	Pause time.Duration
 }
 
 // Target is a running target.
@@ -223,6 +229,13 @@
 	_ = conn.Close()
 }
 
+func (t *Target) pauseBefore(event int, fault Fault) time.Duration {
+	if fault == PauseFirst && event == 0 || fault == PauseMidStream && event == 2 {
+		return t.config.Pause
+	}
+	return 0
+}
+
 func (t *Target) stream(w http.ResponseWriter, r *http.Request, call platform.TargetCall, fault Fault) {
 	id := call.ID
 	if fault == WrongID {
@@ -242,7 +255,7 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(t.config.Interval):
+		case <-time.After(t.config.Interval + t.pauseBefore(event, fault)):
 		}
 		if fault == SkipEvent && event == 2 {
 			continue
