--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -118,7 +117,7 @@
 			return
 		}
 		runsBefore := e.possibleRuns
-		err = e.attempt(ctx, slot, waited)
+		err = e.follow(ctx, slot, waited)
 		if errors.Is(err, errDone) {
 			e.finish("completed", "")
 			return
@@ -143,32 +142,33 @@
 
 func (e *exchange) acquire(ctx context.Context) (*scheduling.Slot, time.Duration, error) {
 	now := time.Now()
+	slot, err := e.server.config.Slots.Acquire(ctx, e.slotRequest(now, e.mayHaveRun || e.started, e.tried))
+	waited := time.Since(now)
+	slotWait.Update(waited.Seconds())
+	return slot, waited, err
+}
+
+// slotRequest returns the request for a slot of a target that is not in tried. Requests that a target may have run, such
+// as interrupted streams, have priority over new ones. It only reads what does not change during the exchange.
+func (e *exchange) slotRequest(now time.Time, repeated bool, tried []string) scheduler.Request {
 	startBy := e.arrived.Add(e.route.LatencyObjective - startMargin)
 	if e.route.Kind != routing.Streaming {
 		startBy = e.arrived.Add(e.route.LatencyObjective / 2)
 	}
 	expires := startBy
-	repeated := e.mayHaveRun || e.started
 	if repeated {
-		// Requests that a target may have run, such as interrupted streams, have priority over new ones.
 		startBy = now.Add(e.route.LatencyObjective)
 		expires = startBy.Add(resumeGrace)
 	}
-	if e.started {
-		resumedTotal.Inc()
-	}
-	slot, err := e.server.config.Slots.Acquire(ctx, scheduler.Request{
+	return scheduler.Request{
 		Class:       scheduler.Online,
 		Service:     e.service,
-		Tried:       e.tried,
+		Tried:       tried,
 		StartBy:     startBy,
 		Expires:     expires,
 		Retry:       e.retry || repeated,
 		RetryWithin: max(time.Duration(retryWithinShare*float64(time.Until(e.arrived.Add(e.client.Timeout)))), 0),
-	})
-	waited := time.Since(now)
-	slotWait.Update(waited.Seconds())
-	return slot, waited, err
+	}
 }
 
 // handleAcquireError responds to a request that got no slot.
@@ -227,53 +227,23 @@
 		Array("attempts", e).Msg("request ended")
 }
 
-// attempt sends the request to one target. It returns errDone when the client has the complete response.
-func (e *exchange) attempt(ctx context.Context, slot *scheduling.Slot, waited time.Duration) error {
-	a := attempt{target: slot.Target, waited: waited}
-	outcome, err := e.send(ctx, slot, &a)
-	slot.Release(outcome, a.firstEvent)
-	e.recordCrash(slot.Target, outcome, err)
-	if !slices.Contains(e.tried, slot.Target) {
-		e.tried = append(e.tried, slot.Target)
-	}
-	a.outcome = "completed"
-	if err != nil && !errors.Is(err, errDone) {
-		a.outcome = err.Error()
-	}
-	e.attempts = append(e.attempts, a)
-	return err
-}
-
-func (e *exchange) send(ctx context.Context, slot *scheduling.Slot, a *attempt) (scheduler.Outcome, error) {
-	idle, stop := newIdleTimer(ctx, e.idleTimeout(firstEventTimeout))
-	defer stop()
-	sent := time.Now()
-	response, err := e.server.config.Targets.Send(idle.ctx, &platform.TargetRequest{
-		Address:   slot.Address,
-		Instance:  slot.Target,
-		ID:        e.client.ID,
-		Method:    e.request.Method,
-		Host:      e.request.Host,
-		URI:       e.request.RequestURI,
-		Header:    e.request.Header,
-		Body:      e.body,
-		TimeLeft:  time.Until(e.deadline),
-		LastEvent: e.lastEvent,
-	})
-	if err != nil {
-		return e.classifyFailure(ctx, idle, err), idle.explain(slot.Target, err)
-	}
-	defer response.Close()
-	if e.route.Kind == routing.Streaming && response.Status/100 == 2 {
-		err = e.forwardStream(response, idle, sent, a)
-	} else {
-		err = e.forwardBuffered(response)
-	}
+// endRun ends a run, and records what it means for the request and for the target.
+func (e *exchange) endRun(ctx context.Context, r *run, err error) {
+	r.cancel()
+	outcome := scheduler.Finished
+	r.record.outcome = "completed"
 	if errors.Is(err, errDone) {
 		e.server.config.Quarantine.RecordCompletion(e.fingerprint)
-		return scheduler.Finished, err
+	} else {
+		outcome = e.classifyFailure(ctx, err)
+		r.record.outcome = r.explain(err).Error()
+	}
+	r.slot.Release(outcome, r.record.firstEvent)
+	e.recordCrash(r.slot.Target, outcome, err)
+	if !slices.Contains(e.tried, r.slot.Target) {
+		e.tried = append(e.tried, r.slot.Target)
 	}
-	return e.classifyFailure(ctx, idle, err), idle.explain(slot.Target, err)
+	e.attempts = append(e.attempts, r.record)
 }
 
 // recordCrash reports to the quarantine that a target broke off the connection while it ran the request, because the
@@ -291,7 +261,7 @@
 
 // classifyFailure records what a failed attempt means for the request, and returns the outcome for the target's
 // health.
-func (e *exchange) classifyFailure(ctx context.Context, idle *idleTimer, err error) scheduler.Outcome {
+func (e *exchange) classifyFailure(ctx context.Context, err error) scheduler.Outcome {
 	var failure *platform.TargetError
 	if errors.As(err, &failure) && failure.NotRun() {
 		switch failure.Failure {
@@ -305,88 +275,19 @@
 	}
 	e.mayHaveRun = true
 	e.possibleRuns++
-	switch {
-	case ctx.Err() != nil || isClientError(err):
+	if ctx.Err() != nil || isClientError(err) || errors.Is(err, errReplaced) || errors.Is(err, errNotNeeded) {
 		return scheduler.Abandoned
-	case idle.expired():
-		return scheduler.TimedOut
-	default:
-		return scheduler.Interrupted
 	}
-}
-
-// forwardBuffered buffers a complete response and forwards it.
-func (e *exchange) forwardBuffered(response *platform.TargetResponse) error {
-	body, err := response.ReadAll()
-	if err != nil {
-		return err
-	}
-	if e.started {
-		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: errors.New("target responded to a resumed stream with status " + strconv.Itoa(response.Status))}
-	}
-	if response.Status >= http.StatusInternalServerError && e.route.Retryable() && e.possibleRuns+1 < e.route.MaxAttempts {
-		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: errors.New("target responded with status " + strconv.Itoa(response.Status))}
-	}
-	response.CopyHeader(e.writer)
-	e.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	e.writer.WriteHeader(response.Status)
-	if _, err := e.writer.Write(body); err != nil {
-		return &clientError{err}
-	}
-	return errDone
-}
-
-// forwardStream forwards complete events as they arrive.
-func (e *exchange) forwardStream(response *platform.TargetResponse, idle *idleTimer, sent time.Time, a *attempt) error {
-	control := http.NewResponseController(e.writer)
-	for {
-		event, err := response.Next()
-		if errors.Is(err, io.EOF) {
-			e.writeHeader(response)
-			return errDone
-		}
-		if err != nil {
-			return err
-		}
-		idle.reset(e.idleTimeout(e.gapTimeout()))
-		if a.firstEvent == 0 {
-			a.firstEvent = time.Since(sent)
-			firstEventTime.Update(a.firstEvent.Seconds())
-		}
-		if e.lastEvent != platform.NoEvent && event.ID != e.lastEvent+1 {
-			return &platform.TargetError{Failure: platform.InvalidResponse, Cause: errors.New("event " + strconv.FormatInt(event.ID, 10) + " follows event " + strconv.FormatInt(e.lastEvent, 10))}
-		}
-		e.writeHeader(response)
-		if _, err := e.writer.Write(event.Raw); err != nil {
-			return &clientError{err}
-		}
-		if err := control.Flush(); err != nil {
-			return &clientError{err}
-		}
-		e.lastEvent = event.ID
-		a.events++
-	}
-}
-
-// writeHeader sends the header of the first target's response. A target that resumes the stream adds none.
-func (e *exchange) writeHeader(response *platform.TargetResponse) {
-	if e.started {
-		return
-	}
-	e.started = true
-	response.CopyHeader(e.writer)
-	e.writer.Header().Del("Content-Length")
-	e.writer.WriteHeader(response.Status)
+	return scheduler.Interrupted
 }
 
 func (e *exchange) gapTimeout() time.Duration {
 	return max(time.Duration(gapShare*float64(e.route.EventGapObjective)), minGapTimeout)
 }
 
-// idleTimeout returns the timeout if another target may take over, and otherwise zero.
-func (e *exchange) idleTimeout(timeout time.Duration) time.Duration {
-	if e.route.Kind == routing.Streaming && e.route.Retryable() && e.possibleRuns+1 < e.route.MaxAttempts {
-		return timeout
-	}
-	return 0
+func (e *exchange) isStream() bool { return e.route.Kind == routing.Streaming }
+
+// mayStartAnother reports whether another target may run the request besides the current one.
+func (e *exchange) mayStartAnother() bool {
+	return e.route.Retryable() && e.possibleRuns+1 < e.route.MaxAttempts
 }
--- /dev/null
+++ b/internal/ingress/handover.go
@@ -0,0 +1,232 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
+	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
+)
+
+const (
+	// handoverOverlap limits how long two targets work on a request: long enough for the second one to process the
+	// prompt, and shorter than the 400 ms that the platform tolerates.
+	handoverOverlap = 250 * time.Millisecond
+	// searchInterval is the time after which a slot is requested again that was refused.
+	searchInterval = 100 * time.Millisecond
+)
+
+// handover follows the run of a request and, while its target is silent, looks for another one. The silent run is left
+// only once another target sends the stream, or has had handoverOverlap to do so: a healthy target may be silent for
+// a second and continue, and there may be no other slot.
+type handover struct {
+	exchange *exchange
+	current  *run
+	// silence fires when the target has been silent for too long, and overlap when the current run is left.
+	silence, overlap *time.Timer
+	// search looks for a slot of another target, and replacement is the run there. At most one of them is set.
+	search      *search
+	replacement *run
+	// notRun counts the replacements that did not run.
+	notRun int
+}
+
+// follow serves the request with the slot until the response is complete, which is errDone, or the run has failed.
+func (e *exchange) follow(ctx context.Context, slot *scheduling.Slot, waited time.Duration) error {
+	h := &handover{exchange: e, current: e.startRun(ctx, slot, waited), silence: newStoppedTimer(), overlap: newStoppedTimer()}
+	defer h.stop()
+	h.awaitNext(firstEventTimeout)
+	for {
+		err := h.step(ctx)
+		if err == nil {
+			continue
+		}
+		e.endRun(ctx, h.current, err)
+		if errors.Is(err, errDone) || ctx.Err() != nil || isClientError(err) || h.replacement == nil {
+			return err
+		}
+		h.promote()
+	}
+}
+
+// step processes the next event. An error ends the current run.
+func (h *handover) step(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case a := <-h.current.arrivals:
+		return h.onArrival(ctx, a)
+	case <-h.silence.C:
+		h.onSilence(ctx)
+	case r := <-h.search.results():
+		h.onSlot(ctx, r)
+	case a := <-h.replacement.nextArrival():
+		return h.onReplacementArrival(ctx, a)
+	case <-h.overlap.C:
+		return errReplaced
+	}
+	return nil
+}
+
+// onArrival forwards what the current target sent. A target that continues is not replaced.
+func (h *handover) onArrival(ctx context.Context, a arrival) error {
+	if a.err == nil {
+		h.current.silentFor = 0
+		h.dropReplacement(ctx, errNotNeeded)
+	}
+	if err := h.exchange.forward(h.current, a); err != nil {
+		return err
+	}
+	h.awaitNext(h.exchange.gapTimeout())
+	return nil
+}
+
+// awaitNext restarts the silence timer if another target may take over.
+func (h *handover) awaitNext(timeout time.Duration) {
+	h.silence.Stop()
+	if h.exchange.isStream() && h.exchange.mayStartAnother() {
+		h.current.silentFor = 0
+		h.silence.Reset(timeout)
+	}
+}
+
+func (h *handover) onSilence(ctx context.Context) {
+	r := h.current
+	r.silentFor = firstEventTimeout
+	if r.record.firstEvent != 0 {
+		r.silentFor = h.exchange.gapTimeout()
+	}
+	if !r.reportedSilent {
+		r.reportedSilent = true
+		silencesTotal.Inc()
+		r.slot.ReportSilent()
+	}
+	h.search = h.exchange.startSearch(ctx, 0, append(slices.Clone(h.exchange.tried), r.slot.Target))
+}
+
+// onSlot sends the request to another target, or requests a slot again.
+func (h *handover) onSlot(ctx context.Context, r searchResult) {
+	h.search.cancel()
+	h.search = nil
+	if r.err != nil {
+		h.searchAgain(ctx)
+		return
+	}
+	h.replacement = h.exchange.startRun(ctx, r.slot, r.waited)
+	h.overlap.Reset(handoverOverlap)
+}
+
+func (h *handover) searchAgain(ctx context.Context) {
+	if h.notRun < maxNotRun && h.exchange.mayStartAnother() {
+		h.search = h.exchange.startSearch(ctx, searchInterval, append(slices.Clone(h.exchange.tried), h.current.slot.Target))
+	}
+}
+
+// onReplacementArrival leaves the silent run for one that sends the stream.
+func (h *handover) onReplacementArrival(ctx context.Context, a arrival) error {
+	err := a.err
+	if err == nil && !a.isStream {
+		err = h.exchange.checkBuffered(a)
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		var failure *platform.TargetError
+		if errors.As(err, &failure) && failure.NotRun() {
+			h.notRun++
+		}
+		h.dropReplacement(ctx, err)
+		h.searchAgain(ctx)
+		return nil
+	}
+	e := h.exchange
+	e.endRun(ctx, h.current, errReplaced)
+	h.promote()
+	return h.onArrival(ctx, a)
+}
+
+// promote makes the replacement the current run.
+func (h *handover) promote() {
+	h.overlap.Stop()
+	h.current, h.replacement = h.replacement, nil
+	h.awaitNext(firstEventTimeout)
+}
+
+// dropReplacement ends the search for another target, or the run there.
+func (h *handover) dropReplacement(ctx context.Context, reason error) {
+	h.overlap.Stop()
+	if h.search != nil {
+		h.search.cancel()
+		h.search = nil
+	}
+	if r := h.replacement; r != nil {
+		h.replacement = nil
+		h.exchange.endRun(ctx, r, reason)
+	}
+}
+
+func (h *handover) stop() {
+	h.silence.Stop()
+	h.dropReplacement(context.Background(), errNotNeeded)
+}
+
+// nextArrival returns the channel of a run's arrivals, and nil for no run.
+func (r *run) nextArrival() <-chan arrival {
+	if r == nil {
+		return nil
+	}
+	return r.arrivals
+}
+
+// search requests a slot of another target.
+type search struct {
+	found  chan searchResult
+	cancel context.CancelFunc
+}
+
+type searchResult struct {
+	slot   *scheduling.Slot
+	waited time.Duration
+	err    error
+}
+
+// results returns the channel with the result of a search, and nil for no search.
+func (s *search) results() <-chan searchResult {
+	if s == nil {
+		return nil
+	}
+	return s.found
+}
+
+// startSearch requests a slot after a delay, for a request that a target may be running.
+func (e *exchange) startSearch(ctx context.Context, delay time.Duration, tried []string) *search {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &search{found: make(chan searchResult), cancel: cancel}
+	go func() {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		began := time.Now()
+		slot, err := e.server.config.Slots.Acquire(ctx, e.slotRequest(began, true, tried))
+		select {
+		case s.found <- searchResult{slot: slot, waited: time.Since(began), err: err}:
+		case <-ctx.Done():
+			if slot != nil {
+				slot.Release(scheduler.Abandoned, 0)
+			}
+		}
+	}()
+	return s
+}
+
+func newStoppedTimer() *time.Timer {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return timer
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -35,6 +35,7 @@
 	refusedTotal    = metrics.NewCounter(`rosemarydyke_requests_refused_total`)
 	failedTotal     = metrics.NewCounter(`rosemarydyke_requests_failed_total`)
 	resumedTotal    = metrics.NewCounter(`rosemarydyke_streams_resumed_total`)
+	silencesTotal   = metrics.NewCounter(`rosemarydyke_target_silences_total`)
 	clientGoneTotal = metrics.NewCounter(`rosemarydyke_requests_client_gone_total`)
 	slotWait        = metrics.NewHistogram(`rosemarydyke_slot_wait_seconds`)
 	firstEventTime  = metrics.NewHistogram(`rosemarydyke_first_event_seconds`)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -259,6 +259,28 @@
 	}
 }
 
+// A target that stays silent must not work on the request for long beside the one that continues it.
+func TestTwoTargetsWorkOnARequestForLessThan400ms(t *testing.T) {
+	f := start(t, 1)
+	f.inject(streamtarget.Hang)
+	r, id := f.request(t.Context(), "/resumable/")
+	go func() {
+		if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	for f.targets[1].Runs(id) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	began := time.Now()
+	for f.targets[0].Cancelled() == 0 {
+		if time.Since(began) > 400*time.Millisecond {
+			t.Fatal("the first target still runs the request 400 ms after the second one has begun")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func TestLogNamesTheSilenceForWhichATargetWasLeft(t *testing.T) {
 	f := start(t, 4)
 	f.targets[0].Inject(streamtarget.Hang)
--- /dev/null
+++ b/internal/ingress/run.go
@@ -0,0 +1,199 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
+	"github.com/rosemarydyke/rosemarydyke/platform"
+)
+
+// run is the request on one target. A goroutine reads the response, so that the exchange can wait for something else
+// while the target is silent.
+type run struct {
+	slot     *scheduling.Slot
+	record   attempt
+	sent     time.Time
+	arrivals chan arrival
+	cancel   context.CancelFunc
+	// silentFor is the timeout that the target exceeded since its last event, zero if it did not.
+	silentFor time.Duration
+	// reportedSilent means that the scheduler has been told of a silence of the target.
+	reportedSilent bool
+}
+
+// arrival is the next part of a target's response: an event, or the body of a response that is not a stream.
+type arrival struct {
+	response *platform.TargetResponse
+	event    platform.Event
+	body     []byte
+	isStream bool
+	// err is io.EOF at the end of a stream.
+	err error
+}
+
+// silenceError means that the run ended while its target was silent.
+type silenceError struct {
+	target  string
+	timeout time.Duration
+	cause   error
+}
+
+func (e *silenceError) Error() string {
+	return fmt.Sprintf("target %q sent nothing for %s: %v", e.target, e.timeout, e.cause)
+}
+
+func (e *silenceError) Unwrap() error { return e.cause }
+
+var (
+	// errReplaced ends a silent run for which another target sends the stream.
+	errReplaced = errors.New("another target continues")
+	// errNotNeeded ends a run on another target, because the silent one continues.
+	errNotNeeded = errors.New("the silent target continues")
+)
+
+// startRun sends the request to the target of a slot.
+func (e *exchange) startRun(ctx context.Context, slot *scheduling.Slot, waited time.Duration) *run {
+	if e.started {
+		resumedTotal.Inc()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	r := &run{
+		slot:     slot,
+		record:   attempt{target: slot.Target, waited: waited},
+		sent:     time.Now(),
+		arrivals: make(chan arrival),
+		cancel:   cancel,
+	}
+	request := &platform.TargetRequest{
+		Address:   slot.Address,
+		Instance:  slot.Target,
+		ID:        e.client.ID,
+		Method:    e.request.Method,
+		Host:      e.request.Host,
+		URI:       e.request.RequestURI,
+		Header:    e.request.Header,
+		Body:      e.body,
+		TimeLeft:  time.Until(e.deadline),
+		LastEvent: e.lastEvent,
+	}
+	go r.receive(ctx, e.server.config.Targets, request, e.isStream())
+	return r
+}
+
+// receive delivers the response until it ends or ctx is cancelled.
+func (r *run) receive(ctx context.Context, targets *platform.TargetClient, request *platform.TargetRequest, streaming bool) {
+	response, err := targets.Send(ctx, request)
+	if err != nil {
+		r.deliver(ctx, arrival{err: err})
+		return
+	}
+	defer response.Close()
+	if !streaming || response.Status/100 != 2 {
+		body, err := response.ReadAll()
+		r.deliver(ctx, arrival{response: response, body: body, err: err})
+		return
+	}
+	for {
+		event, err := response.Next()
+		if !r.deliver(ctx, arrival{response: response, event: event, isStream: true, err: err}) || err != nil {
+			return
+		}
+	}
+}
+
+func (r *run) deliver(ctx context.Context, a arrival) bool {
+	select {
+	case r.arrivals <- a:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// explain says in the error of a run that its target was silent at the end.
+func (r *run) explain(err error) error {
+	if err == nil || r.silentFor == 0 {
+		return err
+	}
+	return &silenceError{target: r.slot.Target, timeout: r.silentFor, cause: err}
+}
+
+// forward forwards a part of a target's response to the client. It returns errDone when the response is complete.
+func (e *exchange) forward(r *run, a arrival) error {
+	switch {
+	case a.isStream && errors.Is(a.err, io.EOF):
+		e.writeHeader(a.response)
+		return errDone
+	case a.err != nil:
+		return a.err
+	case a.isStream:
+		return e.forwardEvent(r, a)
+	default:
+		return e.forwardBuffered(a)
+	}
+}
+
+// forwardBuffered forwards a response that is not a stream.
+func (e *exchange) forwardBuffered(a arrival) error {
+	if err := e.checkBuffered(a); err != nil {
+		return err
+	}
+	a.response.CopyHeader(e.writer)
+	e.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	e.writer.WriteHeader(a.response.Status)
+	if _, err := e.writer.Write(a.body); err != nil {
+		return &clientError{err}
+	}
+	return errDone
+}
+
+// checkBuffered returns an error for a response that is not forwarded, because the client has a part of a stream or
+// another target may do better.
+func (e *exchange) checkBuffered(a arrival) error {
+	status := a.response.Status
+	switch {
+	case e.started:
+		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("target responded to a resumed stream with status %d", status)}
+	case status >= http.StatusInternalServerError && e.mayStartAnother():
+		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("target responded with status %d", status)}
+	}
+	return nil
+}
+
+// forwardEvent forwards a complete event.
+func (e *exchange) forwardEvent(r *run, a arrival) error {
+	if r.record.firstEvent == 0 {
+		r.record.firstEvent = time.Since(r.sent)
+		firstEventTime.Update(r.record.firstEvent.Seconds())
+	}
+	if e.lastEvent != platform.NoEvent && a.event.ID != e.lastEvent+1 {
+		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("event %d follows event %d", a.event.ID, e.lastEvent)}
+	}
+	e.writeHeader(a.response)
+	if _, err := e.writer.Write(a.event.Raw); err != nil {
+		return &clientError{err}
+	}
+	if err := http.NewResponseController(e.writer).Flush(); err != nil {
+		return &clientError{err}
+	}
+	e.lastEvent = a.event.ID
+	r.record.events++
+	return nil
+}
+
+// writeHeader sends the header of the first target's response. A target that resumes the stream adds none.
+func (e *exchange) writeHeader(response *platform.TargetResponse) {
+	if e.started {
+		return
+	}
+	e.started = true
+	response.CopyHeader(e.writer)
+	e.writer.Header().Del("Content-Length")
+	e.writer.WriteHeader(response.Status)
+}
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -104,6 +104,7 @@
 	handle(s, methodRelease, func(_ peer.Identity, m releaseMessage) {
 		s.execute(s.scheduler.Release(time.Now(), m.Ticket, m.Outcome, m.FirstEvent))
 	})
+	handle(s, methodSilent, func(_ peer.Identity, m silentMessage) { s.scheduler.ReportSilent(time.Now(), m.Ticket) })
 	handle(s, methodReport, s.onReport)
 	handle(s, methodReportAck, func(from peer.Identity, m reportAckMessage) {
 		s.recordResponse(from.VM)
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -18,6 +18,7 @@
 	methodGrant     peer.Method = "slots.grant"
 	methodRefuse    peer.Method = "slots.refuse"
 	methodPreempt   peer.Method = "slots.yield"
+	methodSilent    peer.Method = "slots.silent"
 	methodLeaving   peer.Method = "slots.leaving"
 	methodLoad      peer.Method = "slots.load"
 )
@@ -78,6 +79,12 @@
 	FirstEvent time.Duration     `cbor:"3,keyasint,omitempty"`
 }
 
+// silentMessage tells a coordinator that the target of a run has sent nothing for too long. If it is lost, the target keeps
+// its health until the next run there.
+type silentMessage struct {
+	Ticket scheduler.Ticket `cbor:"1,keyasint"`
+}
+
 // reportMessage tells a coordinator the runs of a VM, and which of its items still wait there. The response is a
 // reportAckMessage.
 type reportMessage struct {
--- a/internal/scheduling/service_test.go
+++ b/internal/scheduling/service_test.go
@@ -203,6 +203,23 @@
 	}
 }
 
+func TestCoordinatorLearnsThatATargetIsSilent(t *testing.T) {
+	vms := start(t, 3, 2, 4, always)
+	var silent []*scheduling.Slot
+	for len(silent) < 2 {
+		if slot := acquire(t, vms[1], online()); slot.Target == "t0" {
+			silent = append(silent, slot)
+		}
+	}
+	for _, slot := range silent {
+		slot.ReportSilent()
+	}
+	time.Sleep(100 * time.Millisecond)
+	for range 2 {
+		qt.Assert(t, acquire(t, vms[2], online()).Target, qt.Equals, "t1")
+	}
+}
+
 func always(string, string) bool { return true }
 
 func online() scheduler.Request {
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -265,6 +265,19 @@
 	})
 }
 
+// ReportSilent reports that the target has sent nothing for too long. The slot is kept.
+func (s *Slot) ReportSilent() {
+	s.service.mu.Lock()
+	defer s.service.mu.Unlock()
+	now := time.Now()
+	c := s.service.coordinator(now, s.service.groupOf(s))
+	if c.VM == s.service.vm {
+		s.service.scheduler.ReportSilent(now, s.request.Ticket)
+		return
+	}
+	s.service.send(c.address, methodSilent, silentMessage{Ticket: s.request.Ticket})
+}
+
 func (s *Service) release(request scheduler.Request, outcome scheduler.Outcome, firstEvent time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -279,6 +279,13 @@
 	return s.dispatch(now, p)
 }
 
+// ReportSilent records that the target of a run has sent nothing for too long. The run goes on.
+func (s *Scheduler) ReportSilent(now time.Time, ticket Ticket) {
+	if r := s.running[ticket]; r != nil {
+		r.target.pool.observeHealth(now, r, TimedOut, 0)
+	}
+}
+
 // ReportDraining records that another VM found a target draining or gone. It is ignored if the target has started again
 // since; a start time of zero means that the VM does not know it.
 func (s *Scheduler) ReportDraining(id string, startedUnixMilli int64) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -199,6 +199,25 @@
 	qt.Assert(t, probes, qt.Equals, 1)
 }
 
+func TestSilentTargetGetsNoNewRunsAndKeepsThoseInProgress(t *testing.T) {
+	s := newScheduler(2, 4)
+	var silent []int
+	for n := 1; n <= 4; n++ {
+		if granted(t, s.Submit(epoch, online(n, epoch)), n).Target == "t0" {
+			silent = append(silent, n)
+		}
+	}
+	for _, n := range silent[:2] {
+		s.ReportSilent(at(time.Second), ticket(n))
+	}
+	for n := 5; n < 7; n++ {
+		qt.Assert(t, granted(t, s.Submit(at(time.Second), online(n, at(time.Second))), n).Target, qt.Equals, "t1")
+	}
+	for _, n := range silent {
+		qt.Assert(t, s.Knows(ticket(n)), qt.IsTrue)
+	}
+}
+
 func TestRetryDelaysOfRefusedClientsIncrease(t *testing.T) {
 	s := newScheduler(1, 8)
 	n := 0
