--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -264,7 +264,7 @@
 	}
 	for _, id := range changed {
 		t := s.targets[id]
-		s.config.Log.Info().Str("target", id).Str("service", t.Service).Str("address", t.Address).Bool("draining", t.Draining).Msg("target registered")
+		s.config.Log.Info().Str("target", id).Str("service", t.Service).Str("address", t.Address).Str("version", t.Version).Bool("draining", t.Draining).Msg("target registered")
 	}
 	for _, id := range removed {
 		s.config.Log.Info().Str("target", id).Msg("target removed")
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -70,6 +70,7 @@
 // attempt is one send of the request to a target.
 type attempt struct {
 	target     string
+	version    string
 	waited     time.Duration
 	firstEvent time.Duration
 	// events is the number of events that the client received from this target.
@@ -79,7 +80,7 @@
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (a attempt) MarshalZerologObject(e *zerolog.Event) {
-	e.Str("target", a.target).Dur("slot_wait_ms", a.waited).Dur("first_event_ms", a.firstEvent).Int("events", a.events).Str("outcome", a.outcome)
+	e.Str("target", a.target).Str("version", a.version).Dur("slot_wait_ms", a.waited).Dur("first_event_ms", a.firstEvent).Int("events", a.events).Str("outcome", a.outcome)
 }
 
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
@@ -220,6 +221,9 @@
 	if err != nil {
 		event = event.AnErr("cause", err)
 	}
+	if e.client.LastEvent != platform.NoEvent {
+		event.Str("resumes", e.client.Resumes).Int64("resumes_after", e.client.LastEvent)
+	}
 	event.Str("request", e.client.ID).Str("route", e.route.Name).Str("service", e.service).
 		Uint64("config_version", e.configVersion).Dur("config_age_ms", e.server.config.Configuration.Age()).
 		Dur("patience_ms", e.client.Timeout).Bool("returned", e.retry).Dur("took_ms", time.Since(e.arrived)).
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &run{
 		slot:     slot,
-		record:   attempt{target: slot.Target, waited: waited},
+		record:   attempt{target: slot.Target, version: slot.Version, waited: waited},
 		sent:     time.Now(),
 		arrivals: make(chan arrival),
 		cancel:   cancel,
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -204,7 +204,7 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case scheduler.Grant:
-			message := grantMessage{Sequence: a.Ticket.Sequence, Target: a.Target, Address: a.Address, Group: s.division.Of(a.Target)}
+			message := grantMessage{Sequence: a.Ticket.Sequence, Target: a.Target, Address: a.Address, Version: a.Version, Group: s.division.Of(a.Target)}
 			s.deliver(a.Ticket, methodGrant, message, func() { s.onGrant(s.vm, message) })
 		case scheduler.Refuse:
 			message := refuseMessage{Sequence: a.Ticket.Sequence, RetryAfter: a.RetryAfter, Reason: a.Reason, Ahead: a.Ahead, Slots: a.Slots}
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -116,6 +116,8 @@
 	Address  string `cbor:"3,keyasint"`
 	// Group is the group of the target, which may differ from the one that the request was last sent to.
 	Group string `cbor:"4,keyasint,omitempty"`
+	// Version is the version of the target's software, as far as the coordinator knows.
+	Version string `cbor:"5,keyasint,omitempty"`
 }
 
 type refuseMessage struct {
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -14,6 +14,8 @@
 type Slot struct {
 	// Target is the ID of the target, and Address where it accepts requests.
 	Target, Address string
+	// Version is the version of the target's software.
+	Version string
 	// Preempted is closed when the slot has to be released.
 	Preempted <-chan struct{}
 
@@ -241,6 +243,7 @@
 	slot := &Slot{
 		Target:    grant.Target,
 		Address:   grant.Address,
+		Version:   grant.Version,
 		Preempted: preempted,
 		preempted: preempted,
 		service:   s,
--- a/routing/targets.go
+++ b/routing/targets.go
@@ -12,6 +12,8 @@
 	Service          string
 	Address          string
 	AvailabilityZone string
+	// Version is the version of the target's software. Empty means unknown.
+	Version string
 	// Slots is the number of requests that the target runs concurrently.
 	Slots int
 	// Draining targets take no new requests.
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -87,6 +87,8 @@
 	Ticket  Ticket
 	Target  string
 	Address string
+	// Version is the version of the target's software.
+	Version string
 }
 
 // Refuse rejects a request.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -399,7 +399,7 @@
 
 // grant returns the Grant of a run, whose VM may have missed it.
 func (r *run) grant() Grant {
-	return Grant{Ticket: r.ticket, Target: r.target.ID, Address: r.target.Address}
+	return Grant{Ticket: r.ticket, Target: r.target.ID, Address: r.target.Address, Version: r.target.Version}
 }
 
 // RemoveVM drops all runs and waiting requests of a VM.
