--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -90,10 +90,13 @@
 	return b.text.String()
 }
 
-func start(t *testing.T, slots int) *fixture {
+func start(t *testing.T, slots int) *fixture { return startVersions(t, slots, "v1", "v1") }
+
+// startVersions starts a fixture with one target of each version.
+func startVersions(t *testing.T, slots int, versions ...string) *fixture {
 	f := &fixture{}
-	for i := range 2 {
-		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Events: events, Interval: 2 * time.Millisecond, Pause: pause})
+	for i, version := range versions {
+		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Version: version, Events: events, Interval: 2 * time.Millisecond, Pause: pause})
 		t.Cleanup(target.Close)
 		f.targets = append(f.targets, target)
 	}
@@ -139,17 +142,34 @@
 
 func (f *fixture) send(t *testing.T, path string) (clientResponse, string) {
 	r, id := f.request(t.Context(), path)
+	return f.do(r), id
+}
+
+// resume sends a request that resumes the stream that an attempt began.
+func (f *fixture) resume(t *testing.T, path, attempt string, lastEvent int64) (clientResponse, string) {
+	r, id := f.request(t.Context(), path)
+	platform.SetResume(r.Header, attempt, lastEvent)
+	return f.do(r), id
+}
+
+func (f *fixture) do(r *http.Request) clientResponse {
 	began := time.Now()
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
-		return clientResponse{err: err, took: time.Since(began)}, id
+		return clientResponse{err: err, took: time.Since(began)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return clientResponse{response.StatusCode, response.Header, string(body), err, time.Since(began)}, id
+	return clientResponse{response.StatusCode, response.Header, string(body), err, time.Since(began)}
 }
 
-func (f *fixture) runs(id string) int { return f.targets[0].Runs(id) + f.targets[1].Runs(id) }
+func (f *fixture) runs(id string) int {
+	runs := 0
+	for _, target := range f.targets {
+		runs += target.Runs(id)
+	}
+	return runs
+}
 
 // wholeStream returns the complete stream of a request.
 func wholeStream(id string) string {
--- a/internal/scheduling/schedulingtest/local.go
+++ b/internal/scheduling/schedulingtest/local.go
@@ -78,7 +78,7 @@
 	})
 	var list []routing.Target
 	for _, target := range targets {
-		list = append(list, routing.Target{ID: target.ID(), Service: service, Address: target.Address(), AvailabilityZone: "a", Slots: slots})
+		list = append(list, routing.Target{ID: target.ID(), Service: service, Address: target.Address(), AvailabilityZone: "a", Version: target.Version(), Slots: slots})
 	}
 	s.SetTargets(list)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -54,6 +54,8 @@
 type Config struct {
 	// ID is the target's ID.
 	ID string
+	// Version is the version of the target's software.
+	Version string
 	// Events is the number of events of each stream.
 	Events int
 	// Interval is the time between events.
@@ -92,6 +94,9 @@
 // ID returns the target's ID.
 func (t *Target) ID() string { return t.config.ID }
 
+// Version returns the version of the target's software.
+func (t *Target) Version() string { return t.config.Version }
+
 // Close closes all connections and stops the target.
 func (t *Target) Close() {
 	t.server.CloseClientConnections()
