--- a/group/choose.go
+++ b/group/choose.go
@@ -52,16 +52,24 @@
 // has no slot for them without preempting an item, if another one has slots to spare; online requests also leave one in
 // which they would have to wait, for one in which they would not, or only in a queue less than half as long. Of several
 // groups one is chosen in proportion to the slots, because several coordinators redirect at the same time.
-func (d *Division) Redirect(own *Group, load Load, loads map[string]Load, item bool, now time.Time, random *rand.Rand) (string, bool) {
+//
+// A request of a version is sent to groups that serve it only, and leaves one that does not for any of these.
+func (d *Division) Redirect(own *Group, load Load, loads map[string]Load, version string, item bool, now time.Time, random *rand.Rand) (string, bool) {
 	if !item && load.Free > 0 || item && load.Spare > 0 {
 		return "", false
 	}
 	var others []*Group
 	for _, g := range d.byService[own.Service] {
-		if l, known := loads[g.Key]; known && g != own && l.Slots > 0 && now.Sub(l.At) <= maxLoadAge {
+		if l, known := loads[g.Key]; known && g != own && g.Serves(version) && l.Slots > 0 && now.Sub(l.At) <= maxLoadAge {
 			others = append(others, g)
 		}
 	}
+	if !own.Serves(version) {
+		if g := pick(others, func(g *Group) int { return g.Slots }, random); g != nil {
+			return g.Key, true
+		}
+		return "", false
+	}
 	if g := pick(others, func(g *Group) int { return max(loads[g.Key].Spare, 0) }, random); g != nil {
 		return g.Key, true
 	}
--- a/group/divide.go
+++ b/group/divide.go
@@ -38,8 +38,13 @@
 	AvailabilityZone string
 	Targets          int
 	Slots            int
+	// versions are the versions of the targets that take new requests.
+	versions map[string]bool
 }
 
+// Serves reports whether the group has a target of a version that takes new requests. Empty means any version.
+func (g *Group) Serves(version string) bool { return version == "" || g.versions[version] }
+
 // Division is the division of the registered targets into groups. It is immutable.
 type Division struct {
 	groups    map[string]*Group
@@ -109,12 +114,15 @@
 func (d *Division) add(key, service, zone string, t routing.Target) {
 	g := d.groups[key]
 	if g == nil {
-		g = &Group{Key: key, Service: service, AvailabilityZone: zone}
+		g = &Group{Key: key, Service: service, AvailabilityZone: zone, versions: map[string]bool{}}
 		d.groups[key] = g
 		d.byService[service] = append(d.byService[service], g)
 	}
 	g.Targets++
 	g.Slots += t.Slots
+	if !t.Draining {
+		g.versions[t.Version] = true
+	}
 	d.ofTarget[t.ID] = key
 }
 
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -155,7 +155,13 @@
 }
 
 func TestRedirect(t *testing.T) {
-	d := group.Divide(fleet(122, 5))
+	targets := fleet(122, 5)
+	for i := range targets {
+		if targets[i].AvailabilityZone == "az-1" {
+			targets[i].Version = "v2"
+		}
+	}
+	d := group.Divide(targets)
 	now := time.Unix(1000, 0)
 	full := group.Load{Slots: 170, Waiting: 10, At: now}
 	for _, test := range []struct {
@@ -165,22 +171,27 @@
 		other group.Load
 		item  bool
 		want  bool
+		// version is that of the request. Only the group az-1 serves v2.
+		version string
 	}{
-		{"a request stays where a slot is free", group.Load{Slots: 170, Free: 1, Open: 1, At: now}, group.Load{Slots: 170, Spare: 50, At: now}, false, false},
-		{"a request preempts no item if another group has spare slots", group.Load{Slots: 170, Open: 9, At: now}, group.Load{Slots: 170, Spare: 2, At: now}, false, true},
-		{"a request preempts an item rather than use up another group", group.Load{Slots: 170, Open: 9, At: now}, group.Load{Slots: 170, Free: 5, Open: 5, At: now}, false, false},
-		{"a request goes where slots are free", full, group.Load{Slots: 170, Open: 5, At: now}, false, true},
-		{"a request stays if the other load is old", full, group.Load{Slots: 170, Spare: 5, Open: 5, At: now.Add(-2 * time.Second)}, false, false},
-		{"a request stays if both wait equally long", full, full, false, false},
-		{"a request goes to a much shorter queue", full, group.Load{Slots: 170, Waiting: 2, At: now}, false, true},
-		{"a request leaves a group without usable targets", group.Load{At: now}, full, false, true},
-		{"an item does not use what is left for online requests", full, group.Load{Slots: 170, Free: 5, Open: 5, At: now}, true, false},
-		{"an item goes where slots are spare", full, group.Load{Slots: 170, Open: 5, Spare: 2, At: now}, true, true},
-		{"an item stays however short the other queue is", full, group.Load{Slots: 170, At: now}, true, false},
+		{"a request stays where a slot is free", group.Load{Slots: 170, Free: 1, Open: 1, At: now}, group.Load{Slots: 170, Spare: 50, At: now}, false, false, ""},
+		{"a request preempts no item if another group has spare slots", group.Load{Slots: 170, Open: 9, At: now}, group.Load{Slots: 170, Spare: 2, At: now}, false, true, ""},
+		{"a request preempts an item rather than use up another group", group.Load{Slots: 170, Open: 9, At: now}, group.Load{Slots: 170, Free: 5, Open: 5, At: now}, false, false, ""},
+		{"a request goes where slots are free", full, group.Load{Slots: 170, Open: 5, At: now}, false, true, ""},
+		{"a request stays if the other load is old", full, group.Load{Slots: 170, Spare: 5, Open: 5, At: now.Add(-2 * time.Second)}, false, false, ""},
+		{"a request stays if both wait equally long", full, full, false, false, ""},
+		{"a request goes to a much shorter queue", full, group.Load{Slots: 170, Waiting: 2, At: now}, false, true, ""},
+		{"a request leaves a group without usable targets", group.Load{At: now}, full, false, true, ""},
+		{"an item does not use what is left for online requests", full, group.Load{Slots: 170, Free: 5, Open: 5, At: now}, true, false, ""},
+		{"an item goes where slots are spare", full, group.Load{Slots: 170, Open: 5, Spare: 2, At: now}, true, true, ""},
+		{"an item stays however short the other queue is", full, group.Load{Slots: 170, At: now}, true, false, ""},
+		{"a request leaves a group that does not serve its version", group.Load{At: now}, full, false, true, "v2"},
+		{"a request stays if no other group serves its version", full, group.Load{Slots: 170, Spare: 50, At: now}, false, false, "v3"},
+		{"an item leaves a group that does not serve its version", group.Load{At: now}, full, true, true, "v2"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			loads := map[string]group.Load{"llm@az-0": full, "llm@az-1": test.other, "llm@az-2": full}
-			key, redirected := d.Redirect(d.Group("llm@az-0"), test.own, loads, test.item, now, rand.New(rand.NewPCG(1, 2)))
+			key, redirected := d.Redirect(d.Group("llm@az-0"), test.own, loads, test.version, test.item, now, rand.New(rand.NewPCG(1, 2)))
 			qt.Assert(t, redirected, qt.Equals, test.want)
 			if redirected {
 				qt.Assert(t, key, qt.Equals, "llm@az-1")
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
+	"github.com/rosemarydyke/rosemarydyke/origin"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/routing"
@@ -56,6 +57,8 @@
 
 	// lastEvent is the ID of the last event that the client has received.
 	lastEvent int64
+	// version is the version that began the stream, from the first event on. Empty means any.
+	version string
 	// started means that the header of the response has been sent.
 	started bool
 	// mayHaveRun means that a target may have run the request.
@@ -133,6 +136,29 @@
 	}
 }
 
+// errUnknownOrigin means that a stream is not resumed, because it could go on at another version than the one that began it.
+var errUnknownOrigin = errors.New("no VM knows which version began the stream, and several serve")
+
+// resolveOrigin finds the version that began the stream which the client resumes, and reports whether it is known.
+func (e *exchange) resolveOrigin(ctx context.Context) bool {
+	o, known := e.server.config.Origins.Resolve(ctx, e.client.Resumes, e.service, len(e.route.Services) <= 1)
+	if !known {
+		return false
+	}
+	if o.Service == e.service || e.route.Uses(o.Service) {
+		e.service, e.version = o.Service, o.Version
+	}
+	return true
+}
+
+// recordOrigin records the version that begins the stream, before the client gets its first event.
+func (e *exchange) recordOrigin(r *run) {
+	e.version = r.slot.Version
+	if e.route.Retryable() {
+		e.server.config.Origins.Record(e.client.ID, origin.Origin{Service: e.service, Version: e.version})
+	}
+}
+
 // mayRetry reports whether the request may be sent to another target.
 func (e *exchange) mayRetry() bool {
 	if !e.mayHaveRun {
@@ -143,15 +169,15 @@
 
 func (e *exchange) acquire(ctx context.Context) (*scheduling.Slot, time.Duration, error) {
 	now := time.Now()
-	slot, err := e.server.config.Slots.Acquire(ctx, e.slotRequest(now, e.mayHaveRun || e.started, e.tried))
+	slot, err := e.server.config.Slots.Acquire(ctx, e.slotRequest(now, e.mayHaveRun || e.lastEvent != platform.NoEvent, e.tried, e.version))
 	waited := time.Since(now)
 	slotWait.Update(waited.Seconds())
 	return slot, waited, err
 }
 
-// slotRequest returns the request for a slot of a target that is not in tried. Requests that a target may have run, such
-// as interrupted streams, have priority over new ones. It only reads what does not change during the exchange.
-func (e *exchange) slotRequest(now time.Time, repeated bool, tried []string) scheduler.Request {
+// slotRequest returns the request for a slot of a target of a version that is not in tried. Requests that a target may have
+// run, such as interrupted streams, have priority over new ones. It only reads what does not change during the exchange.
+func (e *exchange) slotRequest(now time.Time, repeated bool, tried []string, version string) scheduler.Request {
 	startBy := e.arrived.Add(e.route.LatencyObjective - startMargin)
 	if e.route.Kind != routing.Streaming {
 		startBy = e.arrived.Add(e.route.LatencyObjective / 2)
@@ -165,6 +191,7 @@
 		Class:       scheduler.Online,
 		Service:     e.service,
 		Tried:       tried,
+		Version:     version,
 		StartBy:     startBy,
 		Expires:     expires,
 		Retry:       e.retry || repeated,
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -105,7 +105,7 @@
 		silencesTotal.Inc()
 		r.slot.ReportSilent()
 	}
-	h.search = h.exchange.startSearch(ctx, 0, append(slices.Clone(h.exchange.tried), r.slot.Target))
+	h.search = h.exchange.startSearch(ctx, 0, r)
 }
 
 // onSlot sends the request to another target, or requests a slot again.
@@ -122,7 +122,7 @@
 
 func (h *handover) searchAgain(ctx context.Context) {
 	if h.notRun < maxNotRun && h.exchange.mayStartAnother() {
-		h.search = h.exchange.startSearch(ctx, searchInterval, append(slices.Clone(h.exchange.tried), h.current.slot.Target))
+		h.search = h.exchange.startSearch(ctx, searchInterval, h.current)
 	}
 }
 
@@ -200,8 +200,9 @@
 	return s.found
 }
 
-// startSearch requests a slot after a delay, for a request that a target may be running.
-func (e *exchange) startSearch(ctx context.Context, delay time.Duration, tried []string) *search {
+// startSearch requests a slot after a delay, on another target than that of a silent run.
+func (e *exchange) startSearch(ctx context.Context, delay time.Duration, silent *run) *search {
+	tried, version := append(slices.Clone(e.tried), silent.slot.Target), e.version
 	ctx, cancel := context.WithCancel(ctx)
 	s := &search{found: make(chan searchResult), cancel: cancel}
 	go func() {
@@ -213,7 +214,7 @@
 		case <-timer.C:
 		}
 		began := time.Now()
-		slot, err := e.server.config.Slots.Acquire(ctx, e.slotRequest(began, true, tried))
+		slot, err := e.server.config.Slots.Acquire(ctx, e.slotRequest(began, true, tried, version))
 		select {
 		case s.found <- searchResult{slot: slot, waited: time.Since(began), err: err}:
 		case <-ctx.Done():
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
+	"github.com/rosemarydyke/rosemarydyke/origin"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/routing"
@@ -25,6 +27,9 @@
 	defaultBodyLimit = 4 << 20
 	// defaultTimeout is the timeout of a request for which neither the client nor the route sets one.
 	defaultTimeout = 30 * time.Second
+	// unknownOriginRetryAfter is the retry delay for clients whose stream began where no VM knows. Another VM that was
+	// paused or cut off may answer then.
+	unknownOriginRetryAfter = 300 * time.Millisecond
 	// noConfigRetryAfter is the retry delay for clients while no configuration is known.
 	noConfigRetryAfter = 500 * time.Millisecond
 )
@@ -63,6 +68,14 @@
 	RecordCompletion(fingerprint uint64)
 }
 
+// Origins knows which software version began a stream, at any VM.
+type Origins interface {
+	// Record records where the stream of an attempt began.
+	Record(attempt string, o origin.Origin)
+	// Resolve returns where the stream of an attempt began, and reports whether that is known.
+	Resolve(ctx context.Context, attempt, service string, onlyService bool) (origin.Origin, bool)
+}
+
 // Config configures a Server.
 type Config struct {
 	Configuration Configuration
@@ -70,6 +83,7 @@
 	Targets       *platform.TargetClient
 	Jobs          Jobs
 	Quarantine    Quarantine
+	Origins       Origins
 	Log           zerolog.Logger
 }
 
@@ -171,5 +185,11 @@
 		configVersion: table.Version,
 		fingerprint:   quarantine.Fingerprint(r.Host, r.URL.Path, body),
 	}
+	if e.isStream() && parsed.LastEvent != platform.NoEvent && !e.resolveOrigin(ctx) {
+		refusedTotal.Inc()
+		platform.WriteRefusal(w, http.StatusServiceUnavailable, unknownOriginRetryAfter, "it is not known which version began the stream")
+		e.log("refused", errUnknownOrigin, strconv.Itoa(http.StatusServiceUnavailable))
+		return
+	}
 	e.run(ctx)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/rosemarydyke/rosemarydyke/internal/evidence"
 	"github.com/rosemarydyke/rosemarydyke/internal/ingress"
+	"github.com/rosemarydyke/rosemarydyke/internal/origins"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling/schedulingtest"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
 	"github.com/rosemarydyke/rosemarydyke/platform"
@@ -100,13 +101,15 @@
 		t.Cleanup(target.Close)
 		f.targets = append(f.targets, target)
 	}
+	resolver := origins.New(origins.Config{Members: schedulingtest.NewMembers("vm"), Node: schedulingtest.DiscardNode, Log: zerolog.Nop()})
+	resolver.SetTargets(schedulingtest.Registered(service, slots, f.targets...))
 	server := httptest.NewUnstartedServer(nil)
 	server.Start()
 	t.Cleanup(server.Close)
 	server.Config.Handler = ingress.New(ingress.Config{
 		Configuration: configuration{table(strings.TrimPrefix(server.URL, "http://"))},
 		Slots:         schedulingtest.Start(t, service, slots, f.targets...),
-		Targets:       platform.NewTargetClient(func(string) {}), Jobs: noJobs{}, Log: zerolog.New(&f.log),
+		Targets:       platform.NewTargetClient(func(string) {}), Jobs: noJobs{}, Origins: resolver, Log: zerolog.New(&f.log),
 		Quarantine: evidence.NewSharedTracker(quarantine.Config{CrashThreshold: 3, MassFailureTargets: 100, MassFailureWindow: time.Millisecond}),
 	})
 	f.url = server.URL
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -175,6 +175,9 @@
 	if e.lastEvent != platform.NoEvent && a.event.ID != e.lastEvent+1 {
 		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("event %d follows event %d", a.event.ID, e.lastEvent)}
 	}
+	if e.lastEvent == platform.NoEvent {
+		e.recordOrigin(r)
+	}
 	e.writeHeader(a.response)
 	if _, err := e.writer.Write(a.event.Raw); err != nil {
 		return &clientError{err}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/evidence"
 	"github.com/rosemarydyke/rosemarydyke/internal/ingress"
 	"github.com/rosemarydyke/rosemarydyke/internal/membership"
+	"github.com/rosemarydyke/rosemarydyke/internal/origins"
 	store "github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/internal/storerelay"
@@ -70,6 +71,7 @@
 	discovery    *discovery.Service
 	jobs         *batchjobs.Service
 	evidence     *evidence.Service
+	origins      *origins.Service
 	ingress      *ingress.Server
 	leaving      atomic.Bool
 	servers      []*http.Server
@@ -130,11 +132,14 @@
 	})
 	process := s.VM.Name + "/" + strconv.FormatUint(uint64(rand.Uint32()), 36)
 	n.discovery = discovery.New(discovery.Config{
-		Rows:      n.rows,
-		OnTargets: func(targets []routing.Target) { n.slots.SetTargets(targets) },
-		Node:      n.transport,
-		Peers:     n.otherPeers,
-		Log:       n.log,
+		Rows: n.rows,
+		OnTargets: func(targets []routing.Target) {
+			n.slots.SetTargets(targets)
+			n.origins.SetTargets(targets)
+		},
+		Node:  n.transport,
+		Peers: n.otherPeers,
+		Log:   n.log,
 	})
 	n.slots = scheduling.New(scheduling.Config{
 		Process:          process,
@@ -167,12 +172,14 @@
 		Interval: evidenceInterval,
 	})
 	n.evidence.Register(n.transport)
+	n.origins = origins.New(origins.Config{Members: n.members, Node: n.transport, Log: n.log})
 	n.ingress = ingress.New(ingress.Config{
 		Configuration: n.discovery,
 		Slots:         n.slots,
 		Targets:       targets,
 		Jobs:          n.jobs,
 		Quarantine:    tracker,
+		Origins:       n.origins,
 		Log:           n.log,
 	})
 }
--- a/internal/scheduling/groups.go
+++ b/internal/scheduling/groups.go
@@ -27,10 +27,10 @@
 	return grouped
 }
 
-// chooseGroup returns the group that a request for a service is sent to. A VM without the registry knows no groups; the
+// chooseGroup returns the group that a request for a service, and for a version unless that is empty, is sent to. A VM without the registry knows no groups; the
 // coordinator that it asks redirects the request.
-func (s *Service) chooseGroup(now time.Time, service, zone string) string {
-	avoid := func(key string) bool { return s.avoids(now, key) }
+func (s *Service) chooseGroup(now time.Time, service, version, zone string) string {
+	avoid := func(key string) bool { return s.avoids(now, key) || !s.division.Group(key).Serves(version) }
 	if key := s.division.Choose(service, zone, avoid, s.random); key != "" {
 		return key
 	}
@@ -45,13 +45,15 @@
 	own := s.division.Group(r.Service)
 	if own == nil {
 		// The registry of the sender differs from the one here.
-		key = s.division.Choose(group.ServiceOf(r.Service), r.AvailabilityZone, func(string) bool { return false }, s.random)
+		avoid := func(key string) bool { return !s.division.Group(key).Serves(r.Version) }
+		key = s.division.Choose(group.ServiceOf(r.Service), r.AvailabilityZone, avoid, s.random)
 		return key, key != ""
 	}
 	if len(s.division.Groups(own.Service)) == 1 {
 		return "", false
 	}
-	key, redirected = s.division.Redirect(own, loadOf(s.scheduler.Capacity(now, own.Key), now), s.loads, r.Class == scheduler.Item, now, s.random)
+	load := loadOf(s.scheduler.Capacity(now, own.Key, r.Version), now)
+	key, redirected = s.division.Redirect(own, load, s.loads, r.Version, r.Class == scheduler.Item, now, s.random)
 	if redirected {
 		s.takeFrom(key)
 	}
@@ -88,7 +90,7 @@
 		if len(others) == 1 || s.coordinator(now, key).VM != s.vm {
 			continue
 		}
-		load := loadOf(s.scheduler.Capacity(now, key), now)
+		load := loadOf(s.scheduler.Capacity(now, key, ""), now)
 		s.loads[key] = load
 		told := map[string]bool{s.vm: true}
 		for _, other := range others {
@@ -105,11 +107,11 @@
 // redirectWaiting sends waiting requests of a group without free slots to groups that have some.
 func (s *Service) redirectWaiting(now time.Time, own *group.Group, load group.Load, class scheduler.Class) {
 	for {
-		key, ok := s.division.Redirect(own, load, s.loads, class == scheduler.Item, now, s.random)
+		key, ok := s.division.Redirect(own, load, s.loads, "", class == scheduler.Item, now, s.random)
 		if !ok || s.loads[key].Open <= 0 {
 			return
 		}
-		tickets := s.scheduler.Withdraw(now, own.Key, class, 1)
+		tickets := s.scheduler.Withdraw(now, own.Key, class, 1, s.division.Group(key).Serves)
 		if len(tickets) == 0 {
 			return
 		}
@@ -128,9 +130,10 @@
 		if len(s.division.Groups(service)) == 0 {
 			continue
 		}
+		anyVersion := func(string) bool { return true }
 		for _, class := range []scheduler.Class{scheduler.Online, scheduler.Item} {
-			for _, ticket := range s.scheduler.Withdraw(now, key, class, math.MaxInt) {
-				s.sendElsewhere(ticket, s.chooseGroup(now, service, ""))
+			for _, ticket := range s.scheduler.Withdraw(now, key, class, math.MaxInt, anyVersion) {
+				s.sendElsewhere(ticket, s.chooseGroup(now, service, "", ""))
 			}
 		}
 	}
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -38,6 +38,8 @@
 	RetryWithin      time.Duration `cbor:"10,keyasint,omitempty"`
 	// Redirects is the number of coordinators that have sent the request to another group.
 	Redirects int `cbor:"11,keyasint,omitempty"`
+	// Version is the only version of targets' software that may run the request. Empty means any.
+	Version string `cbor:"12,keyasint,omitempty"`
 }
 
 func newSubmitMessage(now time.Time, r scheduler.Request, redirects int) submitMessage {
@@ -53,6 +55,7 @@
 		Retry:            r.Retry,
 		RetryWithin:      r.RetryWithin,
 		Redirects:        redirects,
+		Version:          r.Version,
 	}
 }
 
@@ -68,6 +71,7 @@
 		Expected:         m.Expected,
 		Retry:            m.Retry,
 		RetryWithin:      m.RetryWithin,
+		Version:          m.Version,
 	}
 }
 
--- a/internal/scheduling/schedulingtest/local.go
+++ b/internal/scheduling/schedulingtest/local.go
@@ -66,6 +66,15 @@
 // DiscardNode is a transport that drops all messages.
 var DiscardNode discardNode
 
+// Registered returns targets as the registry lists them.
+func Registered(service string, slots int, targets ...*streamtarget.Target) []routing.Target {
+	var list []routing.Target
+	for _, target := range targets {
+		list = append(list, routing.Target{ID: target.ID(), Service: service, Address: target.Address(), AvailabilityZone: "a", Version: target.Version(), Slots: slots})
+	}
+	return list
+}
+
 // Start starts the scheduling service of one VM with targets of one service.
 func Start(t *testing.T, service string, slots int, targets ...*streamtarget.Target) *scheduling.Service {
 	s := scheduling.New(scheduling.Config{
@@ -76,11 +85,7 @@
 		Usable:           func(string) bool { return true },
 		Log:              zerolog.Nop(),
 	})
-	var list []routing.Target
-	for _, target := range targets {
-		list = append(list, routing.Target{ID: target.ID(), Service: service, Address: target.Address(), AvailabilityZone: "a", Version: target.Version(), Slots: slots})
-	}
-	s.SetTargets(list)
+	s.SetTargets(Registered(service, slots, targets...))
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { s.Run(ctx) })
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -109,7 +109,7 @@
 	s := a.service
 	timer := time.NewTimer(submitInterval)
 	defer timer.Stop()
-	a.sendTo(s.groupFor(a.name, a.request.AvailabilityZone))
+	a.sendTo(s.groupFor(a.name, a.request.Version, a.request.AvailabilityZone))
 	for {
 		select {
 		case <-ctx.Done():
@@ -189,10 +189,10 @@
 }
 
 // groupFor returns the group that a new request is sent to.
-func (s *Service) groupFor(service, zone string) string {
+func (s *Service) groupFor(service, version, zone string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.chooseGroup(time.Now(), service, zone)
+	return s.chooseGroup(time.Now(), service, version, zone)
 }
 
 // leaveCoordinator starts the backoff of a coordinator that does not respond, and returns the group to try next: another
@@ -207,7 +207,7 @@
 	if !s.avoids(now, a.request.Service) {
 		return a.request.Service
 	}
-	key := s.chooseGroup(now, a.name, a.request.AvailabilityZone)
+	key := s.chooseGroup(now, a.name, a.request.Version, a.request.AvailabilityZone)
 	if s.avoids(now, key) {
 		s.backoffs[s.coordinator(now, a.request.Service).VM].replaced = true
 		clear(s.coordinators)
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -66,7 +66,7 @@
 	var ends [remainingBuckets + 1]int
 	runs, step := 0, max(p.onlineSlotTime/remainingBuckets, 1)
 	for _, t := range p.targets {
-		if len(t.runs) == 0 || !p.usable(now, t) || slices.Contains(w.Tried, t.ID) {
+		if len(t.runs) == 0 || !p.usable(now, t) || !w.mayUse(t) {
 			continue
 		}
 		for _, r := range t.runs {
@@ -97,12 +97,12 @@
 	return max(mean-age, mean/minRemainingDivisor)
 }
 
-// onlineSlots returns the number of slots that online requests can use: those on usable targets that w has not tried,
-// less those that items still hold.
+// onlineSlots returns the number of slots that online requests can use: those on usable targets that w may use, less those
+// that items still hold.
 func (s *Scheduler) onlineSlots(now time.Time, p *pool, w *waiter) int {
 	capacity, heldByItems := 0, 0
 	for _, t := range p.targets {
-		if !p.usable(now, t) || slices.Contains(w.Tried, t.ID) {
+		if !p.usable(now, t) || !w.mayUse(t) {
 			continue
 		}
 		capacity += t.Slots
--- a/scheduler/headroom.go
+++ b/scheduler/headroom.go
@@ -44,6 +44,20 @@
 	return n
 }
 
+// slotsOf returns the number of slots of usable targets of a version, and how many of them are free.
+func (p *pool) slotsOf(now time.Time, version string) (slots, free int) {
+	for _, t := range p.targets {
+		if t.runsVersion(version) && p.usable(now, t) {
+			slots += t.Slots
+			free += max(p.free(now, t), 0)
+		}
+	}
+	return slots, free
+}
+
+// runsVersion reports whether a target runs a version, or whether that is empty.
+func (t *targetState) runsVersion(version string) bool { return version == "" || version == t.Version }
+
 func (p *pool) usableSlots(now time.Time) int {
 	n := 0
 	for _, t := range p.targets {
--- a/scheduler/loads.go
+++ b/scheduler/loads.go
@@ -25,18 +25,18 @@
 	Waiting int
 }
 
-// Capacity returns what a service can take now.
-func (s *Scheduler) Capacity(now time.Time, service string) Capacity {
+// Capacity returns what a service can take now on targets of a version, or of any version if that is empty.
+func (s *Scheduler) Capacity(now time.Time, service, version string) Capacity {
 	p := s.pools[service]
 	if p == nil {
 		return Capacity{}
 	}
-	c := Capacity{Slots: p.usableSlots(now), Waiting: len(p.online)}
-	c.Free = p.freeSlots(now)
+	c := Capacity{Waiting: len(p.online)}
+	c.Slots, c.Free = p.slotsOf(now, version)
 	c.Spare = max(c.Free-s.headroom(now, p), 0)
 	items, protected := 0, 0
 	for _, t := range p.targets {
-		if t.probing || !p.usable(now, t) {
+		if t.probing || !p.usable(now, t) || !t.runsVersion(version) {
 			continue
 		}
 		for _, r := range t.runs {
@@ -56,8 +56,8 @@
 }
 
 // Withdraw removes up to n waiting requests of a class, so that they can be sent to another coordinator: the online
-// requests that would wait longest, or the items that are due first.
-func (s *Scheduler) Withdraw(now time.Time, service string, class Class, n int) []Ticket {
+// requests that would wait longest, or the items that are due first. Requests of a version that accepts rejects stay.
+func (s *Scheduler) Withdraw(now time.Time, service string, class Class, n int, accepts func(version string) bool) []Ticket {
 	p := s.pools[service]
 	if p == nil {
 		return nil
@@ -68,6 +68,7 @@
 		list = slices.Clone(p.items)
 		sortItems(now, list)
 	}
+	list = slices.DeleteFunc(list, func(w *waiter) bool { return w.Version != "" && !accepts(w.Version) })
 	var tickets []Ticket
 	for _, w := range list[:min(n, len(list))] {
 		s.dequeue(w)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -42,7 +42,7 @@
 	bestLocal, bestFree := false, 0
 	for _, t := range p.targets {
 		free := p.free(now, t)
-		if free <= 0 || slices.Contains(w.Tried, t.ID) {
+		if free <= 0 || !w.mayUse(t) {
 			continue
 		}
 		local := t.AvailabilityZone == w.AvailabilityZone
@@ -74,7 +74,7 @@
 			if isProtected {
 				protected++
 			}
-			if t.probing || slices.Contains(w.Tried, t.ID) {
+			if t.probing || !w.mayUse(t) {
 				continue
 			}
 			// Items that miss their due time anyway are preempted first, then those with the most slack.
@@ -115,7 +115,7 @@
 			actions = append(actions, granted...)
 			continue
 		}
-		if len(w.Tried) == 0 {
+		if len(w.Tried) == 0 && w.Version == "" {
 			// If a request that may use any target finds no slot, no later request does.
 			break
 		}
@@ -157,9 +157,9 @@
 	return actions
 }
 
-// hasTriedAll reports whether an item has tried all usable targets. It may use them again, rather than wait for others.
+// hasTriedAll reports whether an item has tried all usable targets that run its version. It may use them again, rather than wait for others.
 func (p *pool) hasTriedAll(now time.Time, w *waiter) bool {
-	return len(w.Tried) > 0 && !slices.ContainsFunc(p.targets, func(t *targetState) bool { return p.usable(now, t) && !slices.Contains(w.Tried, t.ID) })
+	return len(w.Tried) > 0 && !slices.ContainsFunc(p.targets, func(t *targetState) bool { return p.usable(now, t) && w.mayUse(t) })
 }
 
 // sortItems sorts items into the order in which they are granted slots.
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Ticket identifies a request for a slot.
 type Ticket struct {
@@ -29,6 +32,9 @@
 	AvailabilityZone string
 	// Tried are the IDs of targets that the request must not be sent to again.
 	Tried []string
+	// Version is the only version of targets' software that the request may be sent to, because that began its stream.
+	// Empty means any.
+	Version string
 	// StartBy is the start deadline of an online request, and the due time of an item's job.
 	StartBy time.Time
 	// Expires is when an online request is no longer worth starting.
@@ -41,6 +47,11 @@
 	RetryWithin time.Duration
 }
 
+// mayUse reports whether the request may be sent to a target, whatever the target's state.
+func (r Request) mayUse(t *targetState) bool {
+	return t.runsVersion(r.Version) && !slices.Contains(r.Tried, t.ID)
+}
+
 // Slack returns how long an item may wait for a slot without missing its due time.
 func (r Request) Slack(now time.Time) time.Duration { return r.StartBy.Sub(now) - r.Expected }
 
