--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -103,9 +103,14 @@
 
 // newClusterWithInterval sets the interval between the events of targets.
 func newClusterWithInterval(t *testing.T, quota int64, interval time.Duration) *cluster {
+	return newClusterOfVersions(t, quota, interval, "v1", "v1")
+}
+
+// newClusterOfVersions starts a target of each version.
+func newClusterOfVersions(t *testing.T, quota int64, interval time.Duration, versions ...string) *cluster {
 	c := &cluster{t: t, state: memory.New(), config: newConfiguration(quota), vms: map[string]*vm{}}
-	for i := range 2 {
-		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Events: events, Interval: interval})
+	for i, version := range versions {
+		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Version: version, Events: events, Interval: interval})
 		t.Cleanup(target.Close)
 		c.targets = append(c.targets, target)
 	}
--- a/internal/batchjobs/checkpoint_test.go
+++ b/internal/batchjobs/checkpoint_test.go
@@ -130,8 +130,8 @@
 	s := &Service{config: Config{Rows: rows, Log: zerolog.New(&log)}, runs: map[string]*jobRun{"j": run}}
 	for range 3 {
 		s.checkpoint(t.Context())
-		short.addEvent(1, []byte("more"))
-		long.addEvent(1, []byte("more"))
+		short.addEvent(1, []byte("more"), "v1")
+		long.addEvent(1, []byte("more"), "v1")
 	}
 	qt.Assert(t, rows.applied, qt.HasLen, 3)
 	for _, txn := range rows.applied {
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -127,6 +127,8 @@
 	NoTarget Reason = "no_target_available"
 	// NoRegistry means that the coordinator has not read the registry of targets yet and cannot decide.
 	NoRegistry Reason = "targets_not_read"
+	// VersionGone means that no target of the item's version takes new runs any more.
+	VersionGone Reason = "version_gone"
 	// Redirected means that another coordinator has free slots; the request is sent there.
 	Redirected Reason = "redirected"
 	// Overloaded means that the request could not have started in time.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -184,11 +184,32 @@
 			s.dropTarget(t)
 		}
 	}
+	var actions []Action
 	for _, p := range s.pools {
 		slices.SortFunc(p.targets, func(a, b *targetState) int { return strings.Compare(a.ID, b.ID) })
 		p.health.SetTargets(p.targetIDs())
+		actions = append(actions, s.refuseGoneVersions(p)...)
 	}
-	return s.Tick(now)
+	return append(actions, s.Tick(now)...)
+}
+
+// refuseGoneVersions refuses the items that wait for a version that no target has any more.
+func (s *Scheduler) refuseGoneVersions(p *pool) []Action {
+	var actions []Action
+	for _, w := range slices.Clone(p.items) {
+		if !p.serves(w.Version) {
+			s.dequeue(w)
+			actions = append(actions, Refuse{Ticket: w.Ticket, Reason: VersionGone})
+		}
+	}
+	return actions
+}
+
+// serves reports whether a target of a version takes new runs, whatever its health, or whether the version is empty.
+func (p *pool) serves(version string) bool {
+	return version == "" || slices.ContainsFunc(p.targets, func(t *targetState) bool {
+		return !t.Draining && !t.reportedDraining && t.Version == version
+	})
 }
 
 func (p *pool) targetIDs() []string {
@@ -219,6 +240,9 @@
 	p := s.pool(r.Service)
 	w := &waiter{Request: r, arrived: now, renewed: now}
 	if r.Class == Item {
+		if !p.serves(r.Version) {
+			return []Action{Refuse{Ticket: r.Ticket, Reason: VersionGone}}
+		}
 		s.enqueueItem(p, w)
 		return s.dispatch(now, p)
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -218,6 +218,46 @@
 	}
 }
 
+func TestRequestOfAVersionUsesTargetsOfThatVersionOnly(t *testing.T) {
+	versions := func(list ...string) []routing.Target {
+		targets := fleet(len(list), 1)
+		for i, version := range list {
+			targets[i].Version = version
+		}
+		return targets
+	}
+	s := newScheduler(0, 0)
+	s.SetTargets(epoch, versions("v1", "v2"))
+	pinned := func(r scheduler.Request) scheduler.Request {
+		r.Version = "v2"
+		return r
+	}
+	qt.Assert(t, granted(t, s.Submit(epoch, pinned(online(1, epoch))), 1).Target, qt.Equals, "t1")
+	t.Run("a request waits although another version has free slots, and later requests do not wait behind it", func(t *testing.T) {
+		qt.Assert(t, s.Submit(epoch, pinned(item(2, at(time.Minute)))), qt.HasLen, 0)
+		qt.Assert(t, granted(t, s.Submit(epoch, item(3, at(time.Minute))), 3).Target, qt.Equals, "t0")
+		qt.Assert(t, granted(t, s.Release(epoch, ticket(1), scheduler.Finished, 0), 2).Target, qt.Equals, "t1")
+	})
+	t.Run("an online request is refused where no usable target has its version", func(t *testing.T) {
+		s.SetTargets(epoch, versions("v1"))
+		refusal, ok := refused(s.Submit(epoch, pinned(online(4, epoch))), 4)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, refusal.Reason, qt.Equals, scheduler.NoTarget)
+	})
+	t.Run("an item is refused when its version is gone, also while it waits", func(t *testing.T) {
+		s.SetTargets(epoch, versions("v1", "v2"))
+		s.Submit(epoch, pinned(item(5, at(time.Minute))))
+		s.Submit(epoch, pinned(item(6, at(time.Minute))))
+		actions := s.SetTargets(epoch, versions("v1"))
+		refusal, ok := refused(actions, 6)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, refusal.Reason, qt.Equals, scheduler.VersionGone)
+		refusal, ok = refused(s.Submit(epoch, pinned(item(7, at(time.Minute)))), 7)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, refusal.Reason, qt.Equals, scheduler.VersionGone)
+	})
+}
+
 func TestRetryDelaysOfRefusedClientsIncrease(t *testing.T) {
 	s := newScheduler(1, 8)
 	n := 0
