--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -275,6 +275,15 @@
 		c.submitUntilAccepted(a, "j", 6)
 		c.checkComplete("j", 6, c.waitForResults(a, "j", 6))
 	})
+	t.Run("are still owed when one target after another crashed under the item", func(t *testing.T) {
+		c := newCluster(t, 0)
+		for _, target := range c.targets {
+			target.Inject(streamtarget.CutBefore, streamtarget.CutMidEvent, streamtarget.CutBefore, streamtarget.CutBefore)
+		}
+		a := c.start("a", c.state)
+		c.submitUntilAccepted(a, "j", 1)
+		c.checkComplete("j", 1, c.waitForResults(a, "j", 1))
+	})
 	for name, faults := range map[string][]streamtarget.Fault{
 		"are given up when a target rejects them for good": {streamtarget.Reject},
 		"are given up at the route's limit of failures":    {streamtarget.Fail, streamtarget.Fail, streamtarget.Fail},
