--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"slices"
 	"time"
 
@@ -74,10 +73,11 @@
 
 // onArrival forwards what the current target sent. A target that continues is not replaced.
 func (h *handover) onArrival(ctx context.Context, a arrival) error {
-	if a.err == nil {
-		h.current.silentFor = 0
-		h.dropReplacement(ctx, errNotNeeded)
+	if err := h.exchange.check(a); err != nil {
+		return err
 	}
+	h.current.silentFor = 0
+	h.dropReplacement(ctx, errNotNeeded)
 	if err := h.exchange.forward(h.current, a); err != nil {
 		return err
 	}
@@ -128,11 +128,7 @@
 
 // onReplacementArrival leaves the silent run for one that sends the stream.
 func (h *handover) onReplacementArrival(ctx context.Context, a arrival) error {
-	err := a.err
-	if err == nil && !a.isStream {
-		err = h.exchange.checkBuffered(a)
-	}
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err := h.exchange.check(a); err != nil {
 		var failure *platform.TargetError
 		if errors.As(err, &failure) && failure.NotRun() {
 			h.notRun++
@@ -141,8 +137,7 @@
 		h.searchAgain(ctx)
 		return nil
 	}
-	e := h.exchange
-	e.endRun(ctx, h.current, errReplaced)
+	h.exchange.endRun(ctx, h.current, errReplaced)
 	h.promote()
 	return h.onArrival(ctx, a)
 }
--- /dev/null
+++ b/internal/ingress/handover_test.go
@@ -0,0 +1,91 @@
+package ingress_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
+)
+
+const (
+	// longTimeout is a timeout of routes that ends no request of these tests.
+	longTimeout = 3 * time.Second
+	// longPause is how long healthy targets were reported to be silent.
+	longPause = time.Second
+)
+
+// startHandover starts targets with one slot each, on which longer pauses are injected.
+func startHandover(t *testing.T, targets int, pause time.Duration) *fixture {
+	versions := make([]string, targets)
+	return startPausing(t, 1, longTimeout, pause, versions...)
+}
+
+func TestTargetThatIsSilentForASecondEndsNoRequest(t *testing.T) {
+	for name, test := range map[string]struct{ silent, other streamtarget.Fault }{
+		"before the first event, and the other target refuses":   {streamtarget.PauseFirst, streamtarget.Shed},
+		"before the first event, and the other target is silent": {streamtarget.PauseFirst, streamtarget.PauseFirst},
+		"midway, and the other target refuses":                   {streamtarget.PauseMidStream, streamtarget.Shed},
+		"midway, and the other target is silent":                 {streamtarget.PauseMidStream, streamtarget.PauseFirst},
+		"midway, and the other target resets":                    {streamtarget.PauseMidStream, streamtarget.CutBefore},
+		"midway, and the other target fails":                     {streamtarget.PauseMidStream, streamtarget.Fail},
+		"midway, and the other target skips an event":            {streamtarget.PauseMidStream, streamtarget.SkipEvent},
+		"midway, and the other target answers another request":   {streamtarget.PauseMidStream, streamtarget.WrongID},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startHandover(t, 2, longPause)
+			f.targets[0].Inject(test.silent)
+			f.targets[1].Inject(test.other, test.other, test.other, test.other)
+			got, id := f.send(t, "/resumable/")
+			qt.Assert(t, got.err, qt.IsNil)
+			qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+			qt.Assert(t, got.body, qt.Equals, wholeStream(id))
+		})
+	}
+}
+
+// The healthy replacement was cancelled for a response of the silent target that was of no use.
+func TestFailureOfTheSilentTargetLeavesTheReplacement(t *testing.T) {
+	const slow = 300 * time.Millisecond
+	t.Run("before the first event", func(t *testing.T) {
+		f := startHandover(t, 2, slow)
+		f.targets[0].Inject(streamtarget.SlowFail)
+		f.targets[1].Inject(streamtarget.PauseFirst)
+		got, id := f.send(t, "/resumable/")
+		qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+		qt.Assert(t, got.body, qt.Equals, wholeStream(id))
+	})
+	t.Run("of a stream that has begun", func(t *testing.T) {
+		f := startHandover(t, 3, slow)
+		f.targets[0].Inject(streamtarget.CutMidEvent)
+		f.targets[1].Inject(streamtarget.SlowFail)
+		f.targets[2].Inject(streamtarget.PauseMidStream)
+		got, id := f.send(t, "/thrice/")
+		qt.Assert(t, got.err, qt.IsNil)
+		qt.Assert(t, got.body, qt.Equals, wholeStream(id))
+	})
+}
+
+// A target that stays silent must not work on the request for long beside the one that continues it.
+func TestTwoTargetsWorkOnARequestForLessThan400ms(t *testing.T) {
+	f := startHandover(t, 2, longPause)
+	f.inject(streamtarget.Hang)
+	r, id := f.request(t.Context(), "/resumable/")
+	go func() {
+		if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	for f.targets[1].Runs(id) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	began := time.Now()
+	for f.targets[0].Cancelled() == 0 {
+		if time.Since(began) > 400*time.Millisecond {
+			t.Fatal("the first target still runs the request 400 ms after the second one has begun")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -45,7 +45,7 @@
 func (noJobs) Submit(http.ResponseWriter, *http.Request, *routing.Route, []byte) {}
 func (noJobs) Serve(http.ResponseWriter, *http.Request) bool                     { return false }
 
-func table(host string) *routing.Table {
+func table(host string, timeout time.Duration) *routing.Table {
 	route := func(prefix string, kind routing.Kind, resumable bool, attempts int) *routing.Route {
 		return &routing.Route{
 			Name: prefix, Host: host, PathPrefix: prefix, Kind: kind, Timeout: timeout, LatencyObjective: 300 * time.Millisecond,
@@ -57,6 +57,7 @@
 		Version: 1,
 		Routes: []*routing.Route{
 			route("/resumable/", routing.Streaming, true, 2),
+			route("/thrice/", routing.Streaming, true, 3),
 			route("/once/", routing.Streaming, false, 1),
 			route("/plain/", routing.Idempotent, false, 3),
 			route("/unsafe/", routing.NonIdempotent, false, 3),
@@ -95,6 +96,11 @@
 
 // startVersions starts a fixture with one target of each version.
 func startVersions(t *testing.T, slots int, versions ...string) *fixture {
+	return startPausing(t, slots, timeout, pause, versions...)
+}
+
+// startPausing starts a fixture with a timeout of the routes, and the pause of targets with a pause fault.
+func startPausing(t *testing.T, slots int, timeout, pause time.Duration, versions ...string) *fixture {
 	f := &fixture{}
 	for i, version := range versions {
 		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Version: version, Events: events, Interval: 2 * time.Millisecond, Pause: pause})
@@ -107,7 +113,7 @@
 	server.Start()
 	t.Cleanup(server.Close)
 	server.Config.Handler = ingress.New(ingress.Config{
-		Configuration: configuration{table(strings.TrimPrefix(server.URL, "http://"))},
+		Configuration: configuration{table(strings.TrimPrefix(server.URL, "http://"), timeout)},
 		Slots:         schedulingtest.Start(t, service, slots, f.targets...),
 		Targets:       platform.NewTargetClient(func(string) {}), Jobs: noJobs{}, Origins: resolver, Log: zerolog.New(&f.log),
 		Quarantine: evidence.NewSharedTracker(quarantine.Config{CrashThreshold: 3, MassFailureTargets: 100, MassFailureWindow: time.Millisecond}),
@@ -282,28 +288,6 @@
 	}
 }
 
-// A target that stays silent must not work on the request for long beside the one that continues it.
-func TestTwoTargetsWorkOnARequestForLessThan400ms(t *testing.T) {
-	f := start(t, 1)
-	f.inject(streamtarget.Hang)
-	r, id := f.request(t.Context(), "/resumable/")
-	go func() {
-		if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
-			_ = response.Body.Close()
-		}
-	}()
-	for f.targets[1].Runs(id) == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	began := time.Now()
-	for f.targets[0].Cancelled() == 0 {
-		if time.Since(began) > 400*time.Millisecond {
-			t.Fatal("the first target still runs the request 400 ms after the second one has begun")
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
 func TestLogNamesTheSilenceForWhichATargetWasLeft(t *testing.T) {
 	f := start(t, 4)
 	f.targets[0].Inject(streamtarget.Hang)
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -124,14 +124,32 @@
 	return &silenceError{target: r.slot.Target, timeout: r.silentFor, cause: err}
 }
 
-// forward forwards a part of a target's response to the client. It returns errDone when the response is complete.
+// isEnd reports whether the stream is complete.
+func (a arrival) isEnd() bool { return a.isStream && errors.Is(a.err, io.EOF) }
+
+// check returns an error for a part of a response that is not forwarded to the client: a failure, an event out of order, or
+// a response to which another target may do better.
+func (e *exchange) check(a arrival) error {
+	switch {
+	case a.isEnd():
+		return nil
+	case a.err != nil:
+		return a.err
+	case a.isStream && e.lastEvent != platform.NoEvent && a.event.ID != e.lastEvent+1:
+		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("event %d follows event %d", a.event.ID, e.lastEvent)}
+	case a.isStream:
+		return nil
+	default:
+		return e.checkBuffered(a)
+	}
+}
+
+// forward forwards a part of a response that was checked. It returns errDone when the response is complete.
 func (e *exchange) forward(r *run, a arrival) error {
 	switch {
-	case a.isStream && errors.Is(a.err, io.EOF):
+	case a.isEnd():
 		e.writeHeader(a.response)
 		return errDone
-	case a.err != nil:
-		return a.err
 	case a.isStream:
 		return e.forwardEvent(r, a)
 	default:
@@ -141,9 +159,6 @@
 
 // forwardBuffered forwards a response that is not a stream.
 func (e *exchange) forwardBuffered(a arrival) error {
-	if err := e.checkBuffered(a); err != nil {
-		return err
-	}
 	a.response.CopyHeader(e.writer)
 	e.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	e.writer.WriteHeader(a.response.Status)
@@ -172,9 +187,6 @@
 		r.record.firstEvent = time.Since(r.sent)
 		firstEventTime.Update(r.record.firstEvent.Seconds())
 	}
-	if e.lastEvent != platform.NoEvent && a.event.ID != e.lastEvent+1 {
-		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("event %d follows event %d", a.event.ID, e.lastEvent)}
-	}
 	if e.lastEvent == platform.NoEvent {
 		e.recordOrigin(r)
 	}
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -46,6 +46,8 @@
 	Hang
 	// PauseFirst sends nothing for Config.Pause before the first event.
 	PauseFirst
+	// SlowFail responds with status 500 after Config.Pause.
+	SlowFail
 	// PauseMidStream sends nothing for Config.Pause before the third event.
 	PauseMidStream
 )
@@ -213,6 +215,13 @@
 		resetConnection(w)
 	case Hang:
 		<-r.Context().Done()
+	case SlowFail:
+		select {
+		case <-r.Context().Done():
+		case <-time.After(t.config.Pause):
+		}
+		platform.SetTargetHeaders(w, call.ID, "seal")
+		w.WriteHeader(http.StatusInternalServerError)
 	case Fail, Reject:
 		status := map[Fault]int{Fail: http.StatusInternalServerError, Reject: http.StatusUnprocessableEntity}[fault]
 		platform.SetTargetHeaders(w, call.ID, "seal")
