--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -91,6 +91,8 @@
 	expected time.Duration
 	// preempted runs have been told to release their slot, and no longer count as occupying it.
 	preempted bool
+	// silent runs have been counted against their target.
+	silent bool
 }
 
 // waiter is a queued request.
@@ -299,13 +301,16 @@
 	if r.class == Online && outcome == Finished {
 		p.observeSlotTime(now.Sub(r.granted))
 	}
-	p.observeHealth(now, r, outcome, firstEvent)
+	if !r.silent || outcome != Interrupted && outcome != TimedOut {
+		p.observeHealth(now, r, outcome, firstEvent)
+	}
 	return s.dispatch(now, p)
 }
 
 // ReportSilent records that the target of a run has sent nothing for too long. The run goes on.
 func (s *Scheduler) ReportSilent(now time.Time, ticket Ticket) {
-	if r := s.running[ticket]; r != nil {
+	if r := s.running[ticket]; r != nil && !r.silent {
+		r.silent = true
 		r.target.pool.observeHealth(now, r, TimedOut, 0)
 	}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -218,6 +218,19 @@
 	}
 }
 
+// A target was ejected by one request: for its silence, and again for the end of the run.
+func TestSilenceAndEndOfARunCountOnceAgainstItsTarget(t *testing.T) {
+	for _, outcome := range []scheduler.Outcome{scheduler.Interrupted, scheduler.TimedOut} {
+		s := newScheduler(2, 4)
+		granted(t, s.Submit(epoch, online(1, epoch)), 1)
+		s.ReportSilent(at(time.Second), ticket(1))
+		s.Release(at(time.Second), ticket(1), outcome, 0)
+		for n := 2; n < 10; n++ {
+			granted(t, s.Submit(at(time.Second), online(n, at(time.Second))), n)
+		}
+	}
+}
+
 func TestRequestOfAVersionUsesTargetsOfThatVersionOnly(t *testing.T) {
 	versions := func(list ...string) []routing.Target {
 		targets := fleet(len(list), 1)
