--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -168,11 +168,38 @@
 }
 
 func (e *exchange) acquire(ctx context.Context) (*scheduling.Slot, time.Duration, error) {
-	now := time.Now()
-	slot, err := e.server.config.Slots.Acquire(ctx, e.slotRequest(now, e.mayHaveRun || e.lastEvent != platform.NoEvent, e.tried, e.version))
-	waited := time.Since(now)
-	slotWait.Update(waited.Seconds())
-	return slot, waited, err
+	began := time.Now()
+	for {
+		now := time.Now()
+		request := e.slotRequest(now, e.mayHaveRun || e.lastEvent != platform.NoEvent, e.tried, e.version)
+		request.Resuming = e.mayHaveRun || e.started
+		slot, err := e.server.config.Slots.Acquire(ctx, request)
+		if e.mayAcquireLater(err) && sleep(ctx, searchInterval) {
+			continue
+		}
+		waited := time.Since(began)
+		slotWait.Update(waited.Seconds())
+		return slot, waited, err
+	}
+}
+
+// mayAcquireLater reports whether a slot is requested again that was refused, because the client has a part of the response
+// and can't be told to return.
+func (e *exchange) mayAcquireLater(err error) bool {
+	var refused *scheduling.RefusedError
+	return e.started && errors.As(err, &refused) && refused.Reason != scheduler.VersionGone
+}
+
+// sleep reports whether it has slept for d before ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
 }
 
 // slotRequest returns the request for a slot of a target of a version that is not in tried. Requests that a target may have
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -201,15 +201,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &search{found: make(chan searchResult), cancel: cancel}
 	go func() {
-		timer := time.NewTimer(delay)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, delay) {
 			return
-		case <-timer.C:
 		}
 		began := time.Now()
-		slot, err := e.server.config.Slots.Acquire(ctx, e.slotRequest(began, true, tried, version))
+		request := e.slotRequest(began, true, tried, version)
+		request.Resuming = true
+		slot, err := e.server.config.Slots.Acquire(ctx, request)
 		select {
 		case s.found <- searchResult{slot: slot, waited: time.Since(began), err: err}:
 		case <-ctx.Done():
--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling/schedulingtest"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
 )
 
@@ -68,6 +69,39 @@
 	})
 }
 
+func TestStreamThatHasBegunWaitsForASlot(t *testing.T) {
+	t.Run("while the targets of its version are full", func(t *testing.T) {
+		f := startHandover(t, 2, 300*time.Millisecond)
+		f.targets[0].Inject(streamtarget.PauseFirst)
+		r, occupying := f.request(t.Context(), "/once/")
+		go f.do(r)
+		for f.targets[0].Runs(occupying) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		f.targets[1].Inject(streamtarget.CutMidEvent)
+		got, id := f.send(t, "/resumable/")
+		qt.Assert(t, got.err, qt.IsNil)
+		qt.Assert(t, got.body, qt.Equals, wholeStream(id))
+	})
+	t.Run("but not for a version that is gone", func(t *testing.T) {
+		f := startPausing(t, 1, longTimeout, longPause, "v1", "v2")
+		f.targets[0].Inject(streamtarget.PauseMidStream)
+		r, id := f.request(t.Context(), "/resumable/")
+		ended := make(chan clientResponse)
+		go func() { ended <- f.do(r) }()
+		for f.targets[0].Runs(id) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		// The first events arrive before the pause.
+		time.Sleep(50 * time.Millisecond)
+		f.slots.SetTargets(schedulingtest.Registered(service, 1, f.targets[1]))
+		f.targets[0].Close()
+		got := <-ended
+		qt.Assert(t, got.err, qt.IsNotNil)
+		qt.Assert(t, got.took < longPause, qt.IsTrue, qt.Commentf("%s", got.took))
+	})
+}
+
 // A target that stays silent must not work on the request for long beside the one that continues it.
 func TestTwoTargetsWorkOnARequestForLessThan400ms(t *testing.T) {
 	f := startHandover(t, 2, longPause)
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -40,6 +40,8 @@
 	Redirects int `cbor:"11,keyasint,omitempty"`
 	// Version is the only version of targets' software that may run the request. Empty means any.
 	Version string `cbor:"12,keyasint,omitempty"`
+	// Resuming means that a refusal does not reach a client.
+	Resuming bool `cbor:"13,keyasint,omitempty"`
 }
 
 func newSubmitMessage(now time.Time, r scheduler.Request, redirects int) submitMessage {
@@ -56,6 +58,7 @@
 		RetryWithin:      r.RetryWithin,
 		Redirects:        redirects,
 		Version:          r.Version,
+		Resuming:         r.Resuming,
 	}
 }
 
@@ -72,6 +75,7 @@
 		Retry:            m.Retry,
 		RetryWithin:      m.RetryWithin,
 		Version:          m.Version,
+		Resuming:         m.Resuming,
 	}
 }
 
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -142,6 +142,9 @@
 // attempts leave, behind the clients that were refused before it. In a surge there is no such capacity, and the
 // client is told to retry as late as it is willing to, when the surge is most likely over.
 func (s *Scheduler) scheduleRetry(now time.Time, p *pool, w *waiter, excess, interval time.Duration) time.Duration {
+	if w.Resuming {
+		return minRetryAfter
+	}
 	p.expectedRetries = slices.DeleteFunc(p.expectedRetries, func(at time.Time) bool { return at.Before(now.Add(-retryWindow)) })
 	at := now.Add(max(excess, minRetryAfter))
 	if n := len(p.expectedRetries); n > 0 {
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -43,6 +43,9 @@
 	Expected time.Duration
 	// Retry marks an online request that was refused before.
 	Retry bool
+	// Resuming marks an online request that a target has begun to run. A refusal does not reach its client, so that no retry
+	// of the client is expected.
+	Resuming bool
 	// RetryWithin is the longest delay after which the client of an online request still retries. Zero means unknown.
 	RetryWithin time.Duration
 }
@@ -127,7 +130,7 @@
 	NoTarget Reason = "no_target_available"
 	// NoRegistry means that the coordinator has not read the registry of targets yet and cannot decide.
 	NoRegistry Reason = "targets_not_read"
-	// VersionGone means that no target of the item's version takes new runs any more.
+	// VersionGone means that no target of the request's version takes new runs any more.
 	VersionGone Reason = "version_gone"
 	// Redirected means that another coordinator has free slots; the request is sent there.
 	Redirected Reason = "redirected"
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -241,16 +241,18 @@
 	}
 	p := s.pool(r.Service)
 	w := &waiter{Request: r, arrived: now, renewed: now}
+	if !p.serves(r.Version) {
+		return []Action{Refuse{Ticket: r.Ticket, RetryAfter: s.jitter(s.config.NoTargetRetry), Reason: VersionGone}}
+	}
 	if r.Class == Item {
-		if !p.serves(r.Version) {
-			return []Action{Refuse{Ticket: r.Ticket, Reason: VersionGone}}
-		}
 		s.enqueueItem(p, w)
 		return s.dispatch(now, p)
 	}
-	if r.Retry {
+	switch {
+	case r.Resuming:
+	case r.Retry:
 		p.consumeRetry(now)
-	} else {
+	default:
 		p.observeArrival(now)
 	}
 	actions, placed := s.place(now, p, w)
