--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// itemIdleTimeout is how long a target may send no event before the item is resumed on another target.
-	itemIdleTimeout = time.Second
+	// itemIdleTimeout is how long a target may send no event before the item is resumed on another target. It doubles with
+	// each attempt in a row that timed out, up to maxItemIdleTimeout, so that an item that needs longer ends too.
+	itemIdleTimeout    = time.Second
+	maxItemIdleTimeout = 16 * time.Second
 	// itemRetryDelay is the delay before an item is retried.
 	itemRetryDelay = 50 * time.Millisecond
 	// maxItemRetryDelay bounds that delay while one target after another interrupts the item. Crashed targets
@@ -43,6 +45,9 @@
 	// consecutiveInterruptions counts the attempts in a row that were interrupted before the target sent an
 	// event.
 	consecutiveInterruptions int
+	// consecutiveTimeouts counts the attempts in a row in which the target sent no event within the idle
+	// timeout.
+	consecutiveTimeouts int
 	// restartAt is when an item that waits for a slot of its version starts anew at any version. Zero means that it does not
 	// wait.
 	restartAt time.Time
@@ -81,6 +86,11 @@
 	s.Failures++
 }
 
+// idleTimeout returns how long the target may send no event in the next attempt.
+func (s *itemState) idleTimeout() time.Duration {
+	return min(itemIdleTimeout<<min(s.consecutiveTimeouts, 10), maxItemIdleTimeout)
+}
+
 // retryDelay returns the delay before the next attempt. It grows for an item that may be crashing its targets.
 func (s *itemState) retryDelay() time.Duration {
 	return min(itemRetryDelay<<min(s.consecutiveInterruptions, 10), maxItemRetryDelay)
@@ -223,6 +233,10 @@
 		state.tried = []string{slot.Target}
 		s.config.Log.Info().AnErr("cause", err).Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).
 			Int64("last_event", state.Position).Msg("item attempt interrupted; resuming on another target")
+		state.consecutiveTimeouts++
+		if state.Events > eventsBefore || outcome != scheduler.TimedOut {
+			state.consecutiveTimeouts = 0
+		}
 		state.consecutiveInterruptions++
 		if state.Events > eventsBefore || outcome != scheduler.Interrupted {
 			state.consecutiveInterruptions = 0
@@ -288,7 +302,8 @@
 func (s *Service) send(ctx context.Context, slot *scheduling.Slot, item platform.JobItem, head *Head, state *itemState) (int, time.Duration, error) {
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	idleTimer := time.AfterFunc(itemIdleTimeout, func() { cancel(context.DeadlineExceeded) })
+	idleTimeout := state.idleTimeout()
+	idleTimer := time.AfterFunc(idleTimeout, func() { cancel(context.DeadlineExceeded) })
 	defer idleTimer.Stop()
 	go func() {
 		select {
@@ -300,7 +315,7 @@
 	sentAt := time.Now()
 	var firstEvent time.Duration
 	status, err := s.receive(sendCtx, slot, item, head, state, func() {
-		idleTimer.Reset(itemIdleTimeout)
+		idleTimer.Reset(idleTimeout)
 		if firstEvent == 0 {
 			firstEvent = time.Since(sentAt)
 		}
