--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -163,7 +163,7 @@
 	Changed []string `json:"changed,omitempty"`
 	// Revision is the subtree's current revision, if If-Match names an older one.
 	Revision uint64 `json:"revision,omitempty"`
-	// Operation identifies a change of unknown outcome.
+	// Operation is the Idempotency-Key with which a change of unknown outcome can be sent again.
 	Operation string `json:"operation,omitempty"`
 }
 
--- a/internal/operatorapi/server_test.go
+++ b/internal/operatorapi/server_test.go
@@ -78,24 +78,41 @@
 }
 
 type fixture struct {
-	c     *qt.C
-	table *faulty.Table
-	http  http.Handler
+	c        *qt.C
+	table    *faulty.Table
+	settings *forgetfulSettings
+	http     http.Handler
+}
+
+// forgetfulSettings loses the reply to the next commit if loseReply is set.
+type forgetfulSettings struct {
+	*settingstore.Store
+	loseReply bool
+}
+
+func (s *forgetfulSettings) Commit(ctx context.Context, have *settings.Snapshot, change settings.Change) (*settings.Snapshot, error) {
+	next, err := s.Store.Commit(ctx, have, change)
+	if err == nil && s.loseReply {
+		s.loseReply = false
+		return nil, errors.New("connection reset")
+	}
+	return next, err
 }
 
 func newFixture(c *qt.C) *fixture {
 	p := memory.New()
 	table := faulty.New(p)
 	store := settingstore.New(table, p.Objects())
+	forgetful := &forgetfulSettings{Store: store}
 	handler, err := New(Config{
-		Settings:      store,
+		Settings:      forgetful,
 		Follower:      &directFollower{store: store, snapshot: settings.Empty()},
 		Jobs:          fakeJobs{},
 		Caller:        fakeCaller{},
 		RootKeySHA256: digest(rootKey),
 	})
 	c.Assert(err, qt.IsNil)
-	f := &fixture{c: c, table: table, http: handler}
+	f := &fixture{c: c, table: table, settings: forgetful, http: handler}
 	f.put(rootKey, "", nil, `
 fleet/operators/desk:
   key_sha256: `+digest(deskKey)+`
@@ -140,6 +157,25 @@
 	return f.send(http.MethodPut, strings.TrimRight("/v1/settings/"+path, "/"), key, headers, body)
 }
 
+// The operation of a change without a key was no key that commits the change once when it is sent again.
+func TestChangeOfUnknownOutcomeIsCommittedOnceWhenSentAgain(t *testing.T) {
+	for name, key := range map[string]string{"without a key": "", "with a key of the operator": "k1"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(qt.New(t))
+			f.settings.loseReply = true
+			change := "teams/desk/clients/calls:\n  key_sha256: [" + digest("other") + "]\n"
+			base := f.get(deskKey, "/v1/settings/teams/desk").header.Get("ETag")
+			lost := f.put(deskKey, "teams/desk", map[string]string{"Idempotency-Key": key, "If-Match": base}, change)
+			qt.Assert(t, lost.status, qt.Equals, http.StatusGatewayTimeout)
+			again := f.put(deskKey, "teams/desk", map[string]string{"Idempotency-Key": lost.failure.Operation, "If-Match": base}, change)
+			qt.Assert(t, again.status, qt.Equals, http.StatusOK, qt.Commentf("%s", again.body))
+			var revisions []revisionBody
+			qt.Assert(t, json.Unmarshal([]byte(f.get(deskKey, "/v1/settings-history/teams/desk").body), &revisions), qt.IsNil)
+			qt.Assert(t, revisions, qt.HasLen, 2)
+		})
+	}
+}
+
 func TestOperatorsAreLimitedToTheirSubtree(t *testing.T) {
 	f := newFixture(qt.New(t))
 	for _, test := range []struct {
--- a/internal/operatorapi/settings.go
+++ b/internal/operatorapi/settings.go
@@ -133,15 +133,18 @@
 	return change, true
 }
 
-// operationID returns the Idempotency-Key that the operator sent, so that a change retried after a lost
-// response is committed once, or else a new ID.
+// operationID returns the operation of the Idempotency-Key that the operator sent, so that a change retried after a lost
+// response is committed once, or else that of a new key. Keys of different operators do not collide.
 func operationID(ctx iris.Context) string {
-	if id := ctx.GetHeader("Idempotency-Key"); id != "" {
-		return operatorOf(ctx).Name + "/" + id
+	key := ctx.GetHeader("Idempotency-Key")
+	if key == "" {
+		key = ulid.Make().String()
 	}
-	return ulid.Make().String()
+	return operationPrefix(ctx) + key
 }
 
+func operationPrefix(ctx iris.Context) string { return operatorOf(ctx).Name + "/" }
+
 func readBody(ctx iris.Context) ([]byte, error) {
 	ctx.SetMaxRequestBodySize(maxBodyBytes)
 	return ctx.GetBody()
@@ -182,7 +185,7 @@
 		failWith(ctx, http.StatusGatewayTimeout, errorDetail{
 			Code:      "outcome_unknown",
 			Message:   "the change may have been committed; send it again with the same Idempotency-Key to learn the outcome",
-			Operation: change.Operation,
+			Operation: strings.TrimPrefix(change.Operation, operationPrefix(ctx)),
 		})
 	}
 }
