--- a/internal/experiment/batch.go
+++ b/internal/experiment/batch.go
@@ -38,8 +38,6 @@
 	Tokens int `json:"tokens"`
 	// Preemptions counts the runs of items that were interrupted, to make room or by a fault.
 	Preemptions int `json:"preemptions"`
-	// TokensWasted counts generated tokens that were discarded.
-	TokensWasted int `json:"tokens_wasted"`
 	// TokensPrefilledAgain counts prompt and generated tokens that were prefilled more than once.
 	TokensPrefilledAgain int `json:"tokens_prefilled_again"`
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -119,7 +119,6 @@
 		Items:                c.Items - o.Items,
 		Tokens:               c.Tokens - o.Tokens,
 		Preemptions:          c.Preemptions - o.Preemptions,
-		TokensWasted:         c.TokensWasted - o.TokensWasted,
 		TokensPrefilledAgain: c.TokensPrefilledAgain - o.TokensPrefilledAgain,
 	}
 }
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -79,11 +79,11 @@
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	for _, c := range r.Comparisons {
 		fmt.Fprintf(w, "%s, seed %d, faults %t\n", c.Profile, c.Seed, c.Faults)
-		fmt.Fprintln(w, "policy\tfirst token p50\tp99\tp99.9\tp99 / alone\tgap p95\tbatch items/s\tshare of batch alone\tshare of idle\tpreempted\twasted tokens\trefused\trefused after p99\tlate\tfailed")
+		fmt.Fprintln(w, "policy\tfirst token p50\tp99\tp99.9\tp99 / alone\tgap p95\tbatch items/s\tshare of batch alone\tshare of idle\tpreempted\trefused\trefused after p99\tlate\tfailed")
 		for _, p := range c.Results {
-			fmt.Fprintf(w, "%s\t%.0f ms\t%.0f ms\t%.0f ms\t%.2f\t%.1f ms\t%.1f\t%.2f\t%.2f\t%d\t%d\t%d\t%.0f ms\t%d\t%d\n",
+			fmt.Fprintf(w, "%s\t%.0f ms\t%.0f ms\t%.0f ms\t%.2f\t%.1f ms\t%.1f\t%.2f\t%.2f\t%d\t%d\t%.0f ms\t%d\t%d\n",
 				p.Policy, p.FirstToken.P50, p.FirstToken.P99, p.FirstToken.P999, c.FirstTokenRatio(p.Policy), p.TokenGap.P95,
-				p.BatchItemsPerSecond, c.BatchShare(p.Policy), c.IdleShare(p.Policy), p.Batch.Preemptions, p.Batch.TokensWasted,
+				p.BatchItemsPerSecond, c.BatchShare(p.Policy), c.IdleShare(p.Policy), p.Batch.Preemptions,
 				p.Refused, p.RefusedAfter.P99, p.Late, p.Failed)
 		}
 	}
