--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// Resolve returns where the stream of an attempt began. If no VM knows, it is the only version of the service, provided
-// that there is one. onlyService means that the stream can't have begun at another service.
+// Resolve returns where the stream of an attempt began. If no VM knows, or if the client did not name the attempt, it is the
+// only version of the service, provided that there is one. onlyService means that the stream can't have begun at another service.
 func (s *Service) Resolve(ctx context.Context, attempt, service string, onlyService bool) (origin.Origin, bool) {
 	s.mu.Lock()
 	now := time.Now()
@@ -118,8 +118,8 @@
 		originsFound.Inc()
 		return local, true
 	}
-	if certain && onlyService {
-		return origin.Origin{Service: service, Version: version}, true
+	if attempt == "" || certain && onlyService {
+		return origin.Origin{Service: service, Version: version}, sole
 	}
 	if o, found := s.ask(ctx, attempt); found {
 		originsFound.Inc()
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -116,6 +116,12 @@
 		qt.Assert(t, known, qt.IsTrue)
 		qt.Assert(t, got, qt.Equals, v1)
 	})
+	t.Run("is not asked for if the client names no attempt", func(t *testing.T) {
+		vms := start(t, 3, "v1", "v2")
+		vms[1].Record("", v1)
+		_, known := vms[0].Resolve(t.Context(), "", service, true)
+		qt.Assert(t, known, qt.IsFalse)
+	})
 	t.Run("may have begun at any of several versions", func(t *testing.T) {
 		_, known := start(t, 3, "v1", "v2")[0].Resolve(t.Context(), "attempt", service, true)
 		qt.Assert(t, known, qt.IsFalse)
