--- a/internal/batchapi/batchapi_test.go
+++ b/internal/batchapi/batchapi_test.go
@@ -14,9 +14,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/clientctx"
 	"github.com/rosemarydyke/rosemarydyke/internal/jobstore"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/faulty"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
 	"github.com/rosemarydyke/rosemarydyke/settings"
@@ -30,18 +32,23 @@
 type fixture struct {
 	*qt.C
 	table     *faulty.Table
+	objects   platform.Objects
 	store     *jobstore.Store
 	handler   http.Handler
 	cancelled []string
+	log       bytes.Buffer
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T) *fixture { return newFixtureWithLimit(t, 1<<20) }
+
+// newFixtureWithLimit sets the limit of uploaded files, in bytes.
+func newFixtureWithLimit(t *testing.T, maxFileBytes int64) *fixture {
 	p := memory.New()
-	f := &fixture{C: qt.New(t), table: faulty.New(p)}
+	f := &fixture{C: qt.New(t), table: faulty.New(p), objects: p.Objects()}
 	f.store = jobstore.New(f.table, p.Objects())
 	f.handler = New(Config{
 		PlatformTimeout: 100 * time.Millisecond,
-		Table:           f.table, Objects: p.Objects(), MaxFileBytes: 1 << 20,
+		Table:           f.table, Objects: p.Objects(), MaxFileBytes: maxFileBytes, Log: zerolog.New(&f.log),
 		Settings: &fixedSettings{settings.Snapshot{Models: map[string]*settings.Model{"m": {Name: "m"}}}},
 		OnCancel: func(_ context.Context, id string) { f.cancelled = append(f.cancelled, id) },
 	})
--- a/internal/batchapi/errors.go
+++ b/internal/batchapi/errors.go
@@ -15,6 +15,9 @@
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
 
+// headerRequestID is set before a request gets here.
+const headerRequestID = "Rosemarydyke-Request-Id"
+
 // platformRetryAfter is the minimum Retry-After while the platform is unavailable.
 const platformRetryAfter = 5 * time.Second
 
@@ -39,7 +42,7 @@
 func (a *api) writeError(w http.ResponseWriter, r *http.Request, err error) {
 	e := classify(err)
 	if e.Code == verdict.CodeInternal {
-		a.config.Log.Error().Err(err).Str("path", r.URL.Path).Msg("request failed")
+		a.config.Log.Error().Err(err).Str("request", w.Header().Get(headerRequestID)).Str("path", r.URL.Path).Msg("request failed")
 	}
 	fields := errorFields{Message: e.Message, Type: errorType(e.Code), Code: e.Code, Verdict: e.Verdict.String()}
 	var line *job.LineError
@@ -59,9 +62,13 @@
 func classify(err error) *verdict.Error {
 	var known *verdict.Error
 	var line *job.LineError
+	var incomplete *jobstore.IncompleteFileError
 	switch {
 	case errors.As(err, &known):
 		return known
+	case errors.As(err, &incomplete):
+		// Files are read before anything of a batch is stored.
+		return &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeInternal, Message: incomplete.Error(), Cause: err}
 	case errors.As(err, &line):
 		return invalid("the input file was refused: " + line.Error())
 	case errors.Is(err, jobstore.ErrNotFound):
--- a/internal/callerapi/call.go
+++ b/internal/callerapi/call.go
@@ -53,6 +53,8 @@
 	release func()
 }
 
+func (s *Server) newRequestID() string { return s.config.VM + "." + ulid.Make().String() }
+
 // newCall creates a call and reads the headers and body that all kinds of calls have in common. The call is nil
 // if the request has no client; otherwise it is returned together with the error and must be released.
 func (s *Server) newCall(w http.ResponseWriter, r *http.Request, snapshot *settings.Snapshot) (*call, error) {
@@ -61,7 +63,7 @@
 		return nil, notRun(verdict.CodeUnauthorized, "the request has no client")
 	}
 	c := &call{
-		id:             s.config.VM + "." + ulid.Make().String(),
+		id:             s.newRequestID(),
 		client:         client,
 		snapshot:       snapshot,
 		idempotencyKey: r.Header.Get(headerIdempotencyKey),
--- a/internal/callerapi/entries.go
+++ b/internal/callerapi/entries.go
@@ -78,6 +78,7 @@
 		handleNotFound(w, r)
 		return
 	}
+	w.Header().Set(headerRequestID, s.newRequestID())
 	release, err := s.gate.enter()
 	if err != nil {
 		writeError(w, err, true)
--- a/internal/jobstore/files.go
+++ b/internal/jobstore/files.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -83,50 +84,85 @@
 	return file, nil
 }
 
-// OpenFile returns a reader of length bytes of an uploaded file, starting at offset.
+// IncompleteFileError means that a part of an uploaded file is missing or truncated in the object store.
+type IncompleteFileError struct {
+	File string
+	// Offset is the position of the first byte that is missing.
+	Offset int64
+	Cause  error
+}
+
+// Error implements error.
+func (e *IncompleteFileError) Error() string {
+	return fmt.Sprintf("file %q is incomplete from byte %d on: %v", e.File, e.Offset, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *IncompleteFileError) Unwrap() error { return e.Cause }
+
+// OpenFile returns a reader of length bytes of an uploaded file, starting at offset. It fails with *IncompleteFileError if
+// the file is shorter.
 func (s *Store) OpenFile(ctx context.Context, id string, offset, length int64) io.Reader {
-	return &rangeReader{length: length, openAt: func(bytesRead int64) (io.ReadCloser, error) {
-		position := offset + bytesRead
-		partOffset := position % filePartBytes
-		n := min(length-bytesRead, filePartBytes-partOffset)
-		return s.openObject(ctx, filePartObject(id, int(position/filePartBytes)), partOffset, n)
-	}}
+	return &rangeReader{
+		length: length,
+		openAt: func(bytesRead int64) (io.ReadCloser, int64, error) {
+			position := offset + bytesRead
+			partOffset := position % filePartBytes
+			n := min(length-bytesRead, filePartBytes-partOffset)
+			object, err := s.openObject(ctx, filePartObject(id, int(position/filePartBytes)), partOffset, n)
+			return object, n, err
+		},
+		explain: func(bytesRead int64, err error) error {
+			if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, platform.ErrNotFound) {
+				return &IncompleteFileError{File: id, Offset: offset + bytesRead, Cause: err}
+			}
+			return err
+		},
+	}
 }
 
 // rangeReader reads a byte range that spans several objects.
 type rangeReader struct {
-	openAt    func(bytesRead int64) (io.ReadCloser, error)
+	// openAt opens the object at a position of the range, and returns how many bytes of the range it holds.
+	openAt func(bytesRead int64) (object io.ReadCloser, length int64, err error)
+	// explain adds to an error where it occurred.
+	explain   func(bytesRead int64, err error) error
 	length    int64
 	bytesRead int64
 	current   io.ReadCloser
+	// left is the number of bytes that are left to read from current.
+	left int64
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. Objects may end with their last bytes or at the next call.
 func (r *rangeReader) Read(p []byte) (int, error) {
-	for {
-		if r.current == nil {
-			if r.bytesRead >= r.length {
-				return 0, io.EOF
-			}
-			object, err := r.openAt(r.bytesRead)
-			if err != nil {
-				return 0, err
-			}
-			r.current = object
-		}
-		n, err := r.current.Read(p)
-		r.bytesRead += int64(n)
-		if errors.Is(err, io.EOF) {
-			_ = r.current.Close()
-			r.current = nil
-			if n == 0 && r.bytesRead < r.length {
-				// A truncated object must not look like the regular end of the file.
-				return 0, io.ErrUnexpectedEOF
-			}
-			err = nil
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if r.current == nil {
+		if r.bytesRead >= r.length {
+			return 0, io.EOF
 		}
-		if n > 0 || err != nil {
-			return n, err
+		object, length, err := r.openAt(r.bytesRead)
+		if err != nil {
+			return 0, r.explain(r.bytesRead, err)
 		}
+		r.current, r.left = object, length
+	}
+	n, err := r.current.Read(p[:min(int64(len(p)), r.left)])
+	r.bytesRead += int64(n)
+	r.left -= int64(n)
+	if err == nil && r.left > 0 {
+		return n, nil
+	}
+	_ = r.current.Close()
+	r.current = nil
+	if r.left == 0 {
+		return n, nil
+	}
+	if errors.Is(err, io.EOF) {
+		// A truncated object must not look like the regular end of the file.
+		err = io.ErrUnexpectedEOF
 	}
+	return n, r.explain(r.bytesRead, err)
 }
--- a/job/input.go
+++ b/job/input.go
@@ -149,6 +149,9 @@
 			return nil, &LineError{Line: scanner.number, Message: fmt.Sprintf("more than %d items", MaxItems)}
 		}
 		line, err := ParseLine(scanner.Bytes())
+		if err != nil && scanner.readError() != nil {
+			return nil, scanner.readError()
+		}
 		if err != nil {
 			return nil, &LineError{Line: scanner.number, Message: err.Error()}
 		}
@@ -175,6 +178,9 @@
 	scanner := newLineScanner(part)
 	for scanner.Scan() {
 		line, err := ParseLine(scanner.Bytes())
+		if err != nil && scanner.readError() != nil {
+			return nil, scanner.readError()
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -186,17 +192,37 @@
 // lineScanner reads lines that are not blank, with their offsets and numbers.
 type lineScanner struct {
 	*bufio.Scanner
+	source       *errorRecorder
 	offset, next int64
 	number       int
 }
 
 func newLineScanner(r io.Reader) *lineScanner {
-	s := &lineScanner{Scanner: bufio.NewScanner(r)}
+	source := &errorRecorder{reader: r}
+	s := &lineScanner{Scanner: bufio.NewScanner(source), source: source}
 	s.Buffer(nil, MaxLineBytes)
 	s.Split(s.split)
 	return s
 }
 
+// readError returns the error of the input, which ends the last line early, or nil.
+func (s *lineScanner) readError() error { return s.source.err }
+
+// errorRecorder keeps the error of a reader, because bufio.Scanner returns the rest of the input as a line first.
+type errorRecorder struct {
+	reader io.Reader
+	err    error
+}
+
+// Read implements io.Reader.
+func (r *errorRecorder) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
+}
+
 func (s *lineScanner) split(data []byte, atEOF bool) (int, []byte, error) {
 	advance, token, err := bufio.ScanLines(data, atEOF)
 	if token != nil {
