--- a/internal/jobstore/jobs.go
+++ b/internal/jobstore/jobs.go
@@ -9,6 +9,9 @@
 	"github.com/rosemarydyke/rosemarydyke/job"
 )
 
+// jobIDPrefix is followed by a ULID.
+const jobIDPrefix = "batch_"
+
 // Spec describes a job to create.
 type Spec struct {
 	Client           string
@@ -60,11 +63,11 @@
 	return s.GetAny(ctx, existing.Job)
 }
 
-// Create commits a job and all its chunks in one transaction, or returns the job that an earlier attempt of
-// the same request created. It fails with ErrIdempotencyMismatch if the key was used for another request.
+// Create commits a job and all its chunks, or returns the job that an earlier attempt of the same request created. Nothing is
+// visible to clients before the last transaction. It fails with ErrIdempotencyMismatch if the key was used for another request.
 func (s *Store) Create(ctx context.Context, spec Spec) (*Record, error) {
 	j := &job.Job{
-		ID:               "batch_" + s.newID(),
+		ID:               jobIDPrefix + s.newID(),
 		Client:           spec.Client,
 		Endpoint:         spec.Endpoint,
 		CompletionWindow: spec.CompletionWindow,
@@ -75,14 +78,23 @@
 		Chunks:           len(spec.Chunks),
 		CreatedAt:        s.now(),
 	}
+	d, err := s.writeDraft(ctx, j, spec.Chunks)
+	if err != nil {
+		return nil, err
+	}
 	key := idempotencyRowKey(spec.Client, spec.IdempotencyKey)
-	version, err := s.commit(ctx, createTxn(j, spec, key), key, func(row platform.Row) bool {
+	version, err := s.commit(ctx, d.complete(createTxn(j, d.left, spec, key)), key, func(row platform.Row) bool {
 		var written idempotencyRow
 		return row.Version != 0 && decode(row, &written) == nil && written.Job == j.ID
 	})
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
-		return s.FindByIdempotencyKey(ctx, spec.Client, spec.IdempotencyKey, spec.RequestDigest)
+		s.discardDraft(ctx, d)
+		record, err := s.FindByIdempotencyKey(ctx, spec.Client, spec.IdempotencyKey, spec.RequestDigest)
+		if errors.Is(err, ErrNotFound) {
+			return nil, errDraftRemoved
+		}
+		return record, err
 	}
 	if err != nil {
 		return nil, err
@@ -90,7 +102,7 @@
 	return &Record{Job: *j, jobVersion: version, progressVersion: version}, nil
 }
 
-func createTxn(j *job.Job, spec Spec, key string) platform.Txn {
+func createTxn(j *job.Job, chunks []*job.Chunk, spec Spec, key string) platform.Txn {
 	txn := platform.Txn{
 		Conditions: []platform.Condition{{Key: key}},
 		Writes: []platform.Write{
@@ -100,12 +112,18 @@
 			{Key: clientJobKey(j.Client, j.ID, j.CreatedAt), Value: []byte(j.ID)},
 		},
 	}
-	for _, chunk := range spec.Chunks {
+	txn.Writes = append(txn.Writes, chunkWrites(j, chunks)...)
+	return txn
+}
+
+func chunkWrites(j *job.Job, chunks []*job.Chunk) []platform.Write {
+	writes := make([]platform.Write, len(chunks))
+	for i, chunk := range chunks {
 		row := *chunk
 		row.Job = j.ID
-		txn.Writes = append(txn.Writes, platform.Write{Key: workKey(j, row.Number), Value: mustEncode(&row)})
+		writes[i] = platform.Write{Key: workKey(j, row.Number), Value: mustEncode(&row)}
 	}
-	return txn
+	return writes
 }
 
 // Get returns a client's job.
--- a/internal/jobstore/keys.go
+++ b/internal/jobstore/keys.go
@@ -24,12 +24,14 @@
 	workPrefix        = "batch-work/"
 	chunkPrefix       = "batch-chunk/"
 	runnerPrefix      = "batch-runner/"
+	draftPrefix       = "batch-draft/"
 
 	fileObjects    = "batch-files/"
 	segmentObjects = "batch-segments/"
 )
 
 func fileKey(id string) string       { return filePrefix + id }
+func draftKey(id string) string      { return draftPrefix + id }
 func jobKey(id string) string        { return jobPrefix + id }
 func progressKey(id string) string   { return progressPrefix + id }
 func runnerKey(runner string) string { return runnerPrefix + runner }
--- a/internal/runner/discover.go
+++ b/internal/runner/discover.go
@@ -171,11 +171,23 @@
 }
 
 func (r *Runner) claim(ctx context.Context, w *jobstore.Work) error {
+	requestedAt := time.Now()
+	record, err := r.config.Store.GetAny(ctx, w.Chunk.Job)
+	if errors.Is(err, jobstore.ErrNotFound) {
+		// The job is being created, or its creation was abandoned.
+		if err := r.config.Store.RemoveAbandoned(ctx, w); err != nil {
+			return err
+		}
+		return jobstore.ErrFenced
+	}
+	if err != nil {
+		return err
+	}
 	claimed, err := r.config.Store.Claim(ctx, w, r.id)
 	if err != nil {
 		return err
 	}
-	h, err := r.loadChunk(ctx, claimed)
+	h, err := r.loadChunk(ctx, claimed, record, requestedAt)
 	if err != nil {
 		return err
 	}
@@ -189,12 +201,8 @@
 	return nil
 }
 
-func (r *Runner) loadChunk(ctx context.Context, w *jobstore.Work) (*heldChunk, error) {
-	requestedAt := time.Now()
-	record, err := r.config.Store.GetAny(ctx, w.Chunk.Job)
-	if err != nil {
-		return nil, err
-	}
+// loadChunk loads a claimed chunk of a job that was read at requestedAt.
+func (r *Runner) loadChunk(ctx context.Context, w *jobstore.Work, record *jobstore.Record, requestedAt time.Time) (*heldChunk, error) {
 	lines, err := r.config.Store.Lines(ctx, &record.Job, w.Chunk)
 	if err != nil {
 		return nil, err
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/batchslots"
 	"github.com/rosemarydyke/rosemarydyke/internal/jobstore"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/faulty"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
 	"github.com/rosemarydyke/rosemarydyke/job"
@@ -227,6 +228,44 @@
 	})
 }
 
+// brokenTable loses the connection to the table after some commits.
+type brokenTable struct {
+	platform.Table
+	commits int
+}
+
+func (b *brokenTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if b.commits--; b.commits < 0 {
+		return 0, errors.New("the process is gone")
+	}
+	return b.Table.Commit(ctx, txn)
+}
+
+func TestChunksOfAJobThatWasNeverCreatedAreNeitherRunNorKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := memory.New()
+		store := jobstore.New(p, p.Objects())
+		spec := jobstore.Spec{Client: "client", IdempotencyKey: "k"}
+		for number := range 100 {
+			spec.Chunks = append(spec.Chunks, &job.Chunk{Number: number, Items: 1, Model: model})
+		}
+		_, err := jobstore.New(&brokenTable{Table: p, commits: 1}, p.Objects()).Create(t.Context(), spec)
+		qt.Assert(t, err, qt.IsNotNil)
+		record := createJob(t, store, 200, plainLine)
+		items := &fakeItems{delay: 300 * time.Millisecond, dispatches: map[string]int{}}
+		stop := startRunner(newTestRunner(store, &fakeEntry{limit: 20}, items))
+		waitFor(t, 10*time.Minute, "job completed", func() bool { return getRecord(t, store, record.Job.ID).Status() == job.StatusCompleted })
+		stop()
+		qt.Assert(t, items.dispatches, qt.HasLen, 200)
+		time.Sleep(time.Hour)
+		defer startRunner(newTestRunner(store, &fakeEntry{limit: 20}, items))()
+		waitFor(t, 10*time.Minute, "chunks removed", func() bool {
+			work, err := store.OpenWork(t.Context(), "", 1000)
+			return err == nil && len(work) == 0
+		})
+	})
+}
+
 func TestPreemptedItemContinuesUnlessItIsNonIdempotent(t *testing.T) {
 	for _, test := range []struct {
 		name       string
