--- a/cmd/rosemary-ingress/process_test.go
+++ b/cmd/rosemary-ingress/process_test.go
@@ -70,16 +70,19 @@
 	nextID  atomic.Int64
 }
 
-func startFleet(t *testing.T) *fleet {
+func startFleet(t *testing.T) *fleet { return startFleetOfVersions(t, "v1", "v1") }
+
+// startFleetOfVersions starts a target of each version.
+func startFleetOfVersions(t *testing.T, versions ...string) *fleet {
 	f := &fleet{t: t, state: memory.New()}
 	server := httptest.NewServer(platformserver.New(platformserver.Config{Memory: f.state}))
 	t.Cleanup(server.Close)
 	f.store = strings.TrimPrefix(server.URL, "http://")
-	for i := range 2 {
-		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Events: streamEvents, Interval: eventInterval})
+	for i, version := range versions {
+		target := streamtarget.Start(streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Version: version, Events: streamEvents, Interval: eventInterval})
 		t.Cleanup(target.Close)
 		f.targets = append(f.targets, target)
-		f.put(platform.TargetTable, target.ID(), fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":8,"state":"ready"}`, target.Address()))
+		f.put(platform.TargetTable, target.ID(), fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","version":%q,"slots":8,"state":"ready"}`, target.Address(), version))
 	}
 	f.put(platform.OperatorTable, platform.ConfigKey, `{"version":1,"routes":[
 	 {"name":"r","host":"a.example","path_prefix":"/s/","route_kind":"streaming","timeout_ms":5000,"goal_ms":300,"service":"s","max_attempts":2,"resumable":true,"gap_target_ms":400},
@@ -163,12 +166,18 @@
 
 // do sends a request on a connection of its own.
 func (f *fleet) do(method, address, path, id, body string) (int, string, error) {
+	return f.doWith(method, address, path, id, body, func(http.Header) {})
+}
+
+// doWith sends a request with more headers. The content may be incomplete if there is an error.
+func (f *fleet) doWith(method, address, path, id, body string, addHeaders func(http.Header)) (int, string, error) {
 	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
 	r.Host, r.Close = host, true
 	platform.SetAttempt(r.Header, id, 5000)
+	addHeaders(r.Header)
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return 0, "", err
@@ -271,6 +280,47 @@
 	}
 }
 
+// versions returns the versions of the targets that ran a request.
+func (f *fleet) versions(id string) []string {
+	var versions []string
+	for _, target := range f.targets {
+		if target.Runs(id) > 0 {
+			versions = append(versions, target.Version())
+		}
+	}
+	return versions
+}
+
+func TestStreamsAreResumedAtTheirVersionAfterTheLossOfAVM(t *testing.T) {
+	f := startFleetOfVersions(t, "v1", "v2", "v1", "v2")
+	const streams = 24
+	received := make([]string, streams)
+	var clients sync.WaitGroup
+	for i := range streams {
+		clients.Go(func() {
+			_, received[i], _ = f.do(http.MethodPost, f.vms[0].clients, "/s/x", fmt.Sprintf("first-%d", i), "prompt")
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	qt.Assert(t, f.vms[0].command.Process.Kill(), qt.IsNil)
+	clients.Wait()
+	used := map[string]int{}
+	for i := range streams {
+		first, next := fmt.Sprintf("first-%d", i), fmt.Sprintf("next-%d", i)
+		events := strings.Count(received[i], "\n\n")
+		qt.Assert(t, events > 0 && events < streamEvents, qt.IsTrue, qt.Commentf("%d events of %s before the kill", events, first))
+		status, content, err := f.doWith(http.MethodPost, f.vms[1+i%2].clients, "/s/x", next, "prompt", func(h http.Header) {
+			platform.SetResume(h, first, int64(events-1))
+		})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, status, qt.Equals, http.StatusOK)
+		qt.Assert(t, strings.Count(content, "\n\n"), qt.Equals, streamEvents-events)
+		qt.Assert(t, f.versions(next), qt.DeepEquals, f.versions(first))
+		used[f.versions(next)[0]]++
+	}
+	qt.Assert(t, used, qt.HasLen, 2)
+}
+
 func TestInvalidSettingsAreReported(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	qt.Assert(t, os.WriteFile(path, []byte("vm:\n  name: x\n  availability_zone: z\n  region: r\nstore: nowhere\n"), 0o600), qt.IsNil)
