--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -102,6 +103,22 @@
 	})
 }
 
+func TestSilentTargetGetsNoNewRequests(t *testing.T) {
+	f := startPausing(t, 4, longTimeout, longPause, "v1", "v2")
+	f.targets[0].Inject(streamtarget.PauseMidStream, streamtarget.PauseMidStream)
+	f.targets[1].Inject(streamtarget.PauseMidStream, streamtarget.PauseMidStream)
+	var clients sync.WaitGroup
+	for range 4 {
+		r, _ := f.request(t.Context(), "/resumable/")
+		clients.Go(func() { f.do(r) })
+	}
+	// No target of the same version can continue the streams, and one of the two targets is ejected.
+	for deadline := time.Now().Add(5 * time.Second); f.slots.Loads()[0].Usable != 1; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%v", f.slots.Loads()))
+	}
+	clients.Wait()
+}
+
 // A target that stays silent must not work on the request for long beside the one that continues it.
 func TestTwoTargetsWorkOnARequestForLessThan400ms(t *testing.T) {
 	f := startHandover(t, 2, longPause)
--- a/internal/scheduling/service_test.go
+++ b/internal/scheduling/service_test.go
@@ -214,9 +214,9 @@
 	for _, slot := range silent {
 		slot.ReportSilent()
 	}
-	time.Sleep(100 * time.Millisecond)
-	for range 2 {
-		qt.Assert(t, acquire(t, vms[2], online()).Target, qt.Equals, "t1")
+	// The coordinator ejects the target, for a while.
+	for deadline := time.Now().Add(5 * time.Second); vms[0].Loads()[0].Usable != 1; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%v", vms[0].Loads()))
 	}
 }
 
