--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -21,7 +21,9 @@
 	running   map[scheduler.Ticket]string
 	preempted map[scheduler.Ticket]bool
 	class     map[scheduler.Ticket]scheduler.Class
-	targets   map[string]routing.Target
+	// version is the version that each request may use.
+	version map[scheduler.Ticket]string
+	targets map[string]routing.Target
 	// lastOnline is when the last online request arrived.
 	lastOnline time.Time
 }
@@ -46,13 +48,16 @@
 			if target, alreadyRunning := o.running[a.Ticket]; alreadyRunning && target != a.Target {
 				t.Fatalf("%v holds two slots", a.Ticket)
 			}
+			if version := o.version[a.Ticket]; version != "" && version != o.targets[a.Target].Version {
+				t.Fatalf("%v of version %s was granted a slot of %s, which runs %s", a.Ticket, version, a.Target, o.targets[a.Target].Version)
+			}
 			if o.targets[a.Target].Draining {
 				t.Fatalf("%v was granted a slot of the draining target %s", a.Ticket, a.Target)
 			}
 			o.running[a.Ticket] = a.Target
 			delete(o.waiting, a.Ticket)
 		case scheduler.Refuse:
-			if o.class[a.Ticket] == scheduler.Item {
+			if o.class[a.Ticket] == scheduler.Item && o.serves(o.version[a.Ticket]) {
 				t.Fatalf("item %v was refused", a.Ticket)
 			}
 			delete(o.waiting, a.Ticket)
@@ -72,8 +77,19 @@
 	return n
 }
 
+// serves reports whether a target of a version takes new runs, or whether the version is empty.
+func (o *oracle) serves(version string) bool {
+	for _, target := range o.targets {
+		if !target.Draining && target.Version == version {
+			return true
+		}
+	}
+	return version == ""
+}
+
 func (o *oracle) check(t *rapid.T) {
 	free, slots := 0, 0
+	freeOf := map[string]int{}
 	for id, target := range o.targets {
 		n := o.occupied(id)
 		if n > target.Slots {
@@ -81,6 +97,7 @@
 		}
 		if !target.Draining {
 			free += target.Slots - n
+			freeOf[target.Version] += target.Slots - n
 			slots += target.Slots
 		}
 	}
@@ -95,7 +112,11 @@
 	for ticket, r := range o.waiting {
 		slack := r.StartBy.Sub(o.now) - r.Expected
 		urgent := slack >= 0 && slack < 1500*time.Millisecond
-		if o.class[ticket] == scheduler.Online || urgent || free > headroom {
+		if !o.serves(r.Version) {
+			t.Fatalf("%v waits for version %s, which no target has", ticket, r.Version)
+		}
+		usable := r.Version == "" || freeOf[r.Version] > 0
+		if usable && (o.class[ticket] == scheduler.Online || urgent || free > headroom) {
 			t.Fatalf("%v waits while %d of %d slots are free, urgent %v", ticket, free, slots, urgent)
 		}
 	}
@@ -107,11 +128,13 @@
 		s := newScheduler(count, slots)
 		o := &oracle{
 			now: epoch, waiting: map[scheduler.Ticket]scheduler.Request{}, running: map[scheduler.Ticket]string{},
-			preempted: map[scheduler.Ticket]bool{}, class: map[scheduler.Ticket]scheduler.Class{}, targets: map[string]routing.Target{},
+			preempted: map[scheduler.Ticket]bool{}, class: map[scheduler.Ticket]scheduler.Class{}, version: map[scheduler.Ticket]string{}, targets: map[string]routing.Target{},
 		}
 		for _, target := range fleet(count, slots) {
+			target.Version = rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")
 			o.targets[target.ID] = target
 		}
+		s.SetTargets(o.now, o.list())
 		end := func(t *rapid.T, wasPreempted bool) {
 			for ticket := range o.running {
 				if o.preempted[ticket] != wasPreempted {
@@ -128,6 +151,8 @@
 			}
 		}
 		submit := func(t *rapid.T, r scheduler.Request) {
+			r.Version = rapid.SampledFrom([]string{"", "", "v1", "v2"}).Draw(t, "request version")
+			o.version[r.Ticket] = r.Version
 			o.class[r.Ticket] = r.Class
 			o.waiting[r.Ticket] = r
 			o.apply(t, s.Submit(o.now, r))
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -270,6 +270,18 @@
 		qt.Assert(t, granted(t, s.Submit(epoch, item(3, at(time.Minute))), 3).Target, qt.Equals, "t0")
 		qt.Assert(t, granted(t, s.Release(epoch, ticket(1), scheduler.Finished, 0), 2).Target, qt.Equals, "t1")
 	})
+	t.Run("an online request does not block the queue for other versions", func(t *testing.T) {
+		s := newScheduler(0, 0)
+		targets := versions("v1", "v2")
+		s.SetTargets(epoch, targets)
+		for n := 1; n <= 2; n++ {
+			granted(t, s.Submit(epoch, online(n, epoch)), n)
+		}
+		patient := at(2 * time.Second)
+		qt.Assert(t, s.Submit(epoch, pinned(online(3, patient))), qt.HasLen, 0)
+		qt.Assert(t, s.Submit(epoch, online(4, patient)), qt.HasLen, 0)
+		qt.Assert(t, granted(t, s.Release(epoch, ticket(1), scheduler.Finished, 0), 4).Target, qt.Equals, "t0")
+	})
 	t.Run("an online request is refused when its version is gone", func(t *testing.T) {
 		s.SetTargets(epoch, versions("v1"))
 		refusal, ok := refused(s.Submit(epoch, pinned(online(4, epoch))), 4)
