--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -73,6 +73,16 @@
 	return holders, others
 }
 
+// record records an origin at the first VM, and returns the VMs that know it then, and the others.
+func record(t *testing.T, vms []vm, attempt string) (known, others []vm) {
+	vms[0].Record(attempt, v1)
+	for deadline := time.Now().Add(5 * time.Second); len(known) < 3; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("the origin has %d copies", len(known)))
+		known, others = holders(vms, attempt)
+	}
+	return known, others
+}
+
 func TestOriginOfAStreamIsFoundAtAnyVM(t *testing.T) {
 	for _, lost := range []struct {
 		name  string
@@ -86,14 +96,7 @@
 	} {
 		t.Run(lost.name, func(t *testing.T) {
 			vms := start(t, 9, "v1", "v2")
-			vms[0].Record("attempt", v1)
-			for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
-				if known, _ := holders(vms, "attempt"); len(known) == 3 {
-					break
-				}
-				qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("the origin has fewer than three copies"))
-			}
-			known, others := holders(vms, "attempt")
+			known, others := record(t, vms, "attempt")
 			for _, v := range known[:lost.count] {
 				qt.Assert(t, v.node.Close(), qt.IsNil)
 			}
@@ -117,9 +120,8 @@
 		qt.Assert(t, got, qt.Equals, v1)
 	})
 	t.Run("is not asked for if the client names no attempt", func(t *testing.T) {
-		vms := start(t, 3, "v1", "v2")
-		vms[1].Record("", v1)
-		_, known := vms[0].Resolve(t.Context(), "", service, true)
+		_, others := record(t, start(t, 9, "v1", "v2"), "")
+		_, known := others[0].Resolve(t.Context(), "", service, true)
 		qt.Assert(t, known, qt.IsFalse)
 	})
 	t.Run("may have begun at any of several versions", func(t *testing.T) {
