--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -25,9 +25,6 @@
 	// maxItemRetryDelay bounds that delay while one target after another interrupts the item. Crashed targets
 	// are back after some seconds.
 	maxItemRetryDelay = 5 * time.Second
-	// minVersionWait is how long an item waits at least for a slot of its version: longer than a slot needs to become free
-	// on a busy target.
-	minVersionWait = time.Second
 	// initialEventCount and initialEventInterval are the expected length of an item before any has been
 	// observed.
 	initialEventCount    = 200
@@ -48,9 +45,6 @@
 	// consecutiveTimeouts counts the attempts in a row in which the target sent no event within the idle
 	// timeout.
 	consecutiveTimeouts int
-	// restartAt is when an item that waits for a slot of its version starts anew at any version. Zero means that it does not
-	// wait.
-	restartAt time.Time
 }
 
 // snapshot returns the current progress. Text that is added later is not part of it.
@@ -77,7 +71,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.itemProgress = itemProgress{Position: platform.NoEvent, Failures: s.Failures}
-	s.restartAt = time.Time{}
 }
 
 func (s *itemState) addFailure() {
@@ -133,14 +126,6 @@
 	return time.Duration(remaining * float64(l.interval))
 }
 
-// regeneration returns the expected slot time to generate some events again.
-func (l *lengthEstimator) regeneration(events int) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.init()
-	return time.Duration(events) * l.interval
-}
-
 // runItem runs an item until it has a result or ctx ends, and reports whether it has one.
 func (s *Service) runItem(ctx context.Context, run *jobRun, index int, head *Head) (itemResult, bool) {
 	state := run.begin(index)
@@ -178,11 +163,7 @@
 
 // attemptItem runs an item on one target, and reports whether it has a result now.
 func (s *Service) attemptItem(ctx context.Context, run *jobRun, index int, head *Head, route *routing.Route, state *itemState) (itemResult, bool) {
-	if state.Version != "" && state.restartAt.IsZero() {
-		// Waiting longer than it takes to generate the events again gains nothing.
-		state.restartAt = time.Now().Add(max(s.estimator.regeneration(state.Events), minVersionWait))
-	}
-	slot, err := s.acquireSlot(ctx, state, scheduler.Request{
+	slot, err := s.waitQueue.acquire(ctx, scheduler.Request{
 		Class:    scheduler.Item,
 		Service:  route.Pick(rand.Float64()),
 		Tried:    state.tried,
@@ -194,16 +175,15 @@
 	if err != nil {
 		// There may be no other target than those that the item must not use.
 		state.tried = nil
-		if ctx.Err() == nil && state.mustRestart(time.Now(), err) {
-			s.config.Log.Info().AnErr("cause", err).Str("job", run.job).Str("item", run.items[index].ID).Str("version", state.Version).Int("events", state.Events).
-				Msg("no slot of the version that began the item; it starts anew at any version")
+		if isVersionGone(err) {
+			s.config.Log.Info().Str("job", run.job).Str("item", run.items[index].ID).Str("version", state.Version).Int("events", state.Events).
+				Msg("no target has the version that began the item; its events are dropped and it starts anew")
 			state.restart()
 			return itemResult{}, false
 		}
 		sleep(ctx, itemRetryDelay)
 		return itemResult{}, false
 	}
-	state.restartAt = time.Time{}
 	began, eventsBefore := time.Now(), state.Events
 	status, firstEvent, err := s.send(ctx, slot, run.items[index], head, state)
 	outcome := outcomeOf(ctx, err)
@@ -246,24 +226,10 @@
 	return itemResult{}, false
 }
 
-// acquireSlot waits for a slot, but not beyond the time at which the item starts anew.
-func (s *Service) acquireSlot(ctx context.Context, state *itemState, request scheduler.Request) (*scheduling.Slot, error) {
-	if !state.restartAt.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, state.restartAt)
-		defer cancel()
-	}
-	return s.waitQueue.acquire(ctx, request)
-}
-
-// mustRestart reports whether an item that got no slot drops its events, because no target of its version is left or because
-// it has waited long enough for one.
-func (s *itemState) mustRestart(now time.Time, err error) bool {
-	if s.Version == "" {
-		return false
-	}
+// isVersionGone reports whether an item got no slot because no target has its version any more.
+func isVersionGone(err error) bool {
 	var refused *scheduling.RefusedError
-	return errors.As(err, &refused) && refused.Reason == scheduler.VersionGone || !now.Before(s.restartAt)
+	return errors.As(err, &refused) && refused.Reason == scheduler.VersionGone
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/batchjobs/versions_test.go
+++ b/internal/batchjobs/versions_test.go
@@ -1,16 +1,49 @@
 package batchjobs_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling/schedulingtest"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
 	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
+// Items that waited for a slot for some seconds lost what they had generated.
+func TestItemThatWaitsForASlotKeepsItsEvents(t *testing.T) {
+	c := newClusterOfVersions(t, 0, 20*time.Millisecond, "v1", "v1")
+	c.targets[0].Inject(streamtarget.CutMidEvent)
+	a := c.start("a", c.state)
+	c.submitUntilAccepted(a, "j", 1)
+	c.eventually("item runs", func() bool { return c.targets[0].Runs("j-0") > 0 })
+	var held []*scheduling.Slot
+	for range 7 {
+		slot, err := c.slots.Acquire(t.Context(), scheduler.Request{Class: scheduler.Online, Service: service, StartBy: time.Now().Add(time.Minute), Expires: time.Now().Add(time.Minute)})
+		qt.Assert(t, err, qt.IsNil)
+		held = append(held, slot)
+	}
+	// Without a target that takes requests, the item waits.
+	draining := schedulingtest.Registered(service, 4, c.targets...)
+	ready := slices.Clone(draining)
+	for i := range draining {
+		draining[i].Slots = 1
+	}
+	c.slots.SetTargets(draining)
+	time.Sleep(2500 * time.Millisecond)
+	c.slots.SetTargets(ready)
+	for _, slot := range held {
+		slot.Release(scheduler.Finished, 0)
+	}
+	c.checkComplete("j", 1, c.waitForResults(a, "j", 1))
+	positions := append(c.targets[0].LastEventIDs("j-0"), c.targets[1].LastEventIDs("j-0")...)
+	qt.Assert(t, positions[1:], qt.DeepEquals, []int64{1})
+}
+
 // An item went on at another software version than the one that wrote its first events (found after incident second1).
 func TestTextOfAnItemComesFromOneVersion(t *testing.T) {
 	for name, test := range map[string]struct {
