Observability: rate limits that targets state, and the grants on such targets, are logged

The incident's hypotheses could not be told apart: the header was read by nobody. The client of targets now reports it (an invalid value is logged and changes nothing), the VM remembers it (package ratelimit) and logs each slot that it is granted on such a target, with the coordinator. No decision changes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,7 +150,7 @@
 		Log:              n.log,
 	})
 	n.members.OnChange(func([]member.Member) { n.slots.MembersChanged() })
-	targets := platform.NewTargetClient(n.markLeaving)
+	targets := platform.NewTargetClient(targetObserver{n})
 	tracker := evidence.NewSharedTracker(quarantine.Config{
 		CrashThreshold: quarantineCrashes,
 		Attribution:    quarantine.AttributionConfig{Random: rand.Float64},
@@ -188,11 +188,23 @@
 	})
 }
 
-// markLeaving keeps this VM from sending further requests to a target that is leaving, and tells its coordinator.
-func (n *Node) markLeaving(target string) {
-	if started, news := n.discovery.MarkLeaving(target); news {
-		n.slots.ReportLeaving(target, started)
+// targetObserver passes on what targets state about themselves.
+type targetObserver struct{ node *Node }
+
+// TargetLeaving keeps this VM from sending further requests to a target that is leaving, and tells its coordinator.
+func (o targetObserver) TargetLeaving(target string) {
+	if started, news := o.node.discovery.MarkLeaving(target); news {
+		o.node.slots.ReportLeaving(target, started)
+	}
+}
+
+// TargetRateLimit records the rate limit of a target.
+func (o targetObserver) TargetRateLimit(target string, perSecond float64, err error) {
+	if err != nil {
+		o.node.log.Warn().Err(err).Str("target", target).Msg("rate limit that the target states is invalid; the previous one stays in force")
+		return
 	}
+	o.node.slots.ObserveRateLimit(target, perSecond)
 }
 
 // seedPeers returns the peer addresses of the seeds. All VMs use the same peer port.
--- a/internal/scheduling/service.go
+++ b/internal/scheduling/service.go
@@ -20,6 +20,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/ratelimit"
 	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
@@ -106,6 +107,8 @@
 	backoffs    map[string]*backoff
 	// unansweredReports counts the reports to a coordinator since its last response.
 	unansweredReports map[string]int
+	// limits are the rate limits that targets have stated to this VM.
+	limits *ratelimit.Statements
 }
 
 // reporter is a VM that reports to this coordinator.
@@ -157,6 +160,7 @@
 		runs:              map[uint64]*Slot{},
 		backoffs:          map[string]*backoff{},
 		unansweredReports: map[string]int{},
+		limits:            ratelimit.NewStatements(),
 	}
 	s.registerHandlers()
 	return s
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -19,10 +19,12 @@
 	// Preempted is closed when the slot has to be released.
 	Preempted <-chan struct{}
 
-	service     *Service
-	sequence    uint64
-	request     scheduler.Request
-	preempted   chan struct{}
+	service   *Service
+	sequence  uint64
+	request   scheduler.Request
+	preempted chan struct{}
+	// coordinator is the VM that granted the slot.
+	coordinator string
 	releaseOnce sync.Once
 }
 
@@ -160,7 +162,7 @@
 			Slots:       r.refuse.Slots,
 		}
 	case r.grant != nil:
-		return 0, s.newSlot(a.request, r.grant), nil
+		return 0, s.newSlot(a.request, r.from, r.grant), nil
 	}
 	return renewInterval, nil, nil
 }
@@ -235,7 +237,7 @@
 	return true
 }
 
-func (s *Service) newSlot(request scheduler.Request, grant *grantMessage) *Slot {
+func (s *Service) newSlot(request scheduler.Request, coordinator string, grant *grantMessage) *Slot {
 	if grant.Group != "" {
 		request.Service = grant.Group
 	}
@@ -249,9 +251,12 @@
 		service:   s,
 		sequence:  grant.Sequence,
 		request:   request,
+
+		coordinator: coordinator,
 	}
 	s.mu.Lock()
 	s.runs[grant.Sequence] = slot
+	s.logLimited(slot)
 	s.mu.Unlock()
 	return slot
 }
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -81,6 +81,10 @@
 	active       int
 	peak         int
 	leaving      bool
+	// limit is the rate limit that the target states, or empty.
+	limit string
+	// arrivals are the times at which requests were received.
+	arrivals []time.Time
 	// cancelled counts the requests whose sender disconnected.
 	cancelled int
 	// crashes are the times at which a request with Config.CrashPart crashed the target.
@@ -123,10 +127,30 @@
 	t.leaving = true
 }
 
-func (t *Target) isLeaving() bool {
+// StateLimit makes the target state a rate limit in all its responses, unless it is empty.
+func (t *Target) StateLimit(perSecond string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.leaving
+	t.limit = perSecond
+}
+
+// Arrivals returns the times at which requests were received, whether or not they ran.
+func (t *Target) Arrivals() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.arrivals)
+}
+
+// setStatements sets the headers in which the target states something about itself.
+func (t *Target) setStatements(w http.ResponseWriter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leaving {
+		platform.SetLeaving(w)
+	}
+	if t.limit != "" {
+		platform.SetRateLimit(w, t.limit)
+	}
 }
 
 // Runs returns how often the request with this ID was run.
@@ -195,6 +219,7 @@
 		t.runs[call.ID]++
 		t.lastEventIDs[call.ID] = append(t.lastEventIDs[call.ID], call.LastEvent)
 	}
+	t.arrivals = append(t.arrivals, time.Now())
 	t.active++
 	t.peak = max(t.peak, t.active)
 	return fault
@@ -215,9 +240,7 @@
 		return
 	}
 	call := platform.ParseTargetCall(r.Header)
-	if t.isLeaving() {
-		platform.SetLeaving(w)
-	}
+	t.setStatements(w)
 	if call.Instance != t.config.ID {
 		platform.WriteReplaced(w, t.config.ID)
 		return
