Rate limits that targets state are kept for all VMs by the coordinator

Cause: a coordinator knew of a target only its slots, and nobody read the limit. Class: what a target says of itself reaches one VM, and has to hold for all.

Now a VM passes on what it is told, the coordinator's grants take tokens of a bucket for each target that states a limit (package ratelimit), and the wait of a request is foreseen from the slots that the limits keep in use.

--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -126,6 +126,7 @@
 	})
 	handle(s, methodLoad, func(_ peer.Identity, m loadMessage) { s.onLoad(m) })
 	handle(s, methodLeaving, func(_ peer.Identity, m leavingMessage) { s.scheduler.ReportDraining(m.Target, m.StartedUnixMilli) })
+	handle(s, methodRateLimit, func(from peer.Identity, m rateLimitMessage) { s.applyRateLimit(time.Now(), from.VM, m) })
 	handle(s, methodPreempt, func(_ peer.Identity, m ticketMessage) { s.onPreempt(m.Sequence) })
 }
 
@@ -150,6 +151,9 @@
 		s.send(from.Address, methodRefuse, refuseMessage{Sequence: m.Ticket.Sequence, Reason: scheduler.NoRegistry, RetryAfter: noRegistryRetry})
 		return
 	}
+	for _, limit := range m.RateLimits {
+		s.applyRateLimit(now, from.VM, limit)
+	}
 	if key, redirected := s.redirect(now, m.request(now), m.Redirects); redirected {
 		s.send(from.Address, methodRefuse, refuseMessage{Sequence: m.Ticket.Sequence, Reason: scheduler.Redirected, Group: key})
 		return
@@ -168,6 +172,9 @@
 	}
 	now := time.Now()
 	s.recordReporter(now, m.VM, from.Address)
+	for _, limit := range m.RateLimits {
+		s.applyRateLimit(now, from.VM, limit)
+	}
 	actions, unknown := s.scheduler.Report(now, m.VM, m.Runs, m.Waits)
 	s.execute(actions)
 	s.send(from.Address, methodReportAck, reportAckMessage{Unknown: unknown})
@@ -205,9 +212,13 @@
 		switch a := action.(type) {
 		case scheduler.Grant:
 			message := grantMessage{Sequence: a.Ticket.Sequence, Target: a.Target, Address: a.Address, Version: a.Version, Group: s.division.Of(a.Target)}
+			if a.RateLimit.PerSecond > 0 {
+				limit := newRateLimitMessage(time.Now(), a.Target, a.RateLimit)
+				message.RateLimit = &limit
+			}
 			s.deliver(a.Ticket, methodGrant, message, func() { s.onGrant(s.vm, message) })
 		case scheduler.Refuse:
-			message := refuseMessage{Sequence: a.Ticket.Sequence, RetryAfter: a.RetryAfter, Reason: a.Reason, Ahead: a.Ahead, Slots: a.Slots}
+			message := refuseMessage{Sequence: a.Ticket.Sequence, RetryAfter: a.RetryAfter, Reason: a.Reason, Ahead: a.Ahead, Slots: a.Slots, Limited: a.Limited}
 			s.deliver(a.Ticket, methodRefuse, message, func() { s.onRefuse(s.vm, message) })
 		case scheduler.Preempt:
 			s.deliver(a.Ticket, methodPreempt, ticketMessage{Sequence: a.Ticket.Sequence}, func() { s.onPreempt(a.Ticket.Sequence) })
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/ratelimit"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
@@ -21,6 +22,7 @@
 	methodSilent    peer.Method = "slots.silent"
 	methodLeaving   peer.Method = "slots.leaving"
 	methodLoad      peer.Method = "slots.load"
+	methodRateLimit peer.Method = "slots.ratelimit"
 )
 
 // submitMessage requests a slot, and is repeated until the coordinator responds.
@@ -42,6 +44,8 @@
 	Version string `cbor:"12,keyasint,omitempty"`
 	// Resuming means that a refusal does not reach a client.
 	Resuming bool `cbor:"13,keyasint,omitempty"`
+	// RateLimits are the statements of the group's targets that the VM has received, which a new coordinator does not know.
+	RateLimits []rateLimitMessage `cbor:"14,keyasint,omitempty"`
 }
 
 func newSubmitMessage(now time.Time, r scheduler.Request, redirects int) submitMessage {
@@ -99,6 +103,8 @@
 	VM    string          `cbor:"1,keyasint"`
 	Runs  []scheduler.Run `cbor:"2,keyasint,omitempty"`
 	Waits []uint64        `cbor:"3,keyasint,omitempty"`
+	// RateLimits are the recent statements of the coordinator's targets that the VM has received.
+	RateLimits []rateLimitMessage `cbor:"4,keyasint,omitempty"`
 }
 
 type reportAckMessage struct {
@@ -118,6 +124,22 @@
 	StartedUnixMilli int64  `cbor:"2,keyasint,omitempty"`
 }
 
+// rateLimitMessage tells a coordinator how many requests a second a target states that it accepts. Zero means no limit. If it
+// is lost, the next report has it.
+type rateLimitMessage struct {
+	Target    string        `cbor:"1,keyasint"`
+	PerSecond float64       `cbor:"2,keyasint,omitempty"`
+	Age       time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+func newRateLimitMessage(now time.Time, target string, s ratelimit.Statement) rateLimitMessage {
+	return rateLimitMessage{Target: target, PerSecond: s.PerSecond, Age: now.Sub(s.At)}
+}
+
+func (m *rateLimitMessage) statement(now time.Time) ratelimit.Statement {
+	return ratelimit.Statement{PerSecond: m.PerSecond, At: now.Add(-m.Age)}
+}
+
 type grantMessage struct {
 	Sequence uint64 `cbor:"1,keyasint"`
 	Target   string `cbor:"2,keyasint"`
@@ -126,6 +148,8 @@
 	Group string `cbor:"4,keyasint,omitempty"`
 	// Version is the version of the target's software, as far as the coordinator knows.
 	Version string `cbor:"5,keyasint,omitempty"`
+	// RateLimit is what the coordinator knows of the target's rate limit, or nil if the target has none.
+	RateLimit *rateLimitMessage `cbor:"6,keyasint,omitempty"`
 }
 
 type refuseMessage struct {
@@ -136,6 +160,8 @@
 	Slots      int              `cbor:"5,keyasint,omitempty"`
 	// Group is the group that a redirected request is to be sent to.
 	Group string `cbor:"6,keyasint,omitempty"`
+	// Limited is the number of targets whose rate limits leave slots unused.
+	Limited int `cbor:"7,keyasint,omitempty"`
 }
 
 // loadMessage tells the coordinators of a service's other groups the load of a group. A lost one is replaced by the next.
--- a/internal/scheduling/service.go
+++ b/internal/scheduling/service.go
@@ -109,6 +109,8 @@
 	unansweredReports map[string]int
 	// limits are the rate limits that targets have stated to this VM.
 	limits *ratelimit.Statements
+	// starts are the start times of the registered targets.
+	starts map[string]int64
 }
 
 // reporter is a VM that reports to this coordinator.
@@ -193,9 +195,11 @@
 	s.hasRegistry = true
 	now, previous := time.Now(), s.division
 	s.division = group.Divide(targets)
+	s.forgetRateLimits(targets)
 	clear(s.coordinators)
 	maps.DeleteFunc(s.loads, func(key string, _ group.Load) bool { return s.division.Group(key) == nil })
 	s.execute(s.scheduler.SetTargets(now, groupedTargets(s.division, targets)))
+	s.restoreRateLimits(now)
 	s.redirectFromRemoved(now, previous)
 }
 
@@ -228,6 +232,8 @@
 	to    coordinatorVM
 	runs  []scheduler.Run
 	waits []uint64
+	// limits are the statements of the coordinator's targets that this VM has received.
+	limits []rateLimitMessage
 	// replace means that the coordinator's group has no other one to turn to.
 	replace bool
 }
@@ -248,19 +254,26 @@
 		if s.unansweredReports[r.to.VM]++; s.unansweredReports[r.to.VM] > maxUnansweredSends {
 			s.startBackoff(now, r.to.VM, "it does not respond", r.replace)
 		}
-		s.send(r.to.address, methodReport, reportMessage{VM: s.config.Process, Runs: r.runs, Waits: r.waits})
+		s.send(r.to.address, methodReport, reportMessage{VM: s.config.Process, Runs: r.runs, Waits: r.waits, RateLimits: r.limits})
 	}
 }
 
 // reports returns the reports that are due, one for each coordinator.
 func (s *Service) reports(now time.Time) map[string]*coordinatorReport {
 	reports := map[string]*coordinatorReport{}
+	added := map[string]bool{}
 	at := func(key string) *coordinatorReport {
 		c := s.coordinator(now, key)
-		if reports[c.VM] == nil {
-			reports[c.VM] = &coordinatorReport{to: c, replace: len(s.division.Groups(group.ServiceOf(key))) <= 1}
+		r := reports[c.VM]
+		if r == nil {
+			r = &coordinatorReport{to: c, replace: len(s.division.Groups(group.ServiceOf(key))) <= 1}
+			reports[c.VM] = r
 		}
-		return reports[c.VM]
+		if !added[key] {
+			added[key] = true
+			r.limits = append(r.limits, s.rateLimitsOf(now, key)...)
+		}
+		return r
 	}
 	previous := s.reported
 	s.reported = map[string]bool{}
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -37,11 +37,13 @@
 	// slots that online requests can use.
 	Coordinator  string
 	Ahead, Slots int
+	// Limited is the number of targets whose rate limits leave slots unused.
+	Limited int
 }
 
 // Error implements error.
 func (e *RefusedError) Error() string {
-	return fmt.Sprintf("no slot granted: %s (coordinator %s, %d requests ahead on %d slots); retry after %s", e.Reason, e.Coordinator, e.Ahead, e.Slots, e.RetryAfter)
+	return fmt.Sprintf("no slot granted: %s (coordinator %s, %d requests ahead on %d slots, %d targets at their rate limit); retry after %s", e.Reason, e.Coordinator, e.Ahead, e.Slots, e.Limited, e.RetryAfter)
 }
 
 // Acquire waits for a slot. It sets the request's ticket and availability zone. It returns a *RefusedError, or the
@@ -160,6 +162,7 @@
 			Coordinator: r.from,
 			Ahead:       r.refuse.Ahead,
 			Slots:       r.refuse.Slots,
+			Limited:     r.refuse.Limited,
 		}
 	case r.grant != nil:
 		return 0, s.newSlot(a.request, r.from, r.grant), nil
@@ -256,6 +259,11 @@
 	}
 	s.mu.Lock()
 	s.runs[grant.Sequence] = slot
+	if grant.RateLimit != nil {
+		now := time.Now()
+		s.limits.Record(slot.Target, grant.RateLimit.statement(now))
+		s.applyRateLimit(now, coordinator, *grant.RateLimit)
+	}
 	s.logLimited(slot)
 	s.mu.Unlock()
 	return slot
@@ -314,7 +322,9 @@
 		s.submitHere(now, request, redirects)
 		return c.VM
 	}
-	s.send(c.address, methodSubmit, newSubmitMessage(now, request, redirects))
+	message := newSubmitMessage(now, request, redirects)
+	message.RateLimits = s.rateLimitsOf(now, request.Service)
+	s.send(c.address, methodSubmit, message)
 	return c.VM
 }
 
--- a/ratelimit/statement.go
+++ b/ratelimit/statement.go
@@ -24,13 +24,9 @@
 // overrides reports whether a statement replaces another one about the same target.
 func (s Statement) overrides(other Statement) bool { return s.At.After(other.At) }
 
-const (
-	// statementMemory is how long a VM remembers a statement: long enough for a new coordinator of the target, which may
-	// have received none, to be told by the VMs that have.
-	statementMemory = 10 * time.Second
-	// maxReported bounds the statements in one message.
-	maxReported = 32
-)
+// statementMemory is how long a VM remembers a statement. A new coordinator of the target is told by the VMs that do; one
+// that is out of date holds only until the target's next response.
+const statementMemory = time.Minute
 
 // Statements are the statements that one VM has received, by target. Targets that never stated a limit have none.
 type Statements struct {
@@ -59,20 +55,15 @@
 // Forget drops the statements of a target, whose process has ended.
 func (s *Statements) Forget(target string) { delete(s.byTarget, target) }
 
-// Recent returns the targets with the newest statements among those that accepts selects.
-func (s *Statements) Recent(now time.Time, accepts func(target string) bool) []string {
+// Recent drops old statements, and returns the targets of the others, with the newest statement first.
+func (s *Statements) Recent(now time.Time) []string {
 	maps.DeleteFunc(s.byTarget, func(_ string, statement Statement) bool { return now.Sub(statement.At) > statementMemory })
-	var targets []string
-	for target := range s.byTarget {
-		if accepts(target) {
-			targets = append(targets, target)
-		}
-	}
+	targets := slices.Collect(maps.Keys(s.byTarget))
 	slices.SortFunc(targets, func(a, b string) int {
 		if byTime := s.byTarget[b].At.Compare(s.byTarget[a].At); byTime != 0 {
 			return byTime
 		}
 		return strings.Compare(a, b)
 	})
-	return targets[:min(len(targets), maxReported)]
+	return targets
 }
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -44,7 +44,7 @@
 	if capacity == 0 {
 		return Refuse{Ticket: w.Ticket, RetryAfter: s.jitter(s.config.NoTargetRetry), Reason: NoTarget}, true
 	}
-	interval := p.onlineSlotTime / time.Duration(capacity)
+	interval := p.interval(capacity)
 	maxWait := w.StartBy.Sub(now)
 	ahead := p.requestsAhead(now, w, maxWait)
 	// Slots become free at a steady rate, except shortly after all of them were taken at once.
@@ -57,7 +57,8 @@
 		RetryAfter: s.scheduleRetry(now, p, w, wait-maxWait, interval),
 		Reason:     Overloaded,
 		Ahead:      ahead,
-		Slots:      capacity,
+		Slots:      int(capacity),
+		Limited:    p.limitedTargets(),
 	}, true
 }
 
@@ -66,7 +67,19 @@
 	var ends [remainingBuckets + 1]int
 	runs, step := 0, max(p.onlineSlotTime/remainingBuckets, 1)
 	for _, t := range p.targets {
-		if len(t.runs) == 0 || !p.usable(now, t) || !w.mayUse(t) {
+		if !p.usable(now, t) || !w.mayUse(t) {
+			continue
+		}
+		if t.limiter.Limited() && t.occupied < t.Slots {
+			// The target's rate limit decides when it takes requests, not the ends of its runs.
+			for n := 1; n <= t.Slots; n++ {
+				wait := t.limiter.Wait(now, n)
+				if n > 1 && wait > p.onlineSlotTime {
+					break
+				}
+				ends[min(wait/step, remainingBuckets)]++
+				runs++
+			}
 			continue
 		}
 		for _, r := range t.runs {
@@ -99,23 +112,41 @@
 
 // onlineSlots returns the number of slots that online requests can use: those on usable targets that w may use, less those
 // that items still hold.
-func (s *Scheduler) onlineSlots(now time.Time, p *pool, w *waiter) int {
-	capacity, heldByItems := 0, 0
+func (s *Scheduler) onlineSlots(now time.Time, p *pool, w *waiter) float64 {
+	capacity, usable := 0.0, false
 	for _, t := range p.targets {
 		if !p.usable(now, t) || !w.mayUse(t) {
 			continue
 		}
-		capacity += t.Slots
+		usable = true
+		heldByItems := 0
 		for _, r := range t.runs {
 			if r.class == Item && !r.preempted {
 				heldByItems++
 			}
 		}
+		capacity += min(float64(t.Slots-heldByItems), t.limiter.Capacity(t.Slots, p.onlineSlotTime))
 	}
-	if capacity == 0 {
+	if !usable {
 		return 0
 	}
-	return max(capacity-heldByItems, 1)
+	return max(capacity, 1)
+}
+
+// interval returns the mean time between two slots that become free.
+func (p *pool) interval(slots float64) time.Duration {
+	return time.Duration(float64(p.onlineSlotTime) / slots)
+}
+
+// limitedTargets returns the number of targets whose rate limits leave slots unused.
+func (p *pool) limitedTargets() int {
+	n := 0
+	for _, t := range p.targets {
+		if p.slots(t) < t.Slots {
+			n++
+		}
+	}
+	return n
 }
 
 // requestsAhead returns the number of requests that will start before w: those that are queued, and the retries that
@@ -203,13 +234,14 @@
 		}
 		s.dequeue(w)
 		capacity := max(s.onlineSlots(now, p, w), 1)
-		interval := p.onlineSlotTime / time.Duration(capacity)
+		interval := p.interval(capacity)
 		actions = append(actions, Refuse{
 			Ticket:     w.Ticket,
 			RetryAfter: s.scheduleRetry(now, p, w, 0, interval),
 			Reason:     StartDeadlineExceeded,
 			Ahead:      len(p.online),
-			Slots:      capacity,
+			Slots:      int(capacity),
+			Limited:    p.limitedTargets(),
 		})
 	}
 	return actions
--- a/scheduler/headroom.go
+++ b/scheduler/headroom.go
@@ -48,7 +48,7 @@
 func (p *pool) slotsOf(now time.Time, version string) (slots, free int) {
 	for _, t := range p.targets {
 		if t.runsVersion(version) && p.usable(now, t) {
-			slots += t.Slots
+			slots += p.slots(t)
 			free += max(p.free(now, t), 0)
 		}
 	}
@@ -62,7 +62,7 @@
 	n := 0
 	for _, t := range p.targets {
 		if p.usable(now, t) {
-			n += t.Slots
+			n += p.slots(t)
 		}
 	}
 	return n
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -61,6 +61,8 @@
 	// first event, and itemWork is the time in which items produced events.
 	itemStarts, preemptedAtStart int
 	itemWork                     time.Duration
+	// granted is when each target got requests, of which a repeated grant is none.
+	granted map[string][]time.Duration
 }
 
 const (
@@ -80,6 +82,7 @@
 	return &replay{
 		random: rand.New(rand.NewPCG(3, 4)), s: newScheduler(targets, 8), naive: naive, free: targets * 8,
 		arrived: map[scheduler.Ticket]time.Duration{}, firstArrival: map[scheduler.Ticket]time.Duration{},
+		granted:     map[string][]time.Duration{},
 		serviceTime: map[scheduler.Ticket]time.Duration{}, itemStarted: map[scheduler.Ticket]time.Duration{},
 	}
 }
@@ -222,6 +225,7 @@
 		case scheduler.Preempt:
 			r.schedule(now.Sub(epoch)+time.Millisecond, func(end time.Time) { r.endItem(a.Ticket, end, scheduler.Abandoned) })
 		case scheduler.Grant:
+			r.recordGrant(a, now.Sub(epoch))
 			if a.Ticket.Sequence >= firstItem {
 				r.startItem(a.Ticket, now.Sub(epoch))
 				continue
--- a/scheduler/loads.go
+++ b/scheduler/loads.go
@@ -36,7 +36,7 @@
 	c.Spare = max(c.Free-s.headroom(now, p), 0)
 	items, protected := 0, 0
 	for _, t := range p.targets {
-		if t.probing || !p.usable(now, t) || !t.runsVersion(version) {
+		if t.probing || !p.usable(now, t) || !t.runsVersion(version) || t.limiter.Available(now) == 0 {
 			continue
 		}
 		for _, r := range t.runs {
@@ -85,7 +85,7 @@
 		for _, t := range p.targets {
 			if p.usable(now, t) {
 				l.Usable++
-				l.Slots += t.Slots
+				l.Slots += p.slots(t)
 			}
 			l.Items += len(t.runs)
 		}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -20,9 +21,12 @@
 	if free <= 0 || !p.usable(now, t) {
 		return 0
 	}
-	return free
+	return min(free, t.limiter.Available(now))
 }
 
+// slots returns the number of slots of a target that online requests can occupy.
+func (p *pool) slots(t *targetState) int { return int(math.Ceil(t.limiter.Capacity(t.Slots, p.onlineSlotTime))) }
+
 // place grants a slot to an online request: a free one, or one that is preempted from an item.
 func (s *Scheduler) place(now time.Time, p *pool, w *waiter) ([]Action, bool) {
 	if t := p.pickFree(now, w); t != nil {
@@ -64,7 +68,7 @@
 		if !p.usable(now, t) {
 			continue
 		}
-		total += t.Slots
+		total += p.slots(t)
 		for _, r := range t.runs {
 			if r.class != Item || r.preempted {
 				continue
@@ -74,7 +78,7 @@
 			if isProtected {
 				protected++
 			}
-			if t.probing || !w.mayUse(t) {
+			if t.probing || !w.mayUse(t) || t.limiter.Available(now) == 0 {
 				continue
 			}
 			// Items that miss their due time anyway are preempted first, then those with the most slack.
@@ -100,6 +104,7 @@
 
 func (s *Scheduler) grant(now time.Time, t *targetState, w *waiter) Action {
 	t.recordGrant(now)
+	t.limiter.Take(now)
 	r := &run{ticket: w.Ticket, class: w.Class, granted: now, due: w.StartBy, expected: w.Expected}
 	s.startRun(t, r)
 	return r.grant()
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/ratelimit"
 )
 
 // Ticket identifies a request for a slot.
@@ -103,6 +105,8 @@
 	Address string
 	// Version is the version of the target's software.
 	Version string
+	// RateLimit is the last known statement of the target's rate limit.
+	RateLimit ratelimit.Statement
 }
 
 // Refuse rejects a request.
@@ -112,6 +116,8 @@
 	Reason     Reason
 	// Ahead is the number of requests ahead in the queue, and Slots the number of slots that online requests can use.
 	Ahead, Slots int
+	// Limited is the number of targets whose rate limits leave slots unused.
+	Limited int
 }
 
 // Preempt tells an item to release its slot.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/ratelimit"
 	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/target"
 )
@@ -117,6 +118,8 @@
 	// target.
 	recentGrants        []time.Time
 	ignoreTimeoutsUntil time.Time
+	// limiter keeps to the rate limit that the target states.
+	limiter ratelimit.Limiter
 }
 
 // pool is the state of one service.
@@ -325,6 +328,15 @@
 	}
 }
 
+// ObserveRateLimit records what a target states about its rate limit, and reports whether the limit changed.
+func (s *Scheduler) ObserveRateLimit(now time.Time, id string, statement ratelimit.Statement) (actions []Action, changed bool) {
+	t := s.targets[id]
+	if t == nil || !t.limiter.Observe(now, statement) {
+		return nil, false
+	}
+	return s.dispatch(now, t.pool), true
+}
+
 func (s *Scheduler) startRun(t *targetState, r *run) {
 	r.target = t
 	t.runs = append(t.runs, r)
@@ -430,7 +442,7 @@
 
 // grant returns the Grant of a run, whose VM may have missed it.
 func (r *run) grant() Grant {
-	return Grant{Ticket: r.ticket, Target: r.target.ID, Address: r.target.Address, Version: r.target.Version}
+	return Grant{Ticket: r.ticket, Target: r.target.ID, Address: r.target.Address, Version: r.target.Version, RateLimit: r.target.limiter.Statement()}
 }
 
 // RemoveVM drops all runs and waiting requests of a VM.
