--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -25,7 +25,9 @@
 }
 
 // slots returns the number of slots of a target that online requests can occupy.
-func (p *pool) slots(t *targetState) int { return int(math.Ceil(t.limiter.Capacity(t.Slots, p.onlineSlotTime))) }
+func (p *pool) slots(t *targetState) int {
+	return int(math.Ceil(t.limiter.Capacity(t.Slots, p.onlineSlotTime)))
+}
 
 // place grants a slot to an online request: a free one, or one that is preempted from an item.
 func (s *Scheduler) place(now time.Time, p *pool, w *waiter) ([]Action, bool) {
