--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -104,7 +104,9 @@
 	handle(s, methodRelease, func(_ peer.Identity, m releaseMessage) {
 		s.execute(s.scheduler.Release(time.Now(), m.Ticket, m.Outcome, m.FirstEvent))
 	})
-	handle(s, methodSilent, func(_ peer.Identity, m silentMessage) { s.scheduler.ReportSilent(time.Now(), m.Ticket) })
+	handle(s, methodSilent, func(_ peer.Identity, m silentMessage) {
+		s.execute(s.scheduler.ReportSilent(time.Now(), m.Ticket))
+	})
 	handle(s, methodReport, s.onReport)
 	handle(s, methodReportAck, func(from peer.Identity, m reportAckMessage) {
 		s.recordResponse(from.VM)
@@ -220,6 +222,9 @@
 		case scheduler.Refuse:
 			message := refuseMessage{Sequence: a.Ticket.Sequence, RetryAfter: a.RetryAfter, Reason: a.Reason, Ahead: a.Ahead, Slots: a.Slots, Limited: a.Limited}
 			s.deliver(a.Ticket, methodRefuse, message, func() { s.onRefuse(s.vm, message) })
+		case scheduler.Ejection:
+			s.config.Log.Info().Str("target", a.Target).Str("process", a.VM).Str("reason", a.Reason).Int("usable", a.Usable).
+				Msg("target ejected by what this process saw of it; no new requests are granted there until a probe succeeds")
 		case scheduler.Preempt:
 			s.deliver(a.Ticket, methodPreempt, ticketMessage{Sequence: a.Ticket.Sequence}, func() { s.onPreempt(a.Ticket.Sequence) })
 		}
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -288,7 +288,7 @@
 	now := time.Now()
 	c := s.service.coordinator(now, s.service.groupOf(s))
 	if c.VM == s.service.vm {
-		s.service.scheduler.ReportSilent(now, s.request.Ticket)
+		s.service.execute(s.service.scheduler.ReportSilent(now, s.request.Ticket))
 		return
 	}
 	s.service.send(c.address, methodSilent, silentMessage{Ticket: s.request.Ticket})
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -251,11 +251,11 @@
 	p.onlineSlotTime += time.Duration(slotTimeWeight * float64(d-p.onlineSlotTime))
 }
 
-// observeHealth updates the health of a target with the outcome of a run.
-func (p *pool) observeHealth(now time.Time, r *run, outcome Outcome, firstEvent time.Duration) {
+// observeHealth updates the health of a target with the outcome of a run, and reports an ejection.
+func (p *pool) observeHealth(now time.Time, r *run, outcome Outcome, firstEvent time.Duration) []Action {
 	t := r.target
 	if outcome == TimedOut && t.ignoresTimeout(now, r) {
-		return
+		return nil
 	}
 	var signal target.Signal
 	switch outcome {
@@ -271,16 +271,28 @@
 		signal = target.TimedOut
 	case Draining:
 		t.reportedDraining = true
-		return
+		return nil
 	default:
-		return
+		return nil
 	}
+	before, _ := p.health.State(t.ID)
 	if t.probing {
 		t.probing = false
 		p.health.RecordProbe(now, t.ID, outcome == Finished)
-		return
+	} else {
+		p.health.Observe(now, t.ID, signal, firstEvent)
 	}
-	p.health.Observe(now, t.ID, signal, firstEvent)
+	after, reason := p.health.State(t.ID)
+	if after == before || after != target.Ejected {
+		return nil
+	}
+	usable := 0
+	for _, other := range p.targets {
+		if p.usable(now, other) {
+			usable++
+		}
+	}
+	return []Action{Ejection{Target: t.ID, VM: r.ticket.VM, Reason: reason, Usable: usable}}
 }
 
 // ignoresTimeout reports whether the timeout of a run says nothing about its target: many runs started there at the
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -123,9 +123,18 @@
 // Preempt tells an item to release its slot.
 type Preempt struct{ Ticket Ticket }
 
-func (Grant) action()   {}
-func (Refuse) action()  {}
-func (Preempt) action() {}
+// Ejection reports that the health of a target changed by what a VM saw of it, so that it takes no new requests until a probe
+// succeeds.
+type Ejection struct {
+	Target, VM, Reason string
+	// Usable is the number of targets of its group that still take requests.
+	Usable int
+}
+
+func (Ejection) action() {}
+func (Grant) action()    {}
+func (Refuse) action()   {}
+func (Preempt) action()  {}
 
 // Reason is why a request was refused.
 type Reason string
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -306,18 +306,21 @@
 	if r.class == Online && outcome == Finished {
 		p.observeSlotTime(now.Sub(r.granted))
 	}
+	var actions []Action
 	if !r.silent || outcome != Interrupted && outcome != TimedOut {
-		p.observeHealth(now, r, outcome, firstEvent)
+		actions = p.observeHealth(now, r, outcome, firstEvent)
 	}
-	return s.dispatch(now, p)
+	return append(actions, s.dispatch(now, p)...)
 }
 
 // ReportSilent records that the target of a run has sent nothing for too long. The run goes on.
-func (s *Scheduler) ReportSilent(now time.Time, ticket Ticket) {
-	if r := s.running[ticket]; r != nil && !r.silent {
-		r.silent = true
-		r.target.pool.observeHealth(now, r, TimedOut, 0)
+func (s *Scheduler) ReportSilent(now time.Time, ticket Ticket) []Action {
+	r := s.running[ticket]
+	if r == nil || r.silent {
+		return nil
 	}
+	r.silent = true
+	return r.target.pool.observeHealth(now, r, TimedOut, 0)
 }
 
 // ReportDraining records that another VM found a target draining or gone. It is ignored if the target has started again
