Known failure: VMs that are cut off from all targets serve nobody, and the others few

The client of targets takes the function that dials, so that tests can cut a VM's links; that changes no behaviour.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,15 +77,21 @@
 	servers      []*http.Server
 	clientServer *http.Server
 	listeners    []net.Listener
+	// dialTarget connects to a target directly.
+	dialTarget platform.DialFunc
 }
 
 // New opens the sockets and wires the components. Nothing runs before Run.
 func New(settings *config.Ingress, log zerolog.Logger) (*Node, error) {
+	return newNode(settings, log, platform.DialTarget)
+}
+
+func newNode(settings *config.Ingress, log zerolog.Logger, dialTarget platform.DialFunc) (*Node, error) {
 	transport, err := datagram.Listen(settings.Peers, settings.VM.Name, log)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: settings, log: log, transport: transport, store: platform.NewStore(settings.Store)}
+	n := &Node{settings: settings, log: log, transport: transport, store: platform.NewStore(settings.Store), dialTarget: dialTarget}
 	n.assemble()
 	if err := n.listen(); err != nil {
 		return nil, errors.Join(err, transport.Close())
@@ -150,7 +156,7 @@
 		Log:              n.log,
 	})
 	n.members.OnChange(func([]member.Member) { n.slots.MembersChanged() })
-	targets := platform.NewTargetClient(targetObserver{n})
+	targets := platform.NewTargetClient(targetObserver{n}, n.dialTarget)
 	tracker := evidence.NewSharedTracker(quarantine.Config{
 		CrashThreshold: quarantineCrashes,
 		Attribution:    quarantine.AttributionConfig{Random: rand.Float64},
