Targets are reached by way of other VMs where a VM's own path is broken

Causes: a VM had one path to a target, and what it saw of its own path was held against the targets, so that three to seven of nine sound ones were ejected for all. Class: a failure is attributed to the far end though the near end explains it.

Package reach decides both: the path of a connection (a race between the direct one and up to four other VMs), and whether a failure says anything about the target. internal/targetrelay carries it out. The request is sent on one connection only, so verdicts, deadlines and at-most-once stay where they were; a tunnel ends in order only if the target's connection did.

The property test found a fault of the first form: a VM that could not reach a dead target for another one was avoided as if its own links were down.

--- a/Makefile
+++ b/Makefile
@@ -42,4 +42,4 @@
 	@seed=$${ROSEMARYDYKE_FUZZ_SEED:-$$(date +%s)}; echo "ROSEMARYDYKE_FUZZ_SEED=$$seed"; \
 	ROSEMARYDYKE_FUZZ_SEED=$$seed ROSEMARYDYKE_FUZZ_CHECKS=$(FUZZ_CHECKS) $(GO) test -count=1 -timeout 60m \
 		./dispatch ./idempotency ./internal/callerapi ./internal/idempotency ./internal/jobstore ./internal/settingstore \
-		./job ./lease ./member ./quarantine ./target
+		./job ./lease ./member ./quarantine ./ratelimit ./reach ./target
--- a/internal/batchjobs/batchjobs_test.go
+++ b/internal/batchjobs/batchjobs_test.go
@@ -148,7 +148,7 @@
 	v.Service = batchjobs.New(batchjobs.Config{
 		Quarantine: evidence.NewSharedTracker(quarantine.Config{}),
 		VM:         name, Rows: store, Members: v.members, Configuration: c.config, Slots: c.slots,
-		Targets: platform.NewTargetClient(&streamtarget.Observer{}, platform.DialTarget), Node: node, ResultRetention: c.retention, Log: zerolog.Nop(),
+		Targets: platform.NewTargetClient(&streamtarget.Observer{}, platform.DialFunc(platform.DialTarget)), Node: node, ResultRetention: c.retention, Log: zerolog.Nop(),
 	})
 	go func() {
 		defer close(v.stopped)
--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -210,6 +210,9 @@
 	began, eventsBefore := time.Now(), state.Events
 	status, firstEvent, err := s.send(ctx, slot, run.items[index], head, state, content)
 	outcome := outcomeOf(ctx, err)
+	if outcome == scheduler.TimedOut && !s.config.Targets.PathWorks(ctx, slot.Address) {
+		outcome = scheduler.Abandoned
+	}
 	slot.Release(outcome, firstEvent)
 	if firstEvent == 0 {
 		s.attribute(began, slot.Target, content, outcome, err)
@@ -315,6 +318,8 @@
 		return scheduler.TimedOut
 	case !errors.As(err, &failure):
 		return scheduler.Interrupted
+	case failure.OfPath():
+		return scheduler.Abandoned
 	}
 	switch failure.Failure {
 	case platform.Unreachable:
--- a/internal/config/ingress.go
+++ b/internal/config/ingress.go
@@ -13,7 +13,7 @@
 	Ready string `yaml:"ready" validate:"required,hostname_port"`
 	// Directory is the TCP address (IP:port) of the endpoint that lists the VMs for clients. Empty disables it on this VM.
 	Directory string `yaml:"directory" validate:"omitempty,hostname_port"`
-	// Peers is the UDP address (IP:port) on which other VMs reach this one. The port is the same on all VMs.
+	// Peers is the UDP and TCP address (IP:port) on which other VMs reach this one. The port is the same on all VMs.
 	Peers string `yaml:"peers" validate:"required,hostname_port"`
 	// Seeds are addresses of other VMs. Only the IP addresses are used; the port is that of Peers.
 	Seeds []string `yaml:"seeds" validate:"dive,hostname_port"`
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -138,6 +138,18 @@
 	return !gone && !leaving && !s.targets[id].Draining
 }
 
+// UsableAddress reports whether an address is that of a registered target that is usable.
+func (s *Service) UsableAddress(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, t := range s.targets {
+		if _, leaving := s.leaving[id]; t.Address == address && !leaving && !t.Draining {
+			return true
+		}
+	}
+	return false
+}
+
 // MarkLeaving records that a target is leaving, by its own response. It holds for the registered process, so that a
 // later start under the same ID is usable. It returns the start time of the process, zero if that is not known, and
 // whether this is news.
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -35,6 +35,8 @@
 	retryWithinShare = 1.0 / 3
 	// quarantineRetryAfter is the least retry delay for requests that are quarantined.
 	quarantineRetryAfter = time.Minute
+	// noPathRetryAfter is the retry delay for clients of a VM that reaches no target.
+	noPathRetryAfter = 100 * time.Millisecond
 	// maxNotRun limits the attempts of one request in which the target did not run it.
 	maxNotRun = 4
 )
@@ -79,11 +81,16 @@
 	// events is the number of events that the client received from this target.
 	events  int
 	outcome string
+	// via is the VM by way of which the target was reached, or empty.
+	via string
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
 func (a attempt) MarshalZerologObject(e *zerolog.Event) {
 	e.Str("target", a.target).Str("version", a.version).Dur("slot_wait_ms", a.waited).Dur("first_event_ms", a.firstEvent).Int("events", a.events).Str("outcome", a.outcome)
+	if a.via != "" {
+		e.Str("via", a.via)
+	}
 }
 
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
@@ -133,6 +140,9 @@
 		if e.possibleRuns == runsBefore {
 			notRun++
 		}
+		if e.refuseWithoutPath(err) {
+			return
+		}
 		if ctx.Err() != nil || isClientError(err) || !e.mayRetry() || notRun >= maxNotRun {
 			e.fail(ctx, err)
 			return
@@ -140,6 +150,19 @@
 	}
 }
 
+// refuseWithoutPath refuses a request that no target can be reached for, neither by this VM nor by others. Its client returns
+// to another VM.
+func (e *exchange) refuseWithoutPath(err error) bool {
+	var failure *platform.TargetError
+	if e.mayHaveRun || e.started || !errors.As(err, &failure) || !failure.NotRun() || !failure.OfPath() {
+		return false
+	}
+	refusedTotal.Inc()
+	platform.WriteRefusal(e.writer, http.StatusServiceUnavailable, noPathRetryAfter, "no target can be reached from here")
+	e.log("refused", err, strconv.Itoa(http.StatusServiceUnavailable))
+	return true
+}
+
 // errQuarantined ends a request that a target may have run, and that is not sent to another one.
 var errQuarantined = errors.New("requests like this one break the targets that run them")
 
@@ -351,6 +374,9 @@
 func (e *exchange) classifyFailure(ctx context.Context, err error) scheduler.Outcome {
 	var failure *platform.TargetError
 	if errors.As(err, &failure) && failure.NotRun() {
+		if failure.OfPath() {
+			return scheduler.Abandoned
+		}
 		switch failure.Failure {
 		case platform.Unreachable:
 			return scheduler.Unreachable
@@ -362,7 +388,7 @@
 	}
 	e.mayHaveRun = true
 	e.possibleRuns++
-	if ctx.Err() != nil || isClientError(err) || errors.Is(err, errReplaced) || errors.Is(err, errNotNeeded) {
+	if ctx.Err() != nil || isClientError(err) || errors.Is(err, errReplaced) || errors.Is(err, errNotNeeded) || failure != nil && failure.OfPath() {
 		return scheduler.Abandoned
 	}
 	return scheduler.Interrupted
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -103,7 +103,7 @@
 	if !r.reportedSilent {
 		r.reportedSilent = true
 		silencesTotal.Inc()
-		r.slot.ReportSilent()
+		go h.exchange.reportSilent(ctx, r)
 	}
 	h.search = h.exchange.startSearch(ctx, 0, r)
 }
@@ -124,6 +124,16 @@
 	h.overlap.Reset(handoverOverlap)
 }
 
+// reportSilent reports that a target is silent, unless that is the fault of the path to it.
+func (e *exchange) reportSilent(ctx context.Context, r *run) {
+	if e.server.config.Targets.PathWorks(ctx, r.address) {
+		r.slot.ReportSilent()
+		return
+	}
+	e.server.config.Log.Info().Str("request", e.client.ID).Str("target", r.slot.Target).
+		Msg("target is silent, and the direct path to it is broken; the silence is not reported")
+}
+
 func (h *handover) searchAgain(ctx context.Context) {
 	if h.notRun < maxNotRun && h.exchange.mayStartAnother() {
 		h.search = h.exchange.startSearch(ctx, searchInterval, h.current)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -131,7 +131,7 @@
 	server.Config.Handler = ingress.New(ingress.Config{
 		Configuration: configuration{table(strings.TrimPrefix(server.URL, "http://"), timeout)},
 		Slots:         f.slots,
-		Targets:       platform.NewTargetClient(&streamtarget.Observer{}, platform.DialTarget), Jobs: noJobs{}, Origins: resolver, Log: zerolog.New(&f.log),
+		Targets:       platform.NewTargetClient(&streamtarget.Observer{}, platform.DialFunc(platform.DialTarget)), Jobs: noJobs{}, Origins: resolver, Log: zerolog.New(&f.log),
 		Quarantine: evidence.NewSharedTracker(config),
 	})
 	f.url = server.URL
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -25,6 +25,8 @@
 	cancel   context.CancelFunc
 	// silentFor is the timeout that the target exceeded since its last event, zero if it did not.
 	silentFor time.Duration
+	// address is where the target accepts requests.
+	address string
 	// reportedSilent means that the scheduler has been told of a silence of the target.
 	reportedSilent bool
 }
@@ -71,6 +73,7 @@
 		sent:     time.Now(),
 		arrivals: make(chan arrival),
 		cancel:   cancel,
+		address:  slot.Address,
 	}
 	request := &platform.TargetRequest{
 		Address:   slot.Address,
@@ -189,6 +192,7 @@
 
 // forwardEvent forwards a complete event.
 func (e *exchange) forwardEvent(r *run, a arrival) error {
+	r.record.via = a.response.Via
 	if r.record.firstEvent == 0 {
 		r.record.firstEvent = time.Since(r.sent)
 		firstEventTime.Update(r.record.firstEvent.Seconds())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	store "github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/internal/storerelay"
+	"github.com/rosemarydyke/rosemarydyke/internal/targetrelay"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
@@ -75,7 +76,9 @@
 	ingress      *ingress.Server
 	leaving      atomic.Bool
 	servers      []*http.Server
+	relay        *targetrelay.Relay
 	clientServer *http.Server
+	relayServer  *http.Server
 	listeners    []net.Listener
 	// dialTarget connects to a target directly.
 	dialTarget platform.DialFunc
@@ -156,7 +159,8 @@
 		Log:              n.log,
 	})
 	n.members.OnChange(func([]member.Member) { n.slots.MembersChanged() })
-	targets := platform.NewTargetClient(targetObserver{n}, n.dialTarget)
+	n.relay = targetrelay.New(targetrelay.Config{Dial: n.dialTarget, Peers: n.relayPeers, Usable: n.discovery.UsableAddress, Log: n.log})
+	targets := platform.NewTargetClient(targetObserver{n}, n.relay)
 	tracker := evidence.NewSharedTracker(quarantine.Config{
 		CrashThreshold: quarantineCrashes,
 		Attribution:    quarantine.AttributionConfig{Random: rand.Float64},
@@ -243,6 +247,17 @@
 	return peers
 }
 
+// relayPeers returns the other live VMs, which accept TCP connections where they accept datagrams.
+func (n *Node) relayPeers() []targetrelay.Peer {
+	var peers []targetrelay.Peer
+	for _, m := range n.members.Members() {
+		if m.VM != n.settings.VM.Name && m.State == member.Alive {
+			peers = append(peers, targetrelay.Peer{VM: m.VM, Address: m.EntryPeers})
+		}
+	}
+	return peers
+}
+
 func (n *Node) listen() error {
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+platform.PathReady, n.serveReady)
@@ -258,6 +273,7 @@
 		{n.settings.Ready, readyMux},
 		{n.settings.Directory, directoryMux},
 		{n.settings.Metrics, metricsMux},
+		{n.settings.Peers, n.relay},
 	}
 	for _, h := range handlers {
 		if h.address == "" {
@@ -270,8 +286,11 @@
 		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 		n.servers = append(n.servers, server)
 		n.listeners = append(n.listeners, listener)
-		if h.address == n.settings.Clients {
+		switch h.address {
+		case n.settings.Clients:
 			n.clientServer = server
+		case n.settings.Peers:
+			n.relayServer = server
 		}
 	}
 	return nil
@@ -348,9 +367,15 @@
 	time.Sleep(min(cachedTTLs*addressTTL, exitAfter) - time.Since(started))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(exitAfter))
 	defer cancel()
-	if err := n.clientServer.Shutdown(ctx); err != nil {
-		n.log.Warn().Err(err).Msg("shutdown deadline exceeded; requests in progress are cut off")
+	var shutdowns sync.WaitGroup
+	for _, server := range []*http.Server{n.clientServer, n.relayServer} {
+		shutdowns.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				n.log.Warn().Err(err).Msg("shutdown deadline exceeded; requests in progress are cut off")
+			}
+		})
 	}
+	shutdowns.Wait()
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
 	n.registry.deregister(leaveCtx, n.log)
--- a/internal/node/stranded_test.go
+++ b/internal/node/stranded_test.go
@@ -99,6 +99,8 @@
 type vm struct {
 	*Node
 	links *links
+	// stop stops the VM as planned.
+	stop context.CancelFunc
 }
 
 const (
@@ -148,7 +150,9 @@
 		qt.Assert(t, err, qt.IsNil)
 		v.Node = n
 		vms = append(vms, v)
-		tasks.Go(func() { _ = n.Run(ctx) })
+		runCtx, stop := context.WithCancel(ctx)
+		v.stop = stop
+		tasks.Go(func() { _ = n.Run(runCtx) })
 	}
 	for _, v := range vms {
 		for deadline := time.Now().Add(10 * time.Second); len(v.otherPeers()) < count-1 || v.discovery.Current() == nil; time.Sleep(10 * time.Millisecond) {
@@ -250,3 +254,38 @@
 		})
 	}
 }
+
+func TestClientsAreRefusedAtOnceWhileNoVMReachesATarget(t *testing.T) {
+	vms, targets := startVMs(t, 3)
+	for _, v := range vms {
+		v.links.set(hang)
+	}
+	for n := range 30 {
+		began := time.Now()
+		err := vms[n%3].stream("/o/x", fmt.Sprint(n))
+		qt.Assert(t, err, qt.ErrorMatches, "status 503: .*\n?")
+		// Within the first second the VMs find that their links are down.
+		if n >= 15 {
+			qt.Assert(t, time.Since(began) < 300*time.Millisecond, qt.IsTrue, qt.Commentf("refused after %s", time.Since(began)))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, target := range targets {
+		qt.Assert(t, target.Arrivals(), qt.HasLen, 0)
+	}
+	// No target is ejected for it.
+	for _, load := range vms[0].slots.Loads() {
+		qt.Assert(t, load.Usable, qt.Equals, load.Targets)
+	}
+}
+
+func TestPlannedStopOfARelayingVMCutsNoStream(t *testing.T) {
+	vms, _ := startVMs(t, 2)
+	vms[0].links.set(refuse)
+	qt.Assert(t, vms[0].stream("/o/x", "first"), qt.IsNil)
+	streamed := make(chan error, 1)
+	go func() { streamed <- vms[0].stream("/o/x", "relayed") }()
+	time.Sleep(streamEvents * eventInterval / 2)
+	vms[1].stop()
+	qt.Assert(t, <-streamed, qt.IsNil)
+}
