--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -151,6 +151,7 @@
 
 // forward forwards a part of a response that was checked. It returns errDone when the response is complete.
 func (e *exchange) forward(r *run, a arrival) error {
+	r.record.via = a.response.Via
 	if !r.begun {
 		r.begun = true
 		e.server.config.Quarantine.RecordBegun(e.content)
@@ -192,7 +193,6 @@
 
 // forwardEvent forwards a complete event.
 func (e *exchange) forwardEvent(r *run, a arrival) error {
-	r.record.via = a.response.Via
 	if r.record.firstEvent == 0 {
 		r.record.firstEvent = time.Since(r.sent)
 		firstEventTime.Update(r.record.firstEvent.Seconds())
