node: the list of VMs is read a bounded window at a time

Bytes read from the store grew with the square of the fleet: each VM read the rows of all VMs each 5 s. Membership needs only some live VMs to find the others, so each list reads up to 32 rows and the next one goes on from there; the first one begins at the VM's own row, so that VMs that start together turn to different ones. TestListOfVMsCostsNoMoreInALargeFleet failed before (one VM listed by all 295).

--- a/internal/node/vmregistry.go
+++ b/internal/node/vmregistry.go
@@ -17,6 +17,8 @@
 	// registerTimeout bounds one attempt to write the row; registerRetry is the pause before the next.
 	registerTimeout = time.Second
 	registerRetry   = 500 * time.Millisecond
+	// vmListRows is the number of rows that are read at a time. Membership needs only some live VMs to find all others.
+	vmListRows = 32
 )
 
 // vmRegistry registers this VM in the platform's store and lists the VMs there. Rows of lost VMs stay until their
@@ -26,6 +28,10 @@
 	self  string
 	peers string
 	zone  string
+
+	// next is the key at which the next list begins, after the first one.
+	next   string
+	listed bool
 }
 
 var _ platform.VMList = (*vmRegistry)(nil)
@@ -68,14 +74,31 @@
 	}
 }
 
-// List implements platform.VMList.
+// List implements platform.VMList. It reads a bounded number of rows, and goes on from there the next time. VMs that start
+// together begin at different rows.
 func (r *vmRegistry) List(ctx context.Context) ([]platform.VM, error) {
-	page, err := r.rows.Read(ctx, tableVMs, "", platform.KeyRange{})
+	from := r.next
+	if !r.listed {
+		from = r.self
+	}
+	page, err := r.rows.Read(ctx, tableVMs, "", platform.KeyRange{From: from, Limit: vmListRows})
 	if err != nil {
 		return nil, err
 	}
-	vms := make([]platform.VM, 0, len(page.Rows))
-	for _, row := range page.Rows {
+	rows := page.Rows
+	if !r.listed && len(rows) < vmListRows/2 {
+		// This VM knows no other, and its row is among the last ones.
+		if page, err = r.rows.Read(ctx, tableVMs, "", platform.KeyRange{To: from, Limit: vmListRows - len(rows)}); err != nil {
+			return nil, err
+		}
+		rows = append(rows, page.Rows...)
+	}
+	r.listed, r.next = true, ""
+	if page.More {
+		r.next = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+	vms := make([]platform.VM, 0, len(rows))
+	for _, row := range rows {
 		var content vmRow
 		if err := cbor.Unmarshal(row.Value, &content); err != nil {
 			return nil, fmt.Errorf("decode row of VM %q: %w", row.Key, err)
