batchjobs: the heads of jobs are followed less often while nobody waits for results

A VM where no client waits for results needs them only to end, take over and count jobs, for which 600 ms are soon enough (an ended job may run for 3 s); a client that waits ends the pause, and one that does not wait for results but may have read them elsewhere gets 100 ms for it.

--- a/internal/batchjobs/api.go
+++ b/internal/batchjobs/api.go
@@ -20,6 +20,8 @@
 	quotaRetryAfter = time.Second
 	// maxResponseBytes bounds the result texts in one response, which stays below 1 MB with their encoding.
 	maxResponseBytes = 600_000
+	// refreshTimeout is how long a call that does not wait for results waits for the local copy.
+	refreshTimeout = 100 * time.Millisecond
 )
 
 // errStoreUnavailable means that the state of a job cannot be determined now.
@@ -79,11 +81,8 @@
 	if head == nil {
 		return http.StatusNotFound, errors.New("no such job")
 	}
-	if wait := platform.LongPollTimeout(r.Header); wait > 0 && len(head.Results) <= call.After && head.Open() {
-		s.heads.waitFor(r.Context(), wait, func() bool {
-			e := s.heads.get(call.Job)
-			return e != nil && (len(e.head.Results) > call.After || !e.head.Open())
-		})
+	if len(head.Results) <= call.After && head.Open() {
+		s.awaitResults(r.Context(), call, max(platform.LongPollTimeout(r.Header), refreshTimeout))
 		if e := s.heads.get(call.Job); e != nil {
 			head = e.head
 		}
@@ -98,6 +97,14 @@
 	return http.StatusOK, nil
 }
 
+// awaitResults waits until a job has results from the requested position on, or has ended.
+func (s *Service) awaitResults(ctx context.Context, call platform.JobCall, timeout time.Duration) {
+	s.heads.waitFor(ctx, timeout, func() bool {
+		e := s.heads.get(call.Job)
+		return e != nil && (len(e.head.Results) > call.After || !e.head.Open())
+	})
+}
+
 func (s *Service) loadResults(ctx context.Context, call platform.JobCall, head *Head) ([]platform.JobResult, error) {
 	var results []platform.JobResult
 	bytes := 0
--- a/internal/batchjobs/headcache.go
+++ b/internal/batchjobs/headcache.go
@@ -17,6 +17,22 @@
 	quotas map[string]uint64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// waiters is the number of calls that wait for a change, and onWait is called after each new one.
+	waiters int
+	onWait  func()
+}
+
+// awaited reports whether any call waits for a change.
+func (v *headCache) awaited() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.waiters > 0
+}
+
+func (v *headCache) addWaiters(n int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.waiters += n
 }
 
 // cachedHead is the head of a job at a version. The head must not be modified.
@@ -26,7 +42,7 @@
 }
 
 func newHeadCache() *headCache {
-	return &headCache{jobs: map[string]*cachedHead{}, quotas: map[string]uint64{}, changed: make(chan struct{})}
+	return &headCache{jobs: map[string]*cachedHead{}, quotas: map[string]uint64{}, changed: make(chan struct{}), onWait: func() {}}
 }
 
 // put stores a head unless a newer one is cached.
@@ -92,6 +108,10 @@
 
 // waitFor waits until the condition holds or the timeout expires, and reports whether it holds.
 func (v *headCache) waitFor(ctx context.Context, timeout time.Duration, condition func() bool) bool {
+	v.addWaiters(1)
+	defer v.addWaiters(-1)
+	// Other VMs may have made changes that are not in this copy yet.
+	v.onWait()
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -32,6 +32,9 @@
 	// coalesceDelay is the time during which changes of the heads accumulate before they are read: each result
 	// changes a head, and every VM follows all of them. It is half of the interval between a client's reads.
 	coalesceDelay = 250 * time.Millisecond
+	// idleDelay replaces coalesceDelay on a VM where no client waits for results. The copy stays fresher than maxCacheAge,
+	// and an ended job stops within it.
+	idleDelay = 600 * time.Millisecond
 )
 
 var (
@@ -119,8 +122,9 @@
 	}
 	config.Node.HandleCall(methodProgress, s.handleProgress)
 	s.follower = follow.New(follow.Config{
-		Rows: config.Rows, Table: tableHeads, CoalesceDelay: coalesceDelay, Log: config.Log, Replace: s.replaceHeads, Change: s.applyChanges,
+		Rows: config.Rows, Table: tableHeads, CoalesceDelay: coalesceDelay, IdleDelay: idleDelay, Awaited: s.heads.awaited, Log: config.Log, Replace: s.replaceHeads, Change: s.applyChanges,
 	})
+	s.heads.onWait = s.follower.Hurry
 	return s
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -39,7 +39,11 @@
 	// CoalesceDelay is the pause after a call that returned changes, so that further changes are read together.
 	// PollNow ends it early.
 	CoalesceDelay time.Duration
-	Log           zerolog.Logger
+	// IdleDelay replaces CoalesceDelay, if it is longer, while Awaited reports that nobody waits for a change. Hurry ends the
+	// difference between the two early.
+	IdleDelay time.Duration
+	Awaited   func() bool
+	Log       zerolog.Logger
 }
 
 // Follower maintains a copy of one table.
@@ -53,11 +57,12 @@
 	storeAvailable bool
 	version        uint64
 	pollNow        chan struct{}
+	hurry          chan struct{}
 }
 
 // New returns a follower without a copy.
 func New(config Config) *Follower {
-	f := &Follower{config: config, started: time.Now(), storeAvailable: true, pollNow: make(chan struct{}, 1)}
+	f := &Follower{config: config, started: time.Now(), storeAvailable: true, pollNow: make(chan struct{}, 1), hurry: make(chan struct{}, 1)}
 	f.confirmedAt.Store(-1)
 	return f
 }
@@ -193,24 +198,46 @@
 }
 
 // PollNow ends the present or next coalesce delay early, for a caller that waits for a change that has been committed.
-func (f *Follower) PollNow() {
+func (f *Follower) PollNow() { signal(f.pollNow) }
+
+// Hurry tells the follower that somebody waits for a change now, which Awaited reports already.
+func (f *Follower) Hurry() { signal(f.hurry) }
+
+func signal(c chan<- struct{}) {
 	select {
-	case f.pollNow <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
+// coalesce pauses for the coalesce delay, or for the idle delay while nobody waits for a change.
 func (f *Follower) coalesce(ctx context.Context) {
-	if f.config.CoalesceDelay <= 0 {
+	if f.config.CoalesceDelay <= 0 || !f.pause(ctx, f.config.CoalesceDelay, nil) {
 		return
 	}
-	timer := time.NewTimer(f.config.CoalesceDelay)
+	rest := f.config.IdleDelay - f.config.CoalesceDelay
+	// A signal from before now is answered by Awaited.
+	select {
+	case <-f.hurry:
+	default:
+	}
+	if rest > 0 && !f.config.Awaited() {
+		f.pause(ctx, rest, f.hurry)
+	}
+}
+
+// pause reports whether d has passed without PollNow or a signal on hurry.
+func (f *Follower) pause(ctx context.Context, d time.Duration, hurry <-chan struct{}) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-ctx.Done():
 	case <-timer.C:
+		return true
+	case <-ctx.Done():
 	case <-f.pollNow:
+	case <-hurry:
 	}
+	return false
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -151,3 +151,44 @@
 		qt.Assert(t, copied.get("key"), qt.Equals, "second")
 	})
 }
+
+func TestChangesAreReadLessOftenWhileNobodyWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause, idle = 250 * time.Millisecond, 600 * time.Millisecond
+		state := memory.New()
+		store := &flaky{Rows: state}
+		copied := &replica{}
+		var awaited atomic.Bool
+		f := follow.New(follow.Config{
+			Rows: store, Table: "t", CoalesceDelay: pause, IdleDelay: idle, Awaited: awaited.Load,
+			Replace: copied.replace, Change: copied.change, Log: zerolog.Nop(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.Run(ctx)
+		calls := func() int64 {
+			before := store.follows.Load()
+			for i := range 300 {
+				put(t, state, "key", fmt.Sprint(i))
+				time.Sleep(10 * time.Millisecond)
+			}
+			return store.follows.Load() - before
+		}
+		qt.Assert(t, calls() <= 3000/600+2, qt.IsTrue)
+		awaited.Store(true)
+		n := calls()
+		qt.Assert(t, n >= 3000/250-2 && n <= 3000/250+2, qt.IsTrue, qt.Commentf("%d calls", n))
+
+		awaited.Store(false)
+		time.Sleep(2 * time.Second)
+		put(t, state, "key", "first")
+		time.Sleep(300 * time.Millisecond)
+		put(t, state, "key", "second")
+		time.Sleep(10 * time.Millisecond)
+		qt.Assert(t, copied.get("key"), qt.Equals, "first")
+		awaited.Store(true)
+		f.Hurry()
+		time.Sleep(10 * time.Millisecond)
+		qt.Assert(t, copied.get("key"), qt.Equals, "second")
+	})
+}
