targetrelay: a cancelled check does not break a path, and paths are forgotten with their targets

Found on reading: when a client left while the path to its silent target was checked, the path was taken for broken, and requests took the way of another VM for half a second. Paths to targets that were removed stayed for good and counted as failures. Both tests failed before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,6 +145,11 @@
 		OnTargets: func(targets []routing.Target) {
 			n.slots.SetTargets(targets)
 			n.origins.SetTargets(targets)
+			addresses := make([]string, len(targets))
+			for i, t := range targets {
+				addresses[i] = t.Address
+			}
+			n.relay.SetTargets(addresses)
 		},
 		Node:  n.transport,
 		Peers: n.otherPeers,
--- a/internal/targetrelay/relay.go
+++ b/internal/targetrelay/relay.go
@@ -72,6 +72,17 @@
 	}
 }
 
+// SetTargets makes the relay forget the targets and VMs that are gone, given the addresses of the registered targets.
+func (r *Relay) SetTargets(addresses []string) {
+	peers := r.config.Peers()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.paths.Retain(
+		func(address string) bool { return slices.Contains(addresses, address) },
+		func(vm string) bool { return slices.ContainsFunc(peers, func(p Peer) bool { return p.VM == vm }) },
+	)
+}
+
 // attemptResult is how an attempt to connect ended.
 type attemptResult struct {
 	attempt reach.Attempt
@@ -227,14 +238,21 @@
 	return &directConn{Conn: conn, relay: r, address: address}, nil
 }
 
-// PathWorks checks the direct path to a target that is silent, so that the silence can be told from that of the path.
+// PathWorks checks the direct path to a target that is silent, so that the silence can be told from that of the path. It reports
+// true if ctx ends before the check.
 func (r *Relay) PathWorks(ctx context.Context, address string) bool {
 	if r.broken(address) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	checkCtx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	conn, err := r.config.Dial(ctx, address)
+	conn, err := r.config.Dial(checkCtx, address)
+	if ctx.Err() != nil {
+		if err == nil {
+			_ = conn.Close()
+		}
+		return true
+	}
 	if err != nil {
 		r.record(func(p *reach.Paths) { p.RecordFailed(time.Now(), address) })
 		return false
--- a/internal/targetrelay/relay_test.go
+++ b/internal/targetrelay/relay_test.go
@@ -195,3 +195,28 @@
 	qt.Assert(t, err, qt.IsNotNil)
 	qt.Assert(t, dialed, qt.IsFalse)
 }
+
+func TestPathIsForgottenWithItsTarget(t *testing.T) {
+	relay, _, _ := startVM(t, "self", refuse, true)
+	qt.Assert(t, relay.PathWorks(t.Context(), "127.0.0.1:1"), qt.IsFalse)
+	qt.Assert(t, relay.PathWorks(t.Context(), "127.0.0.1:2"), qt.IsFalse)
+	relay.SetTargets([]string{"127.0.0.1:3"})
+	// The VM is not cut off: its only other failures were those of targets that are gone.
+	_, err := relay.DialTarget(t.Context(), "127.0.0.1:3")
+	qt.Assert(t, isPathError(err), qt.IsFalse, qt.Commentf("%v", err))
+}
+
+// A client that leaves while a silent target is checked says nothing about the path.
+func TestCancelledCheckDoesNotBreakThePath(t *testing.T) {
+	address, _ := startTarget(t)
+	relay, _, _ := startVM(t, "self", func(ctx context.Context, address string) (net.Conn, error) {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+		return platform.DialTarget(ctx, address)
+	}, true)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	qt.Assert(t, relay.PathWorks(ctx, address), qt.IsTrue)
+	qt.Assert(t, relay.PathWorks(t.Context(), address), qt.IsTrue)
+}
