--- a/internal/scheduling/ratelimits.go
+++ b/internal/scheduling/ratelimits.go
@@ -5,6 +5,7 @@
 
 	"github.com/rosemarydyke/rosemarydyke/ratelimit"
 	"github.com/rosemarydyke/rosemarydyke/routing"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
 // ObserveRateLimit records how many requests a second a target states that it accepts from all VMs together, and tells its
@@ -86,6 +87,6 @@
 func (s *Service) logLimited(slot *Slot) {
 	if statement, known := s.limits.Of(slot.Target); known && statement.PerSecond > 0 {
 		s.config.Log.Info().Str("target", slot.Target).Float64("per_second", statement.PerSecond).Dur("stated_ms", time.Since(statement.At)).
-			Str("coordinator", slot.coordinator).Uint8("class", uint8(slot.request.Class)).Msg("slot granted on a target that states a rate limit")
+			Str("coordinator", slot.coordinator).Bool("item", slot.request.Class == scheduler.Item).Msg("slot granted on a target that states a rate limit")
 	}
 }
