--- /dev/null
+++ b/account/account.go
@@ -0,0 +1,95 @@
+// Package account models the client accounts that requests belong to, and finds the account of an API key.
+//
+// The package does no I/O. A Directory is immutable and safe for concurrent use.
+package account
+
+import (
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"math"
+)
+
+// Account is a client account.
+type Account struct {
+	Name string
+	// Priority ranks the account's requests instead of their route's priority, unless it is nil. Zero is the highest.
+	Priority *int
+	// Weight is the account's share of contended slots relative to other accounts. Zero means 1.
+	Weight float64
+	// Limit is the account's usage limit over all VMs.
+	Limit Limit
+}
+
+// Limit is a usage limit for online requests. The zero value means no limit.
+type Limit struct {
+	// PerSecond is the number of requests per second, and Burst the number of requests that may come at once.
+	PerSecond, Burst float64
+}
+
+// Limited reports whether the limit restricts anything.
+func (l Limit) Limited() bool { return l.PerSecond > 0 }
+
+// Digest is the SHA-256 digest of an API key. Keys themselves are not kept.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of an API key.
+func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
+
+// Entry is an account and the digests of its keys.
+type Entry struct {
+	Account Account
+	Keys    []Digest
+}
+
+// Directory holds the accounts of one version of the configuration. A nil Directory means that requests need no key.
+type Directory struct {
+	byKey  map[Digest]*Account
+	byName map[string]*Account
+}
+
+// NewDirectory returns a directory, or an error if the entries are not consistent.
+func NewDirectory(entries []Entry) (*Directory, error) {
+	d := &Directory{byKey: map[Digest]*Account{}, byName: make(map[string]*Account, len(entries))}
+	for _, e := range entries {
+		a := e.Account
+		if err := a.validate(); err != nil {
+			return nil, err
+		}
+		if d.byName[a.Name] != nil {
+			return nil, fmt.Errorf("client account %q is defined twice", a.Name)
+		}
+		d.byName[a.Name] = &a
+		for _, key := range e.Keys {
+			if other := d.byKey[key]; other != nil && other != &a {
+				return nil, fmt.Errorf("client accounts %q and %q have a key in common", other.Name, a.Name)
+			}
+			d.byKey[key] = &a
+		}
+	}
+	return d, nil
+}
+
+func (a *Account) validate() error {
+	if a.Name == "" {
+		return errors.New("client account has no name")
+	}
+	for _, v := range []float64{a.Weight, a.Limit.PerSecond, a.Limit.Burst} {
+		if v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
+			return fmt.Errorf("client account %q has a weight or limit of %v", a.Name, v)
+		}
+	}
+	return nil
+}
+
+// Authenticate returns the account that holds an API key.
+func (d *Directory) Authenticate(key Digest) (*Account, bool) {
+	a, ok := d.byKey[key]
+	return a, ok
+}
+
+// Lookup returns the account of a name.
+func (d *Directory) Lookup(name string) (*Account, bool) {
+	a, ok := d.byName[name]
+	return a, ok
+}
--- a/internal/config/ingress.go
+++ b/internal/config/ingress.go
@@ -25,6 +25,9 @@
 	MaxTTL time.Duration `yaml:"max_ttl" validate:"min=0"`
 	// ResultRetention is how long a job's results are retained after its submission. Default 120s.
 	ResultRetention time.Duration `yaml:"result_retention" validate:"min=0"`
+	// KeyRevocation is how long after a change of the configuration no VM may accept a key that the change removed. Zero
+	// means that a VM accepts keys however old its configuration is.
+	KeyRevocation time.Duration `yaml:"key_revocation" validate:"min=0"`
 	// MemoryMB is the memory of the VM, in MB. Default 256.
 	MemoryMB int64 `yaml:"memory_mb" validate:"min=0"`
 	// CPUShare is the share of a core that the process may use, and CoreSpeed the speed of that core relative to the other
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -46,6 +46,15 @@
 	Resuming bool `cbor:"13,keyasint,omitempty"`
 	// RateLimits are the statements of the group's targets that the VM has received, which a new coordinator does not know.
 	RateLimits []rateLimitMessage `cbor:"14,keyasint,omitempty"`
+	// Account and Weight order the queue by client account, Priority ranks requests of one class.
+	Account  string  `cbor:"15,keyasint,omitempty"`
+	Weight   float64 `cbor:"16,keyasint,omitempty"`
+	Priority int     `cbor:"17,keyasint,omitempty"`
+	// Route, PromptTokens, OutputTokens and Prefix are what the cost of the request is estimated from.
+	Route        string `cbor:"18,keyasint,omitempty"`
+	PromptTokens int    `cbor:"19,keyasint,omitempty"`
+	OutputTokens int    `cbor:"20,keyasint,omitempty"`
+	Prefix       uint64 `cbor:"21,keyasint,omitempty"`
 }
 
 func newSubmitMessage(now time.Time, r scheduler.Request, redirects int) submitMessage {
@@ -63,6 +72,13 @@
 		Redirects:        redirects,
 		Version:          r.Version,
 		Resuming:         r.Resuming,
+		Account:          r.Account,
+		Weight:           r.Weight,
+		Priority:         r.Priority,
+		Route:            r.Route,
+		PromptTokens:     r.PromptTokens,
+		OutputTokens:     r.OutputTokens,
+		Prefix:           r.Prefix,
 	}
 }
 
@@ -80,6 +96,13 @@
 		RetryWithin:      m.RetryWithin,
 		Version:          m.Version,
 		Resuming:         m.Resuming,
+		Account:          m.Account,
+		Weight:           m.Weight,
+		Priority:         m.Priority,
+		Route:            m.Route,
+		PromptTokens:     m.PromptTokens,
+		OutputTokens:     m.OutputTokens,
+		Prefix:           m.Prefix,
 	}
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/account"
 )
 
 // Kind determines how the requests of a route are served, and whether they may be retried.
@@ -58,6 +60,8 @@
 	Retention time.Duration
 	// TokenQuota limits the tokens of the items that wait on a batch route. Zero means no limit.
 	TokenQuota int64
+	// Public routes accept requests without an API key.
+	Public bool
 }
 
 // Retryable reports whether a request may be sent to a second target after the first one may have run it.
@@ -72,6 +76,8 @@
 	MaxConns int
 	// Slots is the number of requests that an engine of the service runs concurrently, if it is known.
 	Slots int
+	// MemoryTokens is the number of tokens that the requests on one target may hold together, if it is known.
+	MemoryTokens int
 }
 
 // Limits restrict what a client may send.
@@ -87,6 +93,8 @@
 	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
+	// Accounts are the client accounts. Nil means that requests need no key.
+	Accounts *account.Directory
 }
 
 // Source provides the configuration in force, or nil if none is known yet.
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -50,6 +50,17 @@
 	Resuming bool
 	// RetryWithin is the longest delay after which the client of an online request still retries. Zero means unknown.
 	RetryWithin time.Duration
+	// Account is the name of the client account, or empty, and Weight its share of contended slots. Zero means 1.
+	Account string
+	Weight  float64
+	// Priority ranks requests of one class. Zero is the highest.
+	Priority int
+	// Route is the name of the route.
+	Route string
+	// PromptTokens is the length of the prompt and OutputTokens the maximum length of the output. Zero means unknown.
+	PromptTokens, OutputTokens int
+	// Prefix identifies the part of the prompt that other requests share. Zero means that there is none.
+	Prefix uint64
 }
 
 // mayUse reports whether the request may be sent to a target, whatever the target's state.
