Ingress: failures and silences of requests that may run only once count against the target

Cause: a response of status 500 to a request that may not run again was forwarded and recorded as a success of the target, and its silence was not reported at all. Change: both are reported to the target's health.

--- a/internal/config/ingress.go
+++ b/internal/config/ingress.go
@@ -28,6 +28,8 @@
 	// KeyRevocation is how long after a change of the configuration no VM may accept a key that the change removed. Zero
 	// means that a VM accepts keys however old its configuration is.
 	KeyRevocation time.Duration `yaml:"key_revocation" validate:"min=0"`
+	// Capabilities are the optional parts of the platform's protocol that this deployment uses, by the platform's names.
+	Capabilities []string `yaml:"capabilities"`
 	// MemoryMB is the memory of the VM, in MB. Default 256.
 	MemoryMB int64 `yaml:"memory_mb" validate:"min=0"`
 	// CPUShare is the share of a core that the process may use, and CoreSpeed the speed of that core relative to the other
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -338,9 +338,15 @@
 	r.cancel()
 	outcome := scheduler.Finished
 	r.record.outcome = "completed"
-	if errors.Is(err, errDone) {
+	switch {
+	case errors.Is(err, errDone) && r.failed:
+		// The client has its response, but a target that fails all requests at once has the most free slots and would attract
+		// more of them.
+		outcome = scheduler.Interrupted
+		r.record.outcome = "target responded with a failure"
+	case errors.Is(err, errDone):
 		e.server.config.Quarantine.RecordCompletion(e.content.Fingerprint)
-	} else {
+	default:
 		outcome = e.classifyFailure(ctx, err)
 		r.record.outcome = r.explain(err).Error()
 	}
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -85,15 +85,16 @@
 	return nil
 }
 
-// awaitNext restarts the silence timer if another target may take over.
+// awaitNext restarts the silence timer.
 func (h *handover) awaitNext(timeout time.Duration) {
 	h.silence.Stop()
-	if h.exchange.isStream() && h.exchange.mayStartAnother() {
+	if h.exchange.isStream() {
 		h.current.silentFor = 0
 		h.silence.Reset(timeout)
 	}
 }
 
+// onSilence looks for another target if the request may run again. The silence counts against the target in any case.
 func (h *handover) onSilence(ctx context.Context) {
 	r := h.current
 	r.silentFor = firstEventTimeout
@@ -105,7 +106,9 @@
 		silencesTotal.Inc()
 		go h.exchange.reportSilent(ctx, r)
 	}
-	h.search = h.exchange.startSearch(ctx, 0, r)
+	if h.exchange.mayStartAnother() {
+		h.search = h.exchange.startSearch(ctx, 0, r)
+	}
 }
 
 // onSlot sends the request to another target, or requests a slot again.
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -27,6 +27,8 @@
 	silentFor time.Duration
 	// address is where the target accepts requests.
 	address string
+	// failed means that the target responded with a failure, which is forwarded to the client.
+	failed bool
 	// reportedSilent means that the scheduler has been told of a silence of the target.
 	reportedSilent bool
 }
@@ -163,6 +165,7 @@
 	case a.isStream:
 		return e.forwardEvent(r, a)
 	default:
+		r.failed = a.response.Status >= http.StatusInternalServerError
 		return e.forwardBuffered(a)
 	}
 }
