Ingress: requests need an API key when the configuration has client accounts

Requests were served whoever sent them. The key is checked after the route is matched and again before each send to a target, because a key may be removed while a request waits for a slot. The account goes to the jobs in the request's context, to the coordinator in the request for a slot, and to the target by its name.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/internal/follow"
 	store "github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/platform"
@@ -128,6 +129,12 @@
 	return age
 }
 
+// Confirmation says how old the configuration may be for accepting API keys.
+func (s *Service) Confirmation() account.Confirmation {
+	age, known := s.configFollower.Age()
+	return account.Confirmation{Age: age, Known: known}
+}
+
 // Usable reports whether a target is neither removed nor draining nor leaving as far as this VM knows. A target that is
 // not known yet is usable.
 func (s *Service) Usable(id string) bool {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/origin"
 	"github.com/rosemarydyke/rosemarydyke/platform"
@@ -54,9 +55,15 @@
 	deadline      time.Time
 	retry         bool
 	configVersion uint64
+	// account is the client account at the arrival of the request, or nil. hasAccounts means that the configuration had accounts
+	// then.
+	account     *account.Account
+	hasAccounts bool
 	// content is what the request may share with others that crash targets.
 	content quarantine.Content
 
+	// send is the authorization of the last send.
+	send authorization
 	// lastEvent is the ID of the last event that the client has received.
 	lastEvent int64
 	// version is the version that began the stream, from the first event on. Empty means any.
@@ -131,6 +138,11 @@
 			e.endQuarantined(ctx)
 			return
 		}
+		if a := e.authorizeSend(); a.reason != "" {
+			slot.Release(scheduler.Abandoned, 0)
+			e.endNotAccepted(ctx, a)
+			return
+		}
 		runsBefore := e.possibleRuns
 		err = e.follow(ctx, slot, waited)
 		if errors.Is(err, errDone) {
@@ -262,7 +274,7 @@
 		startBy = now.Add(e.route.LatencyObjective)
 		expires = startBy.Add(resumeGrace)
 	}
-	return scheduler.Request{
+	request := scheduler.Request{
 		Class:       scheduler.Online,
 		Service:     e.service,
 		Tried:       tried,
@@ -272,6 +284,16 @@
 		Retry:       e.retry || repeated,
 		RetryWithin: max(time.Duration(retryWithinShare*float64(time.Until(e.arrived.Add(e.client.Timeout)))), 0),
 	}
+	if e.hasAccounts {
+		request.Priority = e.route.Priority
+	}
+	if a := e.account; a != nil {
+		request.Account, request.Weight = a.Name, a.Weight
+		if a.Priority != nil {
+			request.Priority = *a.Priority
+		}
+	}
+	return request
 }
 
 // handleAcquireError responds to a request that got no slot.
@@ -326,6 +348,9 @@
 	if e.client.LastEvent != platform.NoEvent {
 		event.Str("resumes", e.client.Resumes).Int64("resumes_after", e.client.LastEvent)
 	}
+	if e.account != nil {
+		event.Str("account", e.account.Name)
+	}
 	event.Str("request", e.client.ID).Str("route", e.route.Name).Str("service", e.service).
 		Uint64("config_version", e.configVersion).Dur("config_age_ms", e.server.config.Configuration.Age()).
 		Dur("patience_ms", e.client.Timeout).Bool("returned", e.retry).Dur("took_ms", time.Since(e.arrived)).
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -119,7 +119,7 @@
 		h.searchAgain(ctx)
 		return
 	}
-	if h.exchange.isQuarantined() {
+	if h.exchange.isQuarantined() || h.exchange.authorizeSend().reason != "" {
 		r.slot.Release(scheduler.Abandoned, 0)
 		return
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/origin"
 	"github.com/rosemarydyke/rosemarydyke/platform"
@@ -52,6 +53,8 @@
 type Configuration interface {
 	routing.Source
 	Age() time.Duration
+	// Confirmation says how old the configuration may be for accepting API keys.
+	Confirmation() account.Confirmation
 }
 
 // Jobs serves the requests of batch routes and the API calls about jobs.
@@ -89,7 +92,9 @@
 	Jobs          Jobs
 	Quarantine    Quarantine
 	Origins       Origins
-	Log           zerolog.Logger
+	// Revocation limits the age of the configuration by which API keys are accepted.
+	Revocation account.Revocation
+	Log        zerolog.Logger
 }
 
 // Server handles clients' requests.
@@ -118,8 +123,11 @@
 		platform.WriteRefusal(w, http.StatusServiceUnavailable, noConfigRetryAfter, "no configuration is known yet")
 		return
 	}
-	if s.config.Jobs.Serve(w, r) {
-		return
+	if _, isCall := platform.ParseJobCall(r); isCall {
+		call, ok := s.authenticateJobCall(w, r, table)
+		if !ok || s.config.Jobs.Serve(w, call) {
+			return
+		}
 	}
 	route := table.Match(r.Host, r.URL.Path)
 	if route == nil {
@@ -128,6 +136,10 @@
 		platform.WriteText(w, http.StatusNotFound, "no route matches the host and path")
 		return
 	}
+	r, ok := s.authenticate(w, r, route.Public)
+	if !ok {
+		return
+	}
 	body, ok := s.readBody(w, r, table)
 	if !ok {
 		return
@@ -187,6 +199,8 @@
 		deadline:      now.Add(timeout),
 		retry:         s.retries.observe(now, route.Name, parsed.Timeout),
 		lastEvent:     parsed.LastEvent,
+		account:       account.FromContext(r.Context()),
+		hasAccounts:   table.Accounts != nil,
 		configVersion: table.Version,
 		content: quarantine.Content{
 			Fingerprint: quarantine.Fingerprint(r.Host, r.URL.Path, body),
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/internal/evidence"
 	"github.com/rosemarydyke/rosemarydyke/internal/ingress"
 	"github.com/rosemarydyke/rosemarydyke/internal/origins"
@@ -38,8 +39,9 @@
 
 type configuration struct{ table *routing.Table }
 
-func (c configuration) Current() *routing.Table { return c.table }
-func (c configuration) Age() time.Duration      { return 0 }
+func (c configuration) Current() *routing.Table            { return c.table }
+func (c configuration) Age() time.Duration                 { return 0 }
+func (c configuration) Confirmation() account.Confirmation { return account.Confirmation{} }
 
 type noJobs struct{}
 
@@ -74,6 +76,8 @@
 	slots   *scheduling.Service
 	log     syncBuffer
 	n       int
+	// adjust changes the configuration of the server. Optional.
+	adjust func(*ingress.Config, *routing.Table)
 }
 
 // syncBuffer is a log that tests read while the server writes.
@@ -128,12 +132,17 @@
 	server := httptest.NewUnstartedServer(nil)
 	server.Start()
 	t.Cleanup(server.Close)
-	server.Config.Handler = ingress.New(ingress.Config{
-		Configuration: configuration{table(strings.TrimPrefix(server.URL, "http://"), timeout)},
+	table := table(strings.TrimPrefix(server.URL, "http://"), timeout)
+	serverConfig := ingress.Config{
+		Configuration: configuration{table},
 		Slots:         f.slots,
 		Targets:       platform.NewTargetClient(&streamtarget.Observer{}, platform.DialFunc(platform.DialTarget)), Jobs: noJobs{}, Origins: resolver, Log: zerolog.New(&f.log),
 		Quarantine: evidence.NewSharedTracker(config),
-	})
+	}
+	if f.adjust != nil {
+		f.adjust(&serverConfig, table)
+	}
+	server.Config.Handler = ingress.New(serverConfig)
 	f.url = server.URL
 }
 
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -89,6 +89,7 @@
 		TimeLeft:  time.Until(e.deadline),
 		LastEvent: e.lastEvent,
 	}
+	request.HasAccounts, request.Account = e.targetAccount()
 	go r.receive(ctx, e.server.config.Targets, request, e.isStream())
 	return r
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchjobs"
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
 	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
@@ -199,6 +200,7 @@
 		Jobs:          n.jobs,
 		Quarantine:    tracker,
 		Origins:       n.origins,
+		Revocation:    account.Revocation{Bound: s.KeyRevocation},
 		Log:           n.log,
 	})
 }
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -78,9 +78,11 @@
 	runs   map[string]int
 	// lastEventIDs holds, by request, the last event ID that the sender of each run had already received.
 	lastEventIDs map[string][]int64
-	active       int
-	peak         int
-	leaving      bool
+	// calls holds, by request, the headers of its last run.
+	calls   map[string]platform.TargetCall
+	active  int
+	peak    int
+	leaving bool
 	// limit is the rate limit that the target states, or empty.
 	limit string
 	// arrivals are the times at which requests were received.
@@ -93,7 +95,7 @@
 
 // Start starts a target on a free port of 127.0.0.1. Close stops it.
 func Start(config Config) *Target {
-	t := &Target{config: config, runs: map[string]int{}, lastEventIDs: map[string][]int64{}}
+	t := &Target{config: config, runs: map[string]int{}, lastEventIDs: map[string][]int64{}, calls: map[string]platform.TargetCall{}}
 	t.server = httptest.NewServer(http.HandlerFunc(t.serve))
 	return t
 }
@@ -160,6 +162,13 @@
 	return t.runs[id]
 }
 
+// Call returns the headers of the last run of the request with this ID.
+func (t *Target) Call(id string) platform.TargetCall {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls[id]
+}
+
 // LastEventIDs returns the last event ID that the sender had already received at each run of a request, in the order
 // of the runs.
 func (t *Target) LastEventIDs(id string) []int64 {
@@ -217,6 +226,7 @@
 	}
 	if fault != Shed && fault != Misdirect {
 		t.runs[call.ID]++
+		t.calls[call.ID] = call
 		t.lastEventIDs[call.ID] = append(t.lastEventIDs[call.ID], call.LastEvent)
 	}
 	t.arrivals = append(t.arrivals, time.Now())
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -114,6 +114,11 @@
 	return best
 }
 
+// HasPublicBatch reports whether a host has a batch route that needs no key.
+func (t *Table) HasPublicBatch(host string) bool {
+	return slices.ContainsFunc(t.Routes, func(r *Route) bool { return r.Host == host && r.Kind == Batch && r.Public })
+}
+
 // Pick returns the service for one request, given a random number in [0, 1).
 func (r *Route) Pick(random float64) string {
 	total := 0.0
