Keys are accepted only while the store has confirmed the configuration recently

A VM that is cut off, frozen or started from a peer's copy would accept removed keys for as long as that lasts. The age of the copy counts from the call that the store answered, on CLOCK_BOOTTIME, and a copy from a peer carries its age.

The follower took an answer without changes for a confirmation as of the end of the long poll. It proves only that the copy was complete when the store was asked, as the store may answer early.

--- a/account/revocation.go
+++ b/account/revocation.go
@@ -9,6 +9,8 @@
 	// listedShare is the share of the bound up to which a VM takes new clients. Clients cache addresses, so a VM whose
 	// configuration gets old is left out before it has to refuse them.
 	listedShare = 0.6
+	// pollShare is the share of the bound for which the store may hold a call. The age grows to twice this time between answers.
+	pollShare = 0.1
 )
 
 // Revocation limits the age of the configuration by which API keys are accepted.
@@ -17,14 +19,6 @@
 	Bound time.Duration
 }
 
-// Confirmation says how old a copy of the configuration is.
-type Confirmation struct {
-	// Age is the time since the store was asked for what confirms the copy, including time for which the VM was suspended.
-	Age time.Duration
-	// Known is false for a copy that no answer of the store is known to confirm.
-	Known bool
-}
-
 // AcceptsKeys reports whether a configuration is recent enough to accept the keys in it.
 func (r Revocation) AcceptsKeys(c Confirmation) bool {
 	return r.within(c, r.Bound-revocationMargin)
@@ -61,6 +55,10 @@
 	Key            Digest
 }
 
+// PollInterval returns how long the store may hold a call for the configuration: short enough that a VM stays listed when one
+// call fails. Zero means no need for a bound.
+func (r Revocation) PollInterval() time.Duration { return time.Duration(pollShare * float64(r.Bound)) }
+
 // Authorize returns the account of a request that needs a key, or the reason why the request is not accepted. The directory
 // must be read after the confirmation: a directory read before may lack a removal that the confirmation covers.
 func (r Revocation) Authorize(d *Directory, confirmation Confirmation, c Credentials) (*Account, Reason) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/account"
+	"github.com/rosemarydyke/rosemarydyke/internal/boottime"
 	"github.com/rosemarydyke/rosemarydyke/internal/follow"
 	store "github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/platform"
@@ -35,7 +36,11 @@
 	registryCoalesceDelay = 100 * time.Millisecond
 )
 
-var unreadableEntries = metrics.NewCounter(`rosemarydyke_unreadable_entries_total`)
+var (
+	unreadableEntries = metrics.NewCounter(`rosemarydyke_unreadable_entries_total`)
+	// outdatedTotal counts how often the configuration got too old for new clients.
+	outdatedTotal = metrics.NewCounter(`rosemarydyke_config_outdated_total`)
+)
 
 // Config configures a Service.
 type Config struct {
@@ -45,13 +50,20 @@
 	// Node and Peers reach the other live VMs, whose state is copied when the store is unavailable at the start. Optional.
 	Node  Node
 	Peers func() []netip.AddrPort
-	Log   zerolog.Logger
+	// Clock is the clock of the configuration's age. Default: the monotonic clock.
+	Clock boottime.Clock
+	// Revocation limits the age of a configuration with client accounts.
+	Revocation account.Revocation
+	Log        zerolog.Logger
 }
 
 // Service maintains the latest configuration and the registered targets.
 type Service struct {
-	config           Config
-	table            atomic.Pointer[routing.Table]
+	config        Config
+	table         atomic.Pointer[routing.Table]
+	confirmations *account.ConfirmationTracker
+	// unlisted means that the log says that this VM is not listed. Only Run uses it.
+	unlisted         bool
 	configFollower   *follow.Follower
 	registryFollower *follow.Follower
 
@@ -80,16 +92,21 @@
 
 // New returns a service without configuration or targets.
 func New(config Config) *Service {
+	if config.Clock == nil {
+		config.Clock = boottime.Monotonic()
+	}
 	s := &Service{
-		config:     config,
-		registry:   routing.NewRegistry(),
-		goneSince:  map[string]time.Time{},
-		leaving:    map[string]incarnation{},
-		targetRows: map[string][]byte{},
+		config:        config,
+		confirmations: account.NewConfirmationTracker(),
+		registry:      routing.NewRegistry(),
+		goneSince:     map[string]time.Time{},
+		leaving:       map[string]incarnation{},
+		targetRows:    map[string][]byte{},
 	}
 	s.configFollower = follow.New(follow.Config{
 		Rows: config.Rows, Table: platform.OperatorTable, Log: config.Log,
 		Replace: s.readConfig, Change: s.readConfig,
+		Clock: config.Clock, PollInterval: config.Revocation.PollInterval(), OnConfirmed: s.confirmations.Answered,
 	})
 	s.registryFollower = follow.New(follow.Config{
 		Rows: config.Rows, Table: platform.TargetTable, Log: config.Log, CoalesceDelay: registryCoalesceDelay,
@@ -116,23 +133,44 @@
 			return
 		case <-ticker.C:
 			s.expire()
+			s.logListed()
 		}
 	}
 }
 
+// logListed logs when the configuration gets too old for new clients, and when it is recent again.
+func (s *Service) logListed() {
+	listed := s.Listed()
+	if listed == !s.unlisted {
+		return
+	}
+	s.unlisted = !listed
+	confirmation := s.Confirmation()
+	if listed {
+		s.config.Log.Info().Dur("config_age_ms", confirmation.Age).Msg("configuration is recent again; this VM is listed to clients")
+		return
+	}
+	outdatedTotal.Inc()
+	s.config.Log.Warn().Dur("config_age_ms", confirmation.Age).Bool("config_confirmed", confirmation.Known).Dur("bound_ms", s.config.Revocation.Bound).
+		Msg("configuration is too old for new clients; this VM is not listed, and refuses API keys at the bound")
+}
+
 // Current returns the current configuration, or nil when none is known yet.
 func (s *Service) Current() *routing.Table { return s.table.Load() }
 
-// Age returns an upper bound of the configuration's staleness.
-func (s *Service) Age() time.Duration {
-	age, _ := s.configFollower.Age()
-	return age
-}
+// Age returns an upper bound of the configuration's staleness, or zero if it is not known.
+func (s *Service) Age() time.Duration { return s.Confirmation().Age }
 
 // Confirmation says how old the configuration may be for accepting API keys.
 func (s *Service) Confirmation() account.Confirmation {
-	age, known := s.configFollower.Age()
-	return account.Confirmation{Age: age, Known: known}
+	return s.confirmations.Confirmation(s.config.Clock())
+}
+
+// Listed reports whether the configuration is recent enough for new clients. One without client accounts always is.
+func (s *Service) Listed() bool {
+	confirmation := s.Confirmation()
+	table := s.Current()
+	return table == nil || table.Accounts == nil || s.config.Revocation.Listed(confirmation)
 }
 
 // Usable reports whether a target is neither removed nor draining nor leaving as far as this VM knows. A target that is
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/internal/discovery"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
@@ -289,3 +290,59 @@
 		qt.Assert(t, late.targetCount(), qt.Equals, 3)
 	})
 }
+
+// A VM that copies the configuration from a peer took it for as recent as the peer's answer, and a copy of a build that states no
+// age for a recent one.
+func TestCopiedConfigurationIsAsOldAsTheAnswerOfTheStore(t *testing.T) {
+	const config = `{"version":%d,"tenants":[{"name":"a","api_keys":["k"]}]}`
+	for _, oldPeer := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			nodes := [2]*loopbackNode{{handlers: map[peer.Method]peer.CallHandler{}}, {handlers: map[peer.Method]peer.CallHandler{}}}
+			nodes[0].connected, nodes[1].connected = nodes[1], nodes[0]
+			state := memory.New()
+			began := time.Now()
+			var suspended atomic.Int64
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var f [2]*fixture
+			start := func(i int, down bool) {
+				f[i] = &fixture{t: t, state: state, store: &faultyStore{Rows: state}}
+				f[i].store.down.Store(down)
+				f[i].service = discovery.New(discovery.Config{
+					Rows: f[i].store, Log: zerolog.Nop(), Node: nodes[i], OnTargets: func([]routing.Target) {},
+					Peers:      func() []netip.AddrPort { return []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")} },
+					Revocation: account.Revocation{Bound: 5 * time.Second},
+					Clock:      func() time.Duration { return time.Since(began) + time.Duration(suspended.Load()) },
+				})
+				go f[i].service.Run(ctx)
+			}
+			start(0, false)
+			f[0].put(platform.OperatorTable, platform.ConfigKey, fmt.Sprintf(config, 1))
+			time.Sleep(2 * time.Second)
+			f[0].store.down.Store(true)
+			if oldPeer {
+				nodes[0].handlers["discovery.copy"] = func(_ context.Context, _ peer.Identity, decode func(any) error) (any, error) {
+					return map[int]any{1: []byte(fmt.Sprintf(config, 1)), 2: map[string][]byte{}}, decode(&struct{}{})
+				}
+			}
+			time.Sleep(1500 * time.Millisecond)
+			f[0].put(platform.OperatorTable, platform.ConfigKey, fmt.Sprintf(config, 2))
+			start(1, true)
+			time.Sleep(time.Second)
+			qt.Assert(t, f[1].service.Current().Version, qt.Equals, uint64(1))
+			got, source := f[1].service.Confirmation(), f[0].service.Confirmation()
+			if oldPeer {
+				qt.Assert(t, got.Known || f[1].service.Listed(), qt.IsFalse)
+			} else {
+				qt.Assert(t, got.Known && got.Age >= source.Age && got.Age < source.Age+10*time.Millisecond, qt.IsTrue, qt.Commentf("%v, not %v", got, source))
+			}
+			suspended.Add(int64(time.Minute))
+			qt.Assert(t, f[1].service.Confirmation().Age >= time.Minute || oldPeer, qt.IsTrue)
+			// The first VM to reach the store again brings its peer the new version and its age.
+			f[0].store.down.Store(false)
+			time.Sleep(2 * time.Second)
+			qt.Assert(t, f[1].service.Listed(), qt.Equals, !oldPeer)
+			qt.Assert(t, f[1].service.Current().Version == 2, qt.Equals, !oldPeer)
+		})
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/boottime"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 )
 
@@ -43,16 +44,20 @@
 	// difference between the two early.
 	IdleDelay time.Duration
 	Awaited   func() bool
-	Log       zerolog.Logger
+	// Clock is the clock of the copy's age. Default: the monotonic clock.
+	Clock boottime.Clock
+	// PollInterval is how long the store may hold a call without changes. Default longPollTimeout.
+	PollInterval time.Duration
+	// OnConfirmed is called after Replace or Change with the time of Clock to which the copy is complete. Optional.
+	OnConfirmed func(at time.Duration)
+	Log         zerolog.Logger
 }
 
 // Follower maintains a copy of one table.
 type Follower struct {
 	config Config
-	// confirmedAt is the last time, in nanoseconds since started, at which the copy is known to be complete. It is -1
-	// before the first full read.
-	confirmedAt    atomic.Int64
-	started        time.Time
+	// confirmedAt is the last time of Config.Clock at which the copy is known to be complete, nil before the first full read.
+	confirmedAt    atomic.Pointer[time.Duration]
 	clock          atomic.Pointer[Clock]
 	storeAvailable bool
 	version        uint64
@@ -62,18 +67,30 @@
 
 // New returns a follower without a copy.
 func New(config Config) *Follower {
-	f := &Follower{config: config, started: time.Now(), storeAvailable: true, pollNow: make(chan struct{}, 1), hurry: make(chan struct{}, 1)}
-	f.confirmedAt.Store(-1)
-	return f
+	if config.Clock == nil {
+		config.Clock = boottime.Monotonic()
+	}
+	if config.PollInterval <= 0 {
+		config.PollInterval = longPollTimeout
+	}
+	return &Follower{config: config, storeAvailable: true, pollNow: make(chan struct{}, 1), hurry: make(chan struct{}, 1)}
 }
 
 // Age returns an upper bound of the copy's staleness, and whether there is a copy.
 func (f *Follower) Age() (time.Duration, bool) {
 	at := f.confirmedAt.Load()
-	if at < 0 {
+	if at == nil {
 		return 0, false
 	}
-	return time.Since(f.started) - time.Duration(at), true
+	return f.config.Clock() - *at, true
+}
+
+// confirm records that the copy is complete as of a time.
+func (f *Follower) confirm(at time.Duration) {
+	f.confirmedAt.Store(&at)
+	if f.config.OnConfirmed != nil {
+		f.config.OnConfirmed(at)
+	}
 }
 
 // Clock relates the store's monotonic clock to the local clock.
@@ -102,14 +119,11 @@
 	loaded := false
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		// A response with changes reflects the table after the call began, and one without changes the table when the
-		// store stopped waiting for changes.
-		asOf := time.Now()
 		var err error
 		if !loaded {
 			err = f.readAll(ctx)
 			loaded = err == nil
-		} else if asOf, err = f.follow(ctx); errors.Is(err, platform.ErrHistoryLost) {
+		} else if err = f.follow(ctx); errors.Is(err, platform.ErrHistoryLost) {
 			f.config.Log.Info().Str("table", f.config.Table).Uint64("version", f.version).Msg("change history lost, reading the whole table again")
 			loaded = false
 			continue
@@ -121,7 +135,6 @@
 			continue
 		}
 		backoff = minBackoff
-		f.confirmedAt.Store(int64(asOf.Sub(f.started)))
 		f.markAvailable()
 	}
 }
@@ -154,6 +167,7 @@
 	var rows []platform.TableRow
 	var from string
 	var version uint64
+	asOf := f.config.Clock()
 	for first := true; ; first = false {
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		page, err := f.config.Rows.Read(callCtx, f.config.Table, "", platform.KeyRange{From: from, Limit: pageSize})
@@ -164,6 +178,7 @@
 		f.clock.Store(&Clock{Store: page.Now, Local: time.Now()})
 		if first {
 			version = page.Version
+			asOf += page.Delay
 		}
 		rows = append(rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
@@ -176,25 +191,33 @@
 	f.markAvailable()
 	f.version = version
 	f.config.Replace(rows)
+	f.confirm(asOf)
 	return nil
 }
 
-// follow waits for changes, and returns the time at which the copy is known to be complete.
-func (f *Follower) follow(ctx context.Context) (time.Time, error) {
-	began := time.Now()
-	page, err := f.config.Rows.Follow(ctx, f.config.Table, f.version, longPollTimeout)
+// follow waits for changes. The answer proves only that the copy is complete as of the time at which the store was asked: the
+// store may answer early, and the VM may be suspended during the call.
+func (f *Follower) follow(ctx context.Context) error {
+	asOf := f.config.Clock()
+	page, err := f.config.Rows.Follow(ctx, f.config.Table, f.version, f.config.PollInterval)
 	if err != nil {
-		return began, err
+		return err
 	}
+	asOf += page.Delay
 	f.clock.Store(&Clock{Store: page.Now, Local: time.Now()})
 	f.markAvailable()
 	f.version = max(f.version, page.Version)
-	if len(page.Rows) == 0 {
-		return began.Add(longPollTimeout), nil
+	if len(page.Rows) > 0 {
+		f.config.Change(page.Rows)
+	}
+	// A page with More lacks changes from before the call.
+	if !page.More {
+		f.confirm(asOf)
 	}
-	f.config.Change(page.Rows)
-	f.coalesce(ctx)
-	return began, nil
+	if len(page.Rows) > 0 {
+		f.coalesce(ctx)
+	}
+	return nil
 }
 
 // PollNow ends the present or next coalesce delay early, for a caller that waits for a change that has been committed.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 
 	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchjobs"
+	"github.com/rosemarydyke/rosemarydyke/internal/boottime"
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
 	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
 	"github.com/rosemarydyke/rosemarydyke/internal/discovery"
@@ -141,6 +142,7 @@
 		Log:        n.log,
 	})
 	process := s.VM.Name + "/" + strconv.FormatUint(uint64(rand.Uint32()), 36)
+	revocation := account.Revocation{Bound: s.KeyRevocation}
 	n.discovery = discovery.New(discovery.Config{
 		Rows: n.rows,
 		OnTargets: func(targets []routing.Target) {
@@ -152,9 +154,11 @@
 			}
 			n.relay.SetTargets(addresses)
 		},
-		Node:  n.transport,
-		Peers: n.otherPeers,
-		Log:   n.log,
+		Node:       n.transport,
+		Peers:      n.otherPeers,
+		Clock:      boottime.Now,
+		Revocation: revocation,
+		Log:        n.log,
 	})
 	n.slots = scheduling.New(scheduling.Config{
 		Process:          process,
@@ -200,7 +204,7 @@
 		Jobs:          n.jobs,
 		Quarantine:    tracker,
 		Origins:       n.origins,
-		Revocation:    account.Revocation{Bound: s.KeyRevocation},
+		Revocation:    revocation,
 		Log:           n.log,
 	})
 }
@@ -304,17 +308,19 @@
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if n.leaving.Load() || n.discovery.Current() == nil {
+	if n.leaving.Load() || n.discovery.Current() == nil || !n.discovery.Listed() {
 		platform.WriteText(w, http.StatusServiceUnavailable, "not ready")
 		return
 	}
 	platform.WriteText(w, http.StatusOK, "ready")
 }
 
-// serveDirectory lists the live VMs, including this one unless it is leaving.
+// serveDirectory lists the live VMs, including this one unless it is leaving or its configuration is getting too old to accept
+// API keys.
 func (n *Node) serveDirectory(w http.ResponseWriter, _ *http.Request) {
+	unlisted := n.leaving.Load() || !n.discovery.Listed()
 	listed := slices.DeleteFunc(n.members.Members(), func(m member.Member) bool {
-		return m.State != member.Alive || m.VM == n.settings.VM.Name && n.leaving.Load()
+		return m.State != member.Alive || m.VM == n.settings.VM.Name && unlisted
 	})
 	addresses := sampleAddresses(listed, platform.MaxAddresses, rand.Float64)
 	if len(addresses) == 0 {
--- a/internal/platform/rows.go
+++ b/internal/platform/rows.go
@@ -61,6 +61,9 @@
 	Now time.Duration
 	// More reports that the range holds further rows.
 	More bool
+	// Delay is the time from the call until the store was asked for the page in the end, if earlier attempts failed. It is less
+	// than the true time if the VM was suspended meanwhile.
+	Delay time.Duration `cbor:"-"`
 }
 
 // RowConflictError reports that a condition did not hold. Nothing was written.
--- a/internal/storerelay/relay.go
+++ b/internal/storerelay/relay.go
@@ -132,6 +132,7 @@
 // readWithFallback calls the store directly, or through a peer while directDown holds, and tries the other of the two
 // if the store is unavailable.
 func (r *Relay) readWithFallback(ctx context.Context, direct, relay func() (platform.Page, error)) (platform.Page, error) {
+	began := time.Now()
 	if r.directDown() {
 		page, err := relay()
 		if err == nil || !errors.Is(err, platform.ErrUnavailable) {
@@ -140,10 +141,15 @@
 		// The time 1 is past, so that direct calls are tried again, but not zero, so that their success is logged.
 		r.directDownUntil.CompareAndSwap(r.directDownUntil.Load(), 1)
 	}
+	delay := time.Since(began)
 	page, err := direct()
+	page.Delay = delay
 	r.recordDirectResult(ctx, err)
 	if errors.Is(err, platform.ErrUnavailable) && ctx.Err() == nil {
-		if relayed, relayErr := relay(); relayErr == nil || errors.Is(relayErr, platform.ErrHistoryLost) {
+		delay = time.Since(began)
+		relayed, relayErr := relay()
+		relayed.Delay = delay
+		if relayErr == nil || errors.Is(relayErr, platform.ErrHistoryLost) {
 			return relayed, relayErr
 		}
 	}
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -23,11 +23,14 @@
 	// unavailable makes calls fail, and loseResponses performs writes but loses their responses.
 	unavailable, loseResponses atomic.Bool
 	calls                      atomic.Int32
+	// delay is how long a call takes to fail.
+	delay time.Duration
 }
 
 func (s *faultyStore) recordCall() error {
 	s.calls.Add(1)
 	if s.unavailable.Load() {
+		time.Sleep(s.delay)
 		return platform.ErrUnavailable
 	}
 	return nil
@@ -88,10 +91,16 @@
 
 func TestCallsAreRelayedWhenStoreRejectsVM(t *testing.T) {
 	state, stores, relays := newRelayPair(t)
+	stores[0].delay = 50 * time.Millisecond
 	stores[0].unavailable.Store(true)
+	began := time.Now()
+	page, err := relays[0].Read(t.Context(), "t", "", platform.KeyRange{})
+	qt.Assert(t, err, qt.IsNil)
+	// The page is as recent as the relayed call, and not as the direct one that failed before.
+	qt.Assert(t, page.Delay >= stores[0].delay && page.Delay <= time.Since(began), qt.IsTrue, qt.Commentf("%s", page.Delay))
 	version, err := relays[0].Apply(t.Context(), createRow("k"))
 	qt.Assert(t, err, qt.IsNil)
-	page, err := relays[0].Read(t.Context(), "t", "", platform.KeyRange{})
+	page, err = relays[0].Read(t.Context(), "t", "", platform.KeyRange{})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, page.Rows, qt.HasLen, 1)
 	qt.Assert(t, page.Rows[0].Version, qt.Equals, version)
