--- a/account/account.go
+++ b/account/account.go
@@ -4,7 +4,6 @@
 package account
 
 import (
-	"crypto/sha256"
 	"errors"
 	"fmt"
 	"math"
@@ -30,12 +29,6 @@
 // Limited reports whether the limit restricts anything.
 func (l Limit) Limited() bool { return l.PerSecond > 0 }
 
-// Digest is the SHA-256 digest of an API key. Keys themselves are not kept.
-type Digest [sha256.Size]byte
-
-// DigestOf returns the digest of an API key.
-func DigestOf(key string) Digest { return sha256.Sum256([]byte(key)) }
-
 // Entry is an account and the digests of its keys.
 type Entry struct {
 	Account Account
@@ -44,13 +37,13 @@
 
 // Directory holds the accounts of one version of the configuration. A nil Directory means that requests need no key.
 type Directory struct {
-	byKey  map[Digest]*Account
+	keys   KeyIndex[Account]
 	byName map[string]*Account
 }
 
 // NewDirectory returns a directory, or an error if the entries are not consistent.
 func NewDirectory(entries []Entry) (*Directory, error) {
-	d := &Directory{byKey: map[Digest]*Account{}, byName: make(map[string]*Account, len(entries))}
+	d := &Directory{keys: NewKeyIndex[Account](), byName: make(map[string]*Account, len(entries))}
 	for _, e := range entries {
 		a := e.Account
 		if err := a.validate(); err != nil {
@@ -61,10 +54,9 @@
 		}
 		d.byName[a.Name] = &a
 		for _, key := range e.Keys {
-			if other := d.byKey[key]; other != nil && other != &a {
+			if other := d.keys.Add(key, &a); other != nil && other != &a {
 				return nil, fmt.Errorf("client accounts %q and %q have a key in common", other.Name, a.Name)
 			}
-			d.byKey[key] = &a
 		}
 	}
 	return d, nil
@@ -84,8 +76,7 @@
 
 // Authenticate returns the account that holds an API key.
 func (d *Directory) Authenticate(key Digest) (*Account, bool) {
-	a, ok := d.byKey[key]
-	return a, ok
+	return d.keys.Find(key)
 }
 
 // Lookup returns the account of a name.
--- a/internal/callerapi/fixture_test.go
+++ b/internal/callerapi/fixture_test.go
@@ -105,15 +105,19 @@
 // newFixture starts an entry on VM vm whose targets serve model "m" and service "booking".
 func newFixture(tb testing.TB, vm string, table platform.Table, configure func(*callerapi.Config), targets ...http.Handler) *fixture {
 	digest := sha256.Sum256([]byte(apiKey))
-	f := &fixture{admitter: &fakeAdmitter{}, source: &fakeSource{snapshot: &settings.Snapshot{
-		Revision: 7,
-		Clients:  map[string]*settings.Client{"coop": {Name: "coop", KeySHA256: []string{hex.EncodeToString(digest[:])}}},
-		Models:   map[string]*settings.Model{"m": {Name: "m", MaxTokens: 100}},
-		Services: map[string]*settings.Service{
-			"booking": {Name: "booking"},
-			"private": {Name: "private", Clients: []string{"other"}},
-		},
-	}}}
+	snapshot, err := settings.Empty().Apply(&settings.Revision{Number: 1, Edits: []settings.Edit{
+		{Path: "teams/coop/clients/coop", Document: "key_sha256: [" + hex.EncodeToString(digest[:]) + "]\n"},
+	}})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	snapshot.Revision = 7
+	snapshot.Models = map[string]*settings.Model{"m": {Name: "m", MaxTokens: 100}}
+	snapshot.Services = map[string]*settings.Service{
+		"booking": {Name: "booking"},
+		"private": {Name: "private", Clients: []string{"other"}},
+	}
+	f := &fixture{admitter: &fakeAdmitter{}, source: &fakeSource{snapshot: snapshot}}
 	for i, handler := range targets {
 		target := httptest.NewServer(handler)
 		tb.Cleanup(target.Close)
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -114,7 +114,6 @@
 type Server struct {
 	config    Config
 	mux       *http.ServeMux
-	clients   clientIndex
 	gate      gate
 	bodyBytes *semaphore.Weighted
 	tracer    trace.Tracer
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/internal/strictyaml"
 )
 
@@ -49,10 +50,14 @@
 		return fmt.Errorf("another team has a client named %q", loc.name)
 	}
 	for _, digest := range client.KeySHA256 {
-		if other, taken := s.clientsByKey[strings.ToLower(digest)]; taken {
+		// The validation accepts a prefix 0x, which leaves a text that is no digest and the digest of no key.
+		key, ok := account.ParseDigest(digest)
+		if !ok {
+			continue
+		}
+		if other := s.clientsByKey.Add(key, client); other != nil {
 			return fmt.Errorf("a key of this client is also a key of client %q", other.Name)
 		}
-		s.clientsByKey[strings.ToLower(digest)] = client
 	}
 	s.Clients[loc.name] = client
 	return nil
--- a/settings/plan_test.go
+++ b/settings/plan_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/account"
 )
 
 const (
@@ -16,6 +18,11 @@
 
 func clientDocument(digest string) string { return "key_sha256: [" + digest + "]\n" }
 
+func key(digest string) account.Digest {
+	key, _ := account.ParseDigest(digest)
+	return key
+}
+
 // exampleSnapshot returns a snapshot with one team, one model and one target.
 func exampleSnapshot(c *qt.C) *Snapshot {
 	s, err := Empty().Apply(&Revision{Number: 1, Edits: []Edit{
@@ -95,15 +102,15 @@
 	s := exampleSnapshot(c)
 	next, err := s.Apply(&Revision{Number: 2, Edits: []Edit{{Path: "teams/desk/clients/calls", Document: clientDocument(digestB)}}})
 	c.Assert(err, qt.IsNil)
-	_, oldKey := next.ClientByKey(digestA)
+	_, oldKey := next.ClientByKey(key(digestA))
 	c.Assert(oldKey, qt.IsFalse)
-	client, newKey := next.ClientByKey(digestB)
+	client, newKey := next.ClientByKey(key(digestB))
 	c.Assert(newKey, qt.IsTrue)
 	c.Assert(client.Owner, qt.Equals, "teams/desk")
 	c.Assert(next.RevisionOf("teams/desk"), qt.Equals, uint64(2))
 	c.Assert(next.RevisionOf("fleet"), qt.Equals, uint64(1))
 	// The previous snapshot is unchanged.
-	_, kept := s.ClientByKey(digestA)
+	_, kept := s.ClientByKey(key(digestA))
 	c.Assert(kept, qt.IsTrue)
 }
 
@@ -126,6 +133,6 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(copied.RevisionOf("teams"), qt.Equals, uint64(1))
 	c.Assert(copied.Documents, qt.DeepEquals, s.Documents)
-	_, ok := copied.ClientByKey(digestA)
+	_, ok := copied.ClientByKey(key(digestA))
 	c.Assert(ok, qt.IsTrue)
 }
--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"maps"
 	"strings"
+
+	"github.com/rosemarydyke/rosemarydyke/account"
 )
 
 // Empty returns revision zero: a tree without documents.
@@ -16,7 +18,7 @@
 		Services:       map[string]*Service{},
 		Operators:      map[string]*Operator{},
 		changed:        map[string]uint64{},
-		clientsByKey:   map[string]*Client{},
+		clientsByKey:   account.NewKeyIndex[Client](),
 		operatorsByKey: map[string]*Operator{},
 	}
 }
@@ -54,11 +56,8 @@
 // RevisionOf returns the newest revision that changed path or anything below it, zero if there is none.
 func (s *Snapshot) RevisionOf(path string) uint64 { return s.changed[path] }
 
-// ClientByKey returns the client whose API key has the hexadecimal SHA-256 digest.
-func (s *Snapshot) ClientByKey(digest string) (*Client, bool) {
-	client, ok := s.clientsByKey[digest]
-	return client, ok
-}
+// ClientByKey returns the client of an API key.
+func (s *Snapshot) ClientByKey(key account.Digest) (*Client, bool) { return s.clientsByKey.Find(key) }
 
 // OperatorByKey returns the operator whose key has the hexadecimal SHA-256 digest.
 func (s *Snapshot) OperatorByKey(digest string) (*Operator, bool) {
@@ -76,7 +75,7 @@
 		Services:       maps.Clone(s.Services),
 		Operators:      maps.Clone(s.Operators),
 		changed:        maps.Clone(s.changed),
-		clientsByKey:   maps.Clone(s.clientsByKey),
+		clientsByKey:   s.clientsByKey.Clone(),
 		operatorsByKey: maps.Clone(s.operatorsByKey),
 	}
 }
@@ -114,7 +113,9 @@
 	switch loc.kind {
 	case KindClient:
 		for _, digest := range s.Clients[loc.name].KeySHA256 {
-			delete(s.clientsByKey, strings.ToLower(digest))
+			if key, ok := account.ParseDigest(digest); ok {
+				s.clientsByKey.Remove(key)
+			}
 		}
 		delete(s.Clients, loc.name)
 	case KindOperator:
--- a/settings/types.go
+++ b/settings/types.go
@@ -2,7 +2,11 @@
 // Each change of the tree is atomic and makes a new revision.
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/account"
+)
 
 // Client is a client account of the request API.
 // Its path is TEAM-PATH/clients/NAME.
@@ -89,9 +93,9 @@
 	Operators map[string]*Operator
 
 	// changed holds, for each document and each of its ancestors, the newest revision that changed it.
-	changed map[string]uint64
-	// clientsByKey and operatorsByKey are indexed by the lower-case digest of the key.
-	clientsByKey   map[string]*Client
+	changed      map[string]uint64
+	clientsByKey account.KeyIndex[Client]
+	// operatorsByKey is indexed by the lower-case digest of the key.
 	operatorsByKey map[string]*Operator
 }
 
