Configuration is polled once a second also with a bound on keys; cached heads of jobs may be 3.5 s old

Cause: the age of a copy counts from the begin of the call now and not from its end, so that it is up to 1 s higher than before for the same polls. Without this, idle VMs would read heads from the store where they answered from their copy before.

--- a/account/revocation.go
+++ b/account/revocation.go
@@ -9,8 +9,8 @@
 	// listedShare is the share of the bound up to which a VM takes new clients. Clients cache addresses, so a VM whose
 	// configuration gets old is left out before it has to refuse them.
 	listedShare = 0.6
-	// pollShare is the share of the bound for which the store may hold a call. The age grows to twice this time between answers.
-	pollShare = 0.1
+	// pollShare is the share of the bound for which the store may hold a call. The age grows to twice this time between answers, 2 s of 5 s.
+	pollShare = 0.2
 )
 
 // Revocation limits the age of the configuration by which API keys are accepted.
--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -26,7 +26,8 @@
 
 const (
 	// maxCacheAge is the age of the cached heads beyond which requests are answered from the store instead.
-	maxCacheAge = 2500 * time.Millisecond
+	// The age counts from the begin of the last call, so it is up to twice the time for which the store holds one.
+	maxCacheAge = 3500 * time.Millisecond
 	// reconcileInterval is the time between two checks for jobs to start, stop or take over.
 	reconcileInterval = 200 * time.Millisecond
 	// coalesceDelay is the time during which changes of the heads accumulate before they are read: each result
