usage: property tests over sliding windows, and three faults that they found

A bucket was filled for the time in which another VM counted, a raised burst was added by two VMs, and a VM that starts again added to two takeovers before it.

--- a/usage/bucket.go
+++ b/usage/bucket.go
@@ -93,23 +93,28 @@
 }
 
 // setLimit applies a limit. Tokens that were used stay used, so a raised burst adds only the difference. It adds nothing
-// a second time within the Window, since a limit that is lowered and raised again would fill the bucket each time.
-func (b *bucket) setLimit(limit account.Limit) {
+// a second time within the Window, since a limit that is lowered and raised again would fill the bucket each time, and no
+// more than a new bucket holds, since another VM may have added the difference too.
+func (b *bucket) setLimit(limit account.Limit, now time.Time) {
 	before := b.capacity()
 	b.limit = limit
 	after := b.capacity()
 	if after > before && (b.raised < 0 || b.filled-b.raised > Window) {
-		b.tokens += after - before
+		b.tokens = max(b.tokens, min(b.tokens+after-before, startTokens(limit, b.term, now)))
 		b.raised = b.filled
 	}
 	b.tokens = min(b.tokens, after)
 }
 
-// setTerm applies a term. When another VM may have counted since the last request, the bucket holds no more than a new
-// one would.
-func (b *bucket) setTerm(term Term, now time.Time) {
+// setTerm applies a term. When the term is a new one, another VM may have counted since the last request, so the bucket
+// is not filled for that time, and holds no more than a new one would.
+func (b *bucket) setTerm(at time.Duration, term Term, now time.Time) {
 	if term.Since.After(b.term.Since) {
+		b.filled = max(b.filled, at-now.Sub(term.Since))
+		b.fill(at)
 		b.tokens = min(b.tokens, startTokens(b.limit, term, now))
+	} else {
+		b.fill(at)
 	}
 	b.term = term
 	b.tokens = min(b.tokens, b.capacity())
@@ -152,10 +157,12 @@
 // Tick drops buckets that are full. It must be called several times within maxGap, or buckets fill too slowly.
 func (s *Buckets) Tick(now time.Time) {
 	s.advance(now)
-	for name, b := range s.accounts {
+	for name, stored := range s.accounts {
+		// A copy is filled: whether this VM counted all the time is known at the next request only.
+		b := *stored
 		b.fill(s.elapsed)
-		// A bucket that another VM may have counted in, or with a part of the limit, is kept: its content is not that of a
-		// new one. So is one whose burst was raised lately.
+		// A bucket that holds a part of the limit, or more than a new one would, is kept, and so is one whose burst was
+		// raised lately.
 		if b.tokens >= b.capacity() && b.term.Share == 1 && (b.raised < 0 || s.elapsed-b.raised > Window) &&
 			startTokens(b.limit, b.term, now) >= b.tokens {
 			delete(s.accounts, name)
@@ -207,14 +214,11 @@
 		s.accounts[name] = b
 		return b
 	}
-	b.fill(s.elapsed)
-	if term != b.term {
-		b.setTerm(term, now)
-	}
+	b.setTerm(s.elapsed, term, now)
 	if version >= b.version {
 		b.version = version
 		if limit != b.limit {
-			b.setLimit(limit)
+			b.setLimit(limit, now)
 		}
 	}
 	return b
@@ -241,8 +245,12 @@
 		return
 	}
 	s.recent[id] = Decision{Allowed: true}
+	s.giveBack(name)
+}
+
+// giveBack adds the token of a request that has not run.
+func (s *Buckets) giveBack(name string) {
 	if b := s.accounts[name]; b != nil {
-		b.fill(s.elapsed)
 		b.tokens = min(b.tokens+1, b.capacity())
 	}
 }
@@ -253,8 +261,7 @@
 	s.advance(now)
 	d, known := s.decision(id)
 	s.recent[id] = Decision{}
-	if b := s.accounts[name]; known && d.Allowed && b != nil {
-		b.fill(s.elapsed)
-		b.tokens = min(b.tokens+1, b.capacity())
+	if known && d.Allowed {
+		s.giveBack(name)
 	}
 }
--- a/usage/ranking.go
+++ b/usage/ranking.go
@@ -13,6 +13,9 @@
 	// deputyRate is the rate in requests per second that a VM allows at least while it counts in place of another one that
 	// may be alive. In a Window it adds 10 requests, half of the fixed part of the tolerance.
 	deputyRate = 2.0
+	// startTakeovers is the assumed number of takeovers when a VM counts since its own start. It knows of none before:
+	// its own loss may have been the first, and after a loss of all VMs each one that joins may rank above the last.
+	startTakeovers = 2
 )
 
 // Departure is the end of a VM's ability to count, as this VM saw it.
@@ -69,7 +72,7 @@
 // TermOf returns the term of a VM that counts for an account since its start, or since the last departure of a VM that
 // ranked above it.
 func TermOf(name string, self member.Member, started time.Time, departures []Departure) Term {
-	term := Term{Since: started, Takeovers: 1, Share: 1}
+	term := Term{Since: started, Takeovers: startTakeovers, Share: 1}
 	own := group.NewCandidate(Key(name), alive(self), true)
 	var above []time.Time
 	for _, d := range departures {
@@ -86,7 +89,9 @@
 			recent++
 		}
 	}
-	term.Takeovers = max(recent, 1)
+	if term.Since.After(started) {
+		term.Takeovers = recent
+	}
 	return term
 }
 
