--- a/internal/usage/count.go
+++ b/internal/usage/count.go
@@ -112,9 +112,10 @@
 	term := o.term
 	switch {
 	case alone:
-		term.Since, term.Share = o.otherwiseSince(now), 1/float64(s.fleet.counting(now.Sub(s.started), s.config.Expected))
+		term.Since, term.Takeovers = o.otherwiseSince(now), 1
+		term.Share = 1 / float64(s.fleet.counting(now.Sub(s.started), s.config.Expected))
 	case o.VMs[0].VM != s.vm:
-		term.Since = o.otherwiseSince(now)
+		term.Since, term.Takeovers = o.otherwiseSince(now), 1
 		term.Share = usage.DeputyShare(limit.PerSecond, len(s.askers)+1, s.fleet.reached())
 	case o.Deputy:
 		term.Share = usage.DeputyShare(limit.PerSecond, len(s.askers)+1, s.fleet.reached())
--- a/internal/usage/fleet.go
+++ b/internal/usage/fleet.go
@@ -179,19 +179,20 @@
 
 // counting returns the number of VMs that may count at the same time if none reaches another.
 func (f *fleet) counting(age time.Duration, expected int) int {
-	return atLeastExpected(f.countCounting, age, expected)
+	return f.countCounting + f.missing(age, expected)
 }
 
 // known returns the number of VMs of the fleet as far as this VM knows.
 func (f *fleet) known(age time.Duration, expected int) int {
-	return atLeastExpected(f.countKnown, age, expected)
+	return f.countKnown + f.missing(age, expected)
 }
 
-func atLeastExpected(n int, age time.Duration, expected int) int {
-	if age < settleTime {
-		n = max(n, expected)
+// missing is the number of VMs that the settings name and that are not members yet, soon after the start.
+func (f *fleet) missing(age time.Duration, expected int) int {
+	if age >= settleTime {
+		return 0
 	}
-	return max(n, 1)
+	return max(expected-len(f.members), 0)
 }
 
 func (s *Service) recordUnanswered(vm string) {
