--- a/internal/usage/service_test.go
+++ b/internal/usage/service_test.go
@@ -121,9 +121,14 @@
 func (v *testVM) Members() []member.Member {
 	v.net.mu.Lock()
 	defer v.net.mu.Unlock()
-	return slices.Clone(v.members)
+	return slices.DeleteFunc(slices.Clone(v.members), func(m member.Member) bool { return m.State == member.Dead })
+}
+
+func (v *testVM) Self() member.Member {
+	v.net.mu.Lock()
+	defer v.net.mu.Unlock()
+	return v.members[v.index]
 }
-func (v *testVM) Self() member.Member { return v.Members()[v.index] }
 
 // tick replaces Service.Run, which could not be frozen.
 func (v *testVM) tick() {
@@ -192,8 +197,11 @@
 	change()
 	n.mu.Unlock()
 	for _, v := range n.vms {
-		if !v.dead {
-			v.service.MembersChanged()
+		n.mu.Lock()
+		s, dead := v.service, v.dead
+		n.mu.Unlock()
+		if !dead {
+			s.MembersChanged()
 		}
 	}
 }
@@ -224,10 +232,19 @@
 
 // acquire sends a request of the account to a VM.
 func (n *network) acquire(vm int) error {
-	return n.vms[vm].service.Acquire(context.Background(), n.account())
+	n.mu.Lock()
+	s := n.vms[vm].service
+	n.mu.Unlock()
+	return s.Acquire(context.Background(), n.account())
+}
+
+func (n *network) count(method peer.Method) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent[method]
 }
 
-// counting returns the VMs in the order in which they count for the account.
+// ranked returns the first VMs in the order in which they count for the account.
 func (n *network) ranked() []int {
 	var order []int
 	for _, m := range usage.Rank(acme, n.vms[0].members, func(string) (bool, bool) { return false, false }).VMs {
@@ -248,10 +265,14 @@
 			}
 		})
 		time.Sleep(duration)
+		// A VM that starts knows no other one for half a second.
 		for _, i := range vms {
+			n.see(member.Dead, func(viewer, _ int) bool { return viewer == i })
 			n.vms[i].start()
-			time.Sleep(10 * time.Millisecond)
+			time.Sleep(30 * time.Millisecond)
 		}
+		time.Sleep(500 * time.Millisecond)
+		n.see(member.Alive, func(viewer, _ int) bool { return is(viewer) })
 	case "freeze":
 		n.set(func() {
 			for _, i := range vms {
@@ -327,9 +348,9 @@
 	for at := time.Duration(0); at < 10*time.Second; at += 5 * time.Millisecond {
 		time.Sleep(5 * time.Millisecond)
 		for wanted += float64(demand[at/half]) / 10 * limit.PerSecond * 0.005; wanted >= 1; wanted-- {
-			vm := n.random.IntN(vms)
 			go func() {
 				n.mu.Lock()
+				vm := n.random.IntN(vms)
 				for n.vms[vm].frozen && !n.ended {
 					n.vms[vm].thaw.Wait()
 				}
@@ -465,9 +486,9 @@
 		log := n.vms[ranked[1]].log.String()
 		qt.Assert(t, strings.Count(log, "beyond its usage limit"), qt.Equals, 1)
 		qt.Assert(t, strings.Count(log, "no longer refused"), qt.Equals, 1)
-		before := n.sent[methodAsk]
+		before := n.count(methodAsk)
 		qt.Assert(t, asker.Acquire(t.Context(), &account.Account{Name: "free"}), qt.IsNil)
-		qt.Assert(t, n.sent[methodAsk], qt.Equals, before, qt.Commentf("an account without a limit takes no message"))
+		qt.Assert(t, n.count(methodAsk), qt.Equals, before, qt.Commentf("an account without a limit takes no message"))
 	})
 }
 
