internal/usage: a request whose account was just removed is counted for the VM's part

The counting VM let its own requests pass without counting when its newer configuration lacked the account. Forwarding has a test of its own.

--- a/internal/usage/acquire.go
+++ b/internal/usage/acquire.go
@@ -19,7 +19,7 @@
 	question := s.newQuestion(a)
 	o := s.order(a.Name)
 	if o.VMs[0].VM == s.vm {
-		answer := s.count(started, question, false)
+		answer := s.countOwn(started, question)
 		s.mu.Unlock()
 		return s.conclude(a, started, answer)
 	}
@@ -93,11 +93,21 @@
 	if asked < len(o.VMs) && o.VMs[asked].VM == s.vm {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.count(time.Now(), question, false)
+		return s.countOwn(time.Now(), question)
 	}
 	return s.countAlone(question)
 }
 
+// countOwn counts a request of this VM here, for all VMs. The account may have been removed since the request was
+// authenticated; its part of the limit binds then.
+func (s *Service) countOwn(now time.Time, question askMessage) answerMessage {
+	answer := s.count(now, question, false)
+	if answer.Outcome == unknownAccount {
+		answer = s.count(now, question, true)
+	}
+	return answer
+}
+
 // countAlone counts here a part of the limit that this VM may allow without asking.
 func (s *Service) countAlone(question askMessage) answerMessage {
 	fallbackTotal.Inc()
--- a/internal/usage/service_test.go
+++ b/internal/usage/service_test.go
@@ -423,7 +423,7 @@
 func TestRequestsBelowTheLimitAreServed(t *testing.T) {
 	limit := account.Limit{PerSecond: 20, Burst: 10}
 	for name, prepare := range map[string]func(n *network){
-		"no fault":                    func(*network) {},
+		"no fault":                   func(*network) {},
 		"3 of 100 messages are lost": func(n *network) { n.set(func() { n.loss = 0.03 }) },
 		"counting VM killed": func(n *network) {
 			first := n.ranked()[0]
@@ -527,6 +527,26 @@
 	})
 }
 
+// A VM whose link to the counting VM is cut must have its requests counted there, by way of the next VM in rank.
+func TestQuestionIsForwarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(12, 1, account.Limit{PerSecond: 0.01, Burst: 4})
+		defer n.end()
+		time.Sleep(2 * time.Second)
+		first := n.ranked()[0]
+		asker := slices.IndexFunc(n.vms, func(v *testVM) bool { return !slices.Contains(n.ranked(), v.index) })
+		n.set(func() { n.cut[pair(first, asker)] = true })
+		for range 4 {
+			qt.Assert(t, n.acquire(asker), qt.IsNil)
+		}
+		for _, vm := range []int{asker, first} {
+			var over *OverLimitError
+			qt.Assert(t, errors.As(n.acquire(vm), &over), qt.IsTrue)
+			qt.Assert(t, over.CountedBy, qt.Equals, vmName(first))
+		}
+	})
+}
+
 // An account that the newer configuration of the counting VM lacks must not be counted there, but by the asker for its part.
 func TestUnknownAccountFallsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -538,14 +558,15 @@
 		n.version++
 		n.accounts, _ = account.NewDirectory(nil)
 		n.mu.Unlock()
-		asker := n.vms[n.ranked()[1]].service
-		served := 0
-		for range 20 {
-			if asker.Acquire(t.Context(), a) == nil {
-				served++
+		for _, vm := range n.ranked()[:2] {
+			served := 0
+			for range 20 {
+				if n.vms[vm].service.Acquire(t.Context(), a) == nil {
+					served++
+				}
 			}
+			qt.Assert(t, served, qt.Equals, 3, qt.Commentf("at the VM of rank %d", slices.Index(n.ranked(), vm)))
 		}
-		qt.Assert(t, served, qt.Equals, 3)
 	})
 }
 
