Batch jobs belong to client accounts

Two accounts may use the same job ID, and neither may learn of the other's job. The ID in the store, in caches and between VMs holds a digest of the account's name, and the job's head the name itself. A job without an account is found only if the caller's account has none of that ID.

The token quota counts per account and route, and submissions are serialized by one row for each of them. Status 429 promises that nothing runs, so the store is asked for the job first: an earlier submission may have been accepted at another VM, or its response lost.

--- a/internal/batchjobs/api.go
+++ b/internal/batchjobs/api.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 )
 
@@ -49,45 +50,33 @@
 	if status == http.StatusOK {
 		return true
 	}
-	s.config.Log.Info().AnErr("cause", err).Str("job", call.Job).Str("item", call.Item).Int("after", call.After).
+	s.config.Log.Info().AnErr("cause", err).Str("job", call.Job).Str("account", accountName(account.FromContext(r.Context()))).Str("item", call.Item).Int("after", call.After).
 		Int("status", status).Msg("job request failed")
 	platform.WriteRefusal(w, status, storeRetryAfter, http.StatusText(status))
 	return true
 }
 
-// findHead returns the authoritative head of a job: the cached one while the cache is fresh, otherwise the one
-// in the store. It returns nil without an error if the job does not exist.
-func (s *Service) findHead(ctx context.Context, job string) (*Head, error) {
-	if e := s.heads.get(job); e != nil && s.fresh() {
-		return e.head, nil
+// statusOf returns the status of a call whose job was not found.
+func statusOf(err error) int {
+	if errors.Is(err, errNoSuchJob) {
+		return http.StatusNotFound
 	}
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	head, version, err := s.store.readHead(callCtx, job)
-	if err != nil {
-		return nil, errors.Join(errStoreUnavailable, err)
-	}
-	if head != nil {
-		s.heads.put(job, head, version)
-	}
-	return head, nil
+	return http.StatusServiceUnavailable
 }
 
 func (s *Service) readResults(w http.ResponseWriter, r *http.Request, call platform.JobCall) (int, error) {
-	head, err := s.findHead(r.Context(), call.Job)
+	job, e, err := s.findJob(r.Context(), account.FromContext(r.Context()), call.Job, false)
 	if err != nil {
-		return http.StatusServiceUnavailable, err
-	}
-	if head == nil {
-		return http.StatusNotFound, errors.New("no such job")
+		return statusOf(err), err
 	}
+	head := e.head
 	if len(head.Results) <= call.After && head.Open() {
-		s.awaitResults(r.Context(), call, max(platform.LongPollTimeout(r.Header), refreshTimeout))
-		if e := s.heads.get(call.Job); e != nil {
+		s.awaitResults(r.Context(), job, call.After, max(platform.LongPollTimeout(r.Header), refreshTimeout))
+		if e := s.heads.get(job); e != nil {
 			head = e.head
 		}
 	}
-	results, err := s.loadResults(r.Context(), call, head)
+	results, err := s.loadResults(r.Context(), job, call.After, head)
 	if err != nil {
 		return http.StatusServiceUnavailable, err
 	}
@@ -98,22 +87,22 @@
 }
 
 // awaitResults waits until a job has results from the requested position on, or has ended.
-func (s *Service) awaitResults(ctx context.Context, call platform.JobCall, timeout time.Duration) {
+func (s *Service) awaitResults(ctx context.Context, job string, after int, timeout time.Duration) {
 	s.heads.waitFor(ctx, timeout, func() bool {
-		e := s.heads.get(call.Job)
-		return e != nil && (len(e.head.Results) > call.After || !e.head.Open())
+		e := s.heads.get(job)
+		return e != nil && (len(e.head.Results) > after || !e.head.Open())
 	})
 }
 
-func (s *Service) loadResults(ctx context.Context, call platform.JobCall, head *Head) ([]platform.JobResult, error) {
+func (s *Service) loadResults(ctx context.Context, job string, after int, head *Head) ([]platform.JobResult, error) {
 	var results []platform.JobResult
 	bytes := 0
-	for position := call.After; position < len(head.Results); position++ {
+	for position := after; position < len(head.Results); position++ {
 		result := head.Results[position]
 		if bytes += result.Bytes; bytes > maxResponseBytes && len(results) > 0 {
 			break
 		}
-		text, err := s.loadText(ctx, call.Job, position, result)
+		text, err := s.loadText(ctx, job, position, result)
 		if err != nil && len(results) > 0 {
 			// Return what has been read. The client requests the rest with its next call.
 			break
@@ -142,16 +131,16 @@
 }
 
 func (s *Service) readBody(w http.ResponseWriter, r *http.Request, call platform.JobCall) (int, error) {
-	head, err := s.findHead(r.Context(), call.Job)
+	job, e, err := s.findJob(r.Context(), account.FromContext(r.Context()), call.Job, false)
 	if err != nil {
-		return http.StatusServiceUnavailable, err
+		return statusOf(err), err
 	}
-	if head == nil || head.Ended {
-		return http.StatusNotFound, errors.New("no such job, or it has ended")
+	if e.head.Ended {
+		return http.StatusNotFound, errors.New("the job has ended")
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
 	defer cancel()
-	items, err := s.loadItems(ctx, call.Job, head)
+	items, err := s.loadItems(ctx, job, e.head)
 	if err != nil {
 		return http.StatusServiceUnavailable, err
 	}
--- a/internal/batchjobs/checkpoint.go
+++ b/internal/batchjobs/checkpoint.go
@@ -151,7 +151,7 @@
 	for _, run := range runs {
 		for index, p := range run.unsaved() {
 			if len(p.Text) > maxCheckpointBytes {
-				s.config.Log.Warn().Str("job", run.job).Int("item", index).Int("bytes", len(p.Text)).Int("limit", maxCheckpointBytes).
+				s.config.Log.Warn().EmbedObject(jobName(run.job)).Int("item", index).Int("bytes", len(p.Text)).Int("limit", maxCheckpointBytes).
 					Msg("item progress is too long to be saved; another VM would resume from an older checkpoint")
 				run.markSaved(index, savedItem{events: math.MaxInt, failures: math.MaxInt})
 				continue
@@ -228,12 +228,12 @@
 	defer cancel()
 	rows, err := s.store.readProgress(callCtx, run.job)
 	if err != nil {
-		s.config.Log.Warn().Err(err).Str("job", run.job).Msg("job progress cannot be read; the items run from the start")
+		s.config.Log.Warn().Err(err).EmbedObject(jobName(run.job)).Msg("job progress cannot be read; the items run from the start")
 		return
 	}
 	progress, counts, err := parseProgress(run.job, rows)
 	if err != nil {
-		s.config.Log.Error().Err(err).Str("job", run.job).Msg("progress of some items cannot be decoded; they run from the start")
+		s.config.Log.Error().Err(err).EmbedObject(jobName(run.job)).Msg("progress of some items cannot be decoded; they run from the start")
 	}
 	events := 0
 	run.mu.Lock()
@@ -247,7 +247,7 @@
 	}
 	run.mu.Unlock()
 	itemsRestored.Add(len(progress))
-	s.config.Log.Info().Str("job", run.job).Uint64("epoch", run.epoch).Int("items", len(progress)).Int("events", events).Msg("job progress restored")
+	s.config.Log.Info().EmbedObject(jobName(run.job)).Uint64("epoch", run.epoch).Int("items", len(progress)).Int("events", events).Msg("job progress restored")
 }
 
 // readProgress reads the rows with the progress of a job's items.
--- a/internal/batchjobs/commit.go
+++ b/internal/batchjobs/commit.go
@@ -39,7 +39,7 @@
 			delay = retryDelay
 			continue
 		}
-		s.config.Log.Warn().Err(err).Str("job", run.job).Int("results", len(pending)).Dur("pause_ms", delay).Msg("results not committed; retrying")
+		s.config.Log.Warn().Err(err).EmbedObject(jobName(run.job)).Int("results", len(pending)).Dur("pause_ms", delay).Msg("results not committed; retrying")
 		select {
 		case <-ctx.Done():
 			return
@@ -74,7 +74,7 @@
 		}
 	}
 	if len(pending) > 0 {
-		s.config.Log.Warn().Str("job", run.job).Int("results", len(pending)).Msg("ready results not committed; they are handed over if the job gets a new owner")
+		s.config.Log.Warn().EmbedObject(jobName(run.job)).Int("results", len(pending)).Msg("ready results not committed; they are handed over if the job gets a new owner")
 		run.keepUncommitted(pending)
 	}
 }
@@ -133,7 +133,7 @@
 	}
 	s.cacheCommitted(run.job, e.head, head, results[:consumed])
 	s.heads.put(run.job, head, version)
-	s.config.Log.Info().Str("job", run.job).Uint64("row_version", version).Int("position", len(e.head.Results)).
+	s.config.Log.Info().EmbedObject(jobName(run.job)).Uint64("row_version", version).Int("position", len(e.head.Results)).
 		Int("results", len(head.Results)-len(e.head.Results)).Int("items", len(head.Items)).Msg("results committed")
 	return results[consumed:], nil
 }
--- a/internal/batchjobs/end.go
+++ b/internal/batchjobs/end.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/account"
 	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 )
@@ -19,7 +20,7 @@
 	defer cancel()
 	outcomeUnknown := false
 	for {
-		status, err := s.tryEnd(ctx, call.Job)
+		status, err := s.tryEnd(ctx, account.FromContext(r.Context()), call.Job)
 		if status != 0 {
 			return status, err
 		}
@@ -35,21 +36,16 @@
 	}
 }
 
-func (s *Service) tryEnd(ctx context.Context, job string) (int, error) {
+func (s *Service) tryEnd(ctx context.Context, a *account.Account, clientID string) (int, error) {
+	job, e, err := s.findJob(ctx, a, clientID, true)
+	if errors.Is(err, errNoSuchJob) {
+		return http.StatusNotFound, err
+	}
+	if err != nil {
+		return 0, err
+	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	// The cache may be stale: only the store can tell that a job does not exist.
-	e := s.heads.get(job)
-	if e == nil {
-		head, version, err := s.store.readHead(callCtx, job)
-		if err != nil {
-			return 0, err
-		}
-		if head == nil {
-			return http.StatusNotFound, errors.New("no such job")
-		}
-		e = &cachedHead{head, version}
-	}
 	if e.head.Ended {
 		return http.StatusOK, nil
 	}
@@ -59,7 +55,7 @@
 	if err == nil {
 		s.heads.put(job, ended, version)
 		s.requestReconcile()
-		s.config.Log.Info().Str("job", job).Str("owner", ended.Owner).Uint64("row_version", version).
+		s.config.Log.Info().EmbedObject(jobName(job)).Str("account", s.heads.accountOf(job, ended)).Str("owner", ended.Owner).Uint64("row_version", version).
 			Int("listed", len(ended.Results)).Int("items", len(ended.Items)).Msg("job ended by its client")
 		return http.StatusOK, nil
 	}
@@ -78,7 +74,7 @@
 	}
 	head, err := decodeHead(row.Value)
 	if err != nil {
-		s.config.Log.Error().Err(err).Str("job", job).Msg("job head cannot be decoded; the cached head is kept")
+		s.config.Log.Error().Err(err).EmbedObject(jobName(job)).Msg("job head cannot be decoded; the cached head is kept")
 		return
 	}
 	s.heads.put(job, head, row.Version)
--- a/internal/batchjobs/head.go
+++ b/internal/batchjobs/head.go
@@ -29,6 +29,8 @@
 	Ended bool `cbor:"8,keyasint,omitempty"`
 	// Results is append-only: a result never changes its position.
 	Results []ResultHead `cbor:"9,keyasint,omitempty"`
+	// Account is the name of the client account that submitted the job, or empty.
+	Account string `cbor:"10,keyasint,omitempty"`
 }
 
 // ItemHead describes an item of a job.
--- a/internal/batchjobs/headcache.go
+++ b/internal/batchjobs/headcache.go
@@ -13,8 +13,9 @@
 type headCache struct {
 	mu   sync.Mutex
 	jobs map[string]*cachedHead
-	// quotas holds the version of each route's quota row.
-	quotas map[string]uint64
+	// quotas holds the version of each quota row, and accounts the names of accounts by their digests.
+	quotas   map[string]uint64
+	accounts map[string]string
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	// waiters is the number of calls that wait for a change, and onWait is called after each new one.
@@ -42,7 +43,7 @@
 }
 
 func newHeadCache() *headCache {
-	return &headCache{jobs: map[string]*cachedHead{}, quotas: map[string]uint64{}, changed: make(chan struct{}), onWait: func() {}}
+	return &headCache{jobs: map[string]*cachedHead{}, quotas: map[string]uint64{}, accounts: map[string]string{}, changed: make(chan struct{}), onWait: func() {}}
 }
 
 // put stores a head unless a newer one is cached.
@@ -63,10 +64,10 @@
 	v.broadcast()
 }
 
-func (v *headCache) putQuota(route string, version uint64) {
+func (v *headCache) putQuota(name string, version uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.quotas[route] = max(v.quotas[route], version)
+	v.quotas[name] = max(v.quotas[name], version)
 	v.broadcast()
 }
 
@@ -93,17 +94,28 @@
 	return jobs
 }
 
-// waitingTokens returns the tokens of the items that wait on a route, and the version of the route's quota row
-// at the last submission that they include.
-func (v *headCache) waitingTokens(table *routing.Table, route *routing.Route) (tokens int64, version uint64) {
+// putAccount stores the name of an account by its digest.
+func (v *headCache) putAccount(digest, name string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, e := range v.jobs {
-		if e.head.BelongsTo(table, route) {
+	v.accounts[digest] = name
+}
+
+// waitingTokens returns the tokens of an account's items that wait on a route, and the version of their quota row at the last
+// submission that they include. The name "" means the jobs without an account.
+func (v *headCache) waitingTokens(table *routing.Table, route *routing.Route, account string) (tokens int64, version uint64) {
+	digest := ""
+	if account != "" {
+		digest = accountDigest(account)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for job, e := range v.jobs {
+		if _, of := splitID(job); of == digest && e.head.BelongsTo(table, route) {
 			tokens += e.head.WaitingTokens()
 		}
 	}
-	return tokens, v.quotas[route.Name]
+	return tokens, v.quotas[quotaName(route.Name, account)]
 }
 
 // waitFor waits until the condition holds or the timeout expires, and reports whether it holds.
@@ -145,11 +157,10 @@
 	s.applyChanges(rows)
 }
 
-// applyChanges applies changed rows.
+// applyChanges applies changed rows. The heads precede the quota rows, whose versions say which heads are included.
 func (s *Service) applyChanges(rows []platform.TableRow) {
 	for _, row := range rows {
-		if route, ok := parseQuotaKey(row.Key); ok {
-			s.heads.putQuota(route, row.Version)
+		if _, _, ok := parseQuotaKey(row.Key); ok {
 			continue
 		}
 		if row.Deleted {
@@ -158,10 +169,18 @@
 		}
 		head, err := decodeHead(row.Value)
 		if err != nil {
-			s.config.Log.Error().Err(err).Str("job", row.Key).Uint64("row_version", row.Version).Msg("job head cannot be decoded; the change is ignored")
+			s.config.Log.Error().Err(err).EmbedObject(jobName(row.Key)).Uint64("row_version", row.Version).Msg("job head cannot be decoded; the change is ignored")
 			continue
 		}
 		s.heads.put(row.Key, head, row.Version)
 	}
+	for _, row := range rows {
+		if name, digest, ok := parseQuotaKey(row.Key); ok {
+			if digest != "" && accountDigest(string(row.Value)) == digest {
+				s.heads.putAccount(digest, string(row.Value))
+			}
+			s.heads.putQuota(name, row.Version)
+		}
+	}
 	s.requestReconcile()
 }
--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -151,7 +151,7 @@
 	for ctx.Err() == nil {
 		route := s.route(head)
 		if route == nil && s.config.Configuration.Current() != nil || route != nil && s.expired(head, route) {
-			s.config.Log.Info().Str("job", run.job).Str("item", run.items[index].ID).Msg("item given up: its route was removed or its retention has passed")
+			s.config.Log.Info().EmbedObject(jobName(run.job)).Str("item", run.items[index].ID).Msg("item given up: its route was removed or its retention has passed")
 			return itemResult{index: index, givenUp: true}, true
 		}
 		if route == nil {
@@ -161,7 +161,7 @@
 		result, ended := s.attemptItem(ctx, run, index, head, route, state)
 		if ended {
 			run.finish(index)
-			s.config.Log.Info().Str("job", run.job).Str("item", run.items[index].ID).Bool("given_up", result.givenUp).
+			s.config.Log.Info().EmbedObject(jobName(run.job)).Str("item", run.items[index].ID).Bool("given_up", result.givenUp).
 				Int("events", state.Events).Int("failures", state.Failures).Dur("took_ms", time.Since(began)).Msg("item ended")
 			itemTime.UpdateDuration(began)
 			return result, true
@@ -181,8 +181,12 @@
 	if s.holdQuarantined(ctx, run, index, content, state) {
 		return itemResult{}, false
 	}
+	name, weight, priority := s.itemAccount(run.job, head, route)
 	slot, err := s.waitQueue.acquire(ctx, scheduler.Request{
 		Class:    scheduler.Item,
+		Account:  name,
+		Weight:   weight,
+		Priority: priority,
 		Service:  route.Pick(rand.Float64()),
 		Tried:    state.tried,
 		Version:  state.Version,
@@ -194,7 +198,7 @@
 		// There may be no other target than those that the item must not use.
 		state.tried = nil
 		if isVersionGone(err) {
-			s.config.Log.Info().Str("job", run.job).Str("item", run.items[index].ID).Str("version", state.Version).Int("events", state.Events).
+			s.config.Log.Info().EmbedObject(jobName(run.job)).Str("item", run.items[index].ID).Str("version", state.Version).Int("events", state.Events).
 				Msg("no target has the version that began the item; its events are dropped and it starts anew")
 			state.restart()
 			return itemResult{}, false
@@ -208,7 +212,7 @@
 		return itemResult{}, false
 	}
 	began, eventsBefore := time.Now(), state.Events
-	status, firstEvent, err := s.send(ctx, slot, run.items[index], head, state, content)
+	status, firstEvent, err := s.send(ctx, slot, run.items[index], head, name, state, content)
 	outcome := outcomeOf(ctx, err)
 	if outcome == scheduler.TimedOut && !s.config.Targets.PathWorks(ctx, slot.Address) {
 		outcome = scheduler.Abandoned
@@ -230,17 +234,17 @@
 		state.tried = append(tried, slot.Target)
 		state.addFailure()
 		itemsFailed.Inc()
-		s.config.Log.Warn().Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).Int("status", status).Int("failures", state.Failures).Msg("target responded to the item with a failure")
+		s.config.Log.Warn().EmbedObject(jobName(run.job)).Str("item", run.items[index].ID).Str("target", slot.Target).Int("status", status).Int("failures", state.Failures).Msg("target responded to the item with a failure")
 		if state.Failures >= route.MaxAttempts {
 			return itemResult{index: index, givenUp: true}, true
 		}
 	case errors.Is(err, errSlotPreempted):
 		itemsPreempted.Inc()
-		s.config.Log.Info().Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).Int("events", state.Events-eventsBefore).
+		s.config.Log.Info().EmbedObject(jobName(run.job)).Str("item", run.items[index].ID).Str("target", slot.Target).Int("events", state.Events-eventsBefore).
 			Dur("ran_ms", time.Since(began)).Msg("item preempted: its slot was needed for an online request; it continues in another slot")
 	case ctx.Err() == nil:
 		state.tried = []string{slot.Target}
-		s.config.Log.Info().AnErr("cause", err).Str("job", run.job).Str("item", run.items[index].ID).Str("target", slot.Target).
+		s.config.Log.Info().AnErr("cause", err).EmbedObject(jobName(run.job)).Str("item", run.items[index].ID).Str("target", slot.Target).
 			Int64("last_event", state.Position).Msg("item attempt interrupted; resuming on another target")
 		state.consecutiveTimeouts++
 		if state.Events > eventsBefore || outcome != scheduler.TimedOut {
@@ -274,7 +278,7 @@
 	if !state.held {
 		state.held = true
 		itemsHeld.Inc()
-		s.config.Log.Warn().Str("job", run.job).Str("item", run.items[index].ID).Uints64("keys", content.Parts).
+		s.config.Log.Warn().EmbedObject(jobName(run.job)).Str("item", run.items[index].ID).Uints64("keys", content.Parts).
 			Msg("item not sent: targets crash under requests that hold a part of its prompt; it waits until that is cleared or its retention has passed")
 	}
 	sleep(ctx, heldItemInterval)
@@ -335,7 +339,7 @@
 
 // send runs an item on the target of a slot, from the event after the last one received. It returns the status
 // of a complete response, and the time to the first event.
-func (s *Service) send(ctx context.Context, slot *scheduling.Slot, item platform.JobItem, head *Head, state *itemState, content quarantine.Content) (int, time.Duration, error) {
+func (s *Service) send(ctx context.Context, slot *scheduling.Slot, item platform.JobItem, head *Head, account string, state *itemState, content quarantine.Content) (int, time.Duration, error) {
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	idleTimeout := state.idleTimeout()
@@ -350,7 +354,7 @@
 	}()
 	sentAt := time.Now()
 	var firstEvent time.Duration
-	status, err := s.receive(sendCtx, slot, item, head, state, func() {
+	status, err := s.receive(sendCtx, slot, item, head, account, state, func() {
 		idleTimer.Reset(idleTimeout)
 		if firstEvent == 0 {
 			firstEvent = time.Since(sentAt)
@@ -363,7 +367,7 @@
 	return status, firstEvent, err
 }
 
-func (s *Service) receive(ctx context.Context, slot *scheduling.Slot, item platform.JobItem, head *Head, state *itemState, onEvent func()) (int, error) {
+func (s *Service) receive(ctx context.Context, slot *scheduling.Slot, item platform.JobItem, head *Head, account string, state *itemState, onEvent func()) (int, error) {
 	response, err := s.config.Targets.Send(ctx, &platform.TargetRequest{
 		Address:   slot.Address,
 		Instance:  slot.Target,
@@ -374,6 +378,9 @@
 		Header:    item.Header,
 		Body:      item.Body,
 		LastEvent: state.Position,
+		// A job that was submitted with an account has it also where the configuration has none any more.
+		HasAccounts: account != "" || s.hasAccounts(),
+		Account:     account,
 	})
 	if err != nil {
 		return 0, err
--- a/internal/batchjobs/owner.go
+++ b/internal/batchjobs/owner.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		log = s.config.Log.Warn().Err(err)
 	}
-	log.Str("job", job).Str("from", e.head.Owner).Str("to", head.Owner).Uint64("epoch", head.Epoch).
+	log.EmbedObject(jobName(job)).Str("from", e.head.Owner).Str("to", head.Owner).Uint64("epoch", head.Epoch).
 		Uint64("row_version", e.version).Bool("done", err == nil).Msg("change of job owner")
 	var conflict *rowstore.RowConflictError
 	if errors.As(err, &conflict) {
--- a/internal/batchjobs/progress.go
+++ b/internal/batchjobs/progress.go
@@ -63,7 +63,7 @@
 func (s *Service) sendItems(ctx context.Context, job string, items map[int]itemProgress, to string) {
 	address, ok := s.addressOf(to)
 	if !ok {
-		s.config.Log.Warn().Str("job", job).Str("to", to).Int("items", len(items)).Msg("item progress not handed over: the VM is not a known member; the items run again")
+		s.config.Log.Warn().EmbedObject(jobName(job)).Str("to", to).Int("items", len(items)).Msg("item progress not handed over: the VM is not a known member; the items run again")
 		return
 	}
 	for index, state := range items {
@@ -74,7 +74,7 @@
 		err := s.config.Node.Call(callCtx, address, methodProgress, progressMessage{Job: job, Index: index, State: &state}, &struct{}{})
 		cancel()
 		if err != nil {
-			s.config.Log.Warn().Err(err).Str("job", job).Str("to", to).Int("events", state.Events).Bool("ended", state.Ended).
+			s.config.Log.Warn().Err(err).EmbedObject(jobName(job)).Str("to", to).Int("events", state.Events).Bool("ended", state.Ended).
 				Msg("item progress not handed over; the item runs again")
 		}
 	}
@@ -98,7 +98,7 @@
 	if m.State != nil {
 		s.handedOver.put(time.Now(), m.Job, m.Index, *m.State)
 	}
-	s.config.Log.Debug().Str("job", m.Job).Int("item", m.Index).Str("from", from.VM).Msg("item progress received")
+	s.config.Log.Debug().EmbedObject(jobName(m.Job)).Int("item", m.Index).Str("from", from.VM).Msg("item progress received")
 	return struct{}{}, nil
 }
 
--- a/internal/batchjobs/runner.go
+++ b/internal/batchjobs/runner.go
@@ -208,7 +208,7 @@
 				return true
 			}
 		}
-		s.config.Log.Warn().Err(err).Str("job", run.job).Msg("submission cannot be read; retrying")
+		s.config.Log.Warn().Err(err).EmbedObject(jobName(run.job)).Msg("submission cannot be read; retrying")
 		select {
 		case <-ctx.Done():
 			return false
--- a/internal/batchjobs/store.go
+++ b/internal/batchjobs/store.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 )
@@ -14,8 +13,8 @@
 	tableHeads  = "rosemarydyke-jobs"
 	tableBodies = "rosemarydyke-job-bodies"
 	tableTexts  = "rosemarydyke-job-texts"
-	// quotaPrefix starts the keys of the rows that serialize the submissions to a route. Job IDs contain no
-	// tilde.
+	// quotaPrefix starts the keys of the rows that serialize the submissions of an account to a route. Job IDs do not begin
+	// with a tilde.
 	quotaPrefix = "~quota/"
 )
 
@@ -44,10 +43,6 @@
 	return platform.RowKey{Table: tableTexts, Key: fmt.Sprintf("%s/%03d/%03d", job, position, row)}
 }
 
-func quotaKey(route string) platform.RowKey {
-	return platform.RowKey{Table: tableHeads, Key: quotaPrefix + route}
-}
-
 // split cuts content into parts that fit a row. Empty content has no parts.
 func split(content []byte) [][]byte {
 	var parts [][]byte
@@ -75,18 +70,22 @@
 	return writes, nil
 }
 
-// create writes a job if it does not exist and the quota condition holds, that is, no other job of the route
-// has been accepted since the version in the condition.
+// create writes a job if it does not exist and the quota condition holds, that is, no other job of the account has been
+// accepted on the route since the version in the condition.
 func (s *store) create(ctx context.Context, job string, head *Head, body []platform.RowWrite, quota platform.RowCondition) (uint64, error) {
 	content, err := head.encode()
 	if err != nil {
 		return 0, err
 	}
+	holder := head.Account
+	if holder == "" {
+		holder = job
+	}
 	txn := platform.RowTxn{
 		Conditions: []platform.RowCondition{{RowKey: headKey(job)}, quota},
 		Writes: append([]platform.RowWrite{
 			{RowKey: headKey(job), Value: content},
-			{RowKey: quota.RowKey, Value: []byte(job)},
+			{RowKey: quota.RowKey, Value: []byte(holder)},
 		}, body...),
 	}
 	return s.rows.Apply(ctx, txn)
@@ -181,6 +180,3 @@
 	result.Bytes, result.TextRows = len(text), len(writes)
 	return writes
 }
-
-// parseQuotaKey returns the route of a quota row, and whether the key is that of a quota row.
-func parseQuotaKey(key string) (route string, ok bool) { return strings.CutPrefix(key, quotaPrefix) }
--- a/internal/batchjobs/submit.go
+++ b/internal/batchjobs/submit.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/account"
 	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/routing"
@@ -24,18 +26,20 @@
 
 // Submit implements ingress.Jobs.
 func (s *Service) Submit(w http.ResponseWriter, r *http.Request, route *routing.Route, body []byte) {
-	job, err := platform.JobID(r.Header)
+	clientID, err := platform.JobID(r.Header)
 	if err != nil {
 		platform.WriteText(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	name := accountName(account.FromContext(r.Context()))
+	job := qualifiedID(name, clientID)
 	began := time.Now()
-	status, err := s.submit(r, job, route, body)
+	status, err := s.submit(r, job, name, route, body)
 	log := s.config.Log.Info()
 	if err != nil {
 		log = log.AnErr("cause", err)
 	}
-	log.Str("job", job).Str("route", route.Name).Int("bytes", len(body)).Int("status", status).Dur("took_ms", time.Since(began)).Msg("job submitted")
+	log.EmbedObject(jobName(job)).Str("account", name).Str("route", route.Name).Int("bytes", len(body)).Int("status", status).Dur("took_ms", time.Since(began)).Msg("job submitted")
 	switch status {
 	case http.StatusAccepted:
 		jobsAccepted.Inc()
@@ -51,7 +55,7 @@
 	}
 }
 
-func (s *Service) submit(r *http.Request, job string, route *routing.Route, body []byte) (int, error) {
+func (s *Service) submit(r *http.Request, job, name string, route *routing.Route, body []byte) (int, error) {
 	if s.heads.get(job) != nil {
 		return http.StatusAccepted, nil
 	}
@@ -73,10 +77,14 @@
 		Submitted: clock.At(time.Now()),
 		Owner:     owner,
 		Epoch:     1,
+		Account:   name,
 	}
 	for _, item := range items {
 		head.Items = append(head.Items, ItemHead{ID: item.ID, Tokens: item.Tokens})
 	}
+	if s.acceptedWithoutAccount(job, head) {
+		return http.StatusAccepted, nil
+	}
 	parts := split(body)
 	head.BodyRows = len(parts)
 	// Not cancelled when the client disconnects: it must find either the whole job or none.
@@ -85,6 +93,17 @@
 	return s.writeSubmission(ctx, &submission{job: job, route: route, head: head, parts: parts, items: items})
 }
 
+// acceptedWithoutAccount reports whether a submission repeats one that was accepted before the configuration had accounts. Its
+// items would run twice otherwise.
+func (s *Service) acceptedWithoutAccount(job string, head *Head) bool {
+	clientID, digest := splitID(job)
+	if digest == "" {
+		return false
+	}
+	e := s.heads.get(clientID)
+	return e != nil && e.head.Host == head.Host && e.head.Path == head.Path && slices.Equal(e.head.Items, head.Items)
+}
+
 // submission is a job that is being written.
 type submission struct {
 	job   string
@@ -129,15 +148,15 @@
 func (s *Service) tryWrite(ctx context.Context, sub *submission) (int, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	waiting, version := s.heads.waitingTokens(s.config.Configuration.Current(), sub.route)
+	waiting, version := s.heads.waitingTokens(s.config.Configuration.Current(), sub.route, sub.head.Account)
 	if quota := sub.route.TokenQuota; quota > 0 && waiting+totalTokens(sub.head) > quota {
-		return http.StatusTooManyRequests, errors.New("the tokens that wait on the route exceed the quota")
+		return s.refuseOverQuota(callCtx, sub)
 	}
 	remaining, err := s.store.putBody(callCtx, sub.job, sub.parts)
 	if err != nil {
 		return 0, err
 	}
-	condition := rowstore.RowCondition{RowKey: quotaKey(sub.route.Name), Version: version}
+	condition := rowstore.RowCondition{RowKey: quotaKey(sub.route.Name, sub.head.Account), Version: version}
 	written, err := s.store.create(callCtx, sub.job, sub.head, remaining, condition)
 	var conflict *rowstore.RowConflictError
 	switch {
@@ -156,6 +175,23 @@
 	}
 }
 
+// refuseOverQuota refuses a submission unless the store has the job: status 429 promises that nothing runs, but an earlier
+// submission may have been accepted at another VM, or its response from the store lost.
+func (s *Service) refuseOverQuota(ctx context.Context, sub *submission) (int, error) {
+	// The next attempt finds a copy that shows the items completed until then.
+	s.follower.Hurry()
+	head, version, err := s.store.readHead(ctx, sub.job)
+	if err != nil {
+		return 0, err
+	}
+	if head != nil {
+		s.heads.put(sub.job, head, version)
+		s.requestReconcile()
+		return http.StatusAccepted, nil
+	}
+	return http.StatusTooManyRequests, errors.New("the tokens that wait on the route exceed the quota")
+}
+
 // resolveConflict determines whether the job exists already or another one was accepted in the meantime.
 func (s *Service) resolveConflict(ctx context.Context, sub *submission, conflict *rowstore.RowConflictError) (int, error) {
 	if row := conflict.Find(headKey(sub.job)); row != nil {
@@ -167,13 +203,13 @@
 		s.requestReconcile()
 		return http.StatusAccepted, nil
 	}
-	row := conflict.Find(quotaKey(sub.route.Name))
+	row := conflict.Find(quotaKey(sub.route.Name, sub.head.Account))
 	if row == nil {
 		return 0, conflict
 	}
 	s.follower.PollNow()
 	upToDate := s.heads.waitFor(ctx, quotaWait, func() bool {
-		_, version := s.heads.waitingTokens(s.config.Configuration.Current(), sub.route)
+		_, version := s.heads.waitingTokens(s.config.Configuration.Current(), sub.route, sub.head.Account)
 		return version >= row.Version
 	})
 	if !upToDate {
@@ -196,7 +232,10 @@
 // registerAccepted caches a job that was just written, so that it starts without being read from the store.
 func (s *Service) registerAccepted(sub *submission, version uint64) {
 	s.heads.put(sub.job, sub.head, version)
-	s.heads.putQuota(sub.route.Name, version)
+	if sub.head.Account != "" {
+		s.heads.putAccount(accountDigest(sub.head.Account), sub.head.Account)
+	}
+	s.heads.putQuota(quotaName(sub.route.Name, sub.head.Account), version)
 	s.cacheItems(sub.job, sub.head, sub.items)
 	s.requestReconcile()
 }
--- a/internal/batchjobs/sweep.go
+++ b/internal/batchjobs/sweep.go
@@ -43,12 +43,12 @@
 		}
 		cancel()
 		if err != nil {
-			s.config.Log.Warn().Err(err).Str("job", job).Msg("expired job not removed; the next sweep retries")
+			s.config.Log.Warn().Err(err).EmbedObject(jobName(job)).Msg("expired job not removed; the next sweep retries")
 			return
 		}
 		s.heads.remove(job)
 		jobsRemoved.Inc()
-		s.config.Log.Info().Str("job", job).Uint64("row_version", e.version).Msg("expired job removed")
+		s.config.Log.Info().EmbedObject(jobName(job)).Uint64("row_version", e.version).Msg("expired job removed")
 		return
 	}
 }
