--- a/internal/batchjobs/waitqueue_test.go
+++ b/internal/batchjobs/waitqueue_test.go
@@ -62,7 +62,11 @@
 // queueItem queues an item with an expected slot time of 4 s, identified by its service, until it acquires a
 // slot.
 func queueItem(ctx context.Context, q *waitQueue, name string, due time.Duration) {
-	request := scheduler.Request{Service: name, StartBy: time.Now().Add(due), Expected: 4 * time.Second}
+	queueItemOf(ctx, q, "", name, due)
+}
+
+func queueItemOf(ctx context.Context, q *waitQueue, account, name string, due time.Duration) {
+	request := scheduler.Request{Account: account, Service: name, StartBy: time.Now().Add(due), Expected: 4 * time.Second}
 	go func() {
 		for ctx.Err() == nil {
 			if _, err := q.acquire(ctx, request); err == nil {
@@ -118,6 +122,31 @@
 	})
 }
 
+// The items of a large job held all turns while no slot was free, so that the coordinator knew no item of another account.
+func TestLargeJobDoesNotHideItemsOfOtherAccounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		q, slots := newTestQueue(4)
+		for range 30 {
+			queueItemOf(ctx, q, "large", "large", 10*time.Second)
+		}
+		for range 3 {
+			queueItemOf(ctx, q, "small", "small", 18*time.Second)
+		}
+		requested, waiting, maxWaiting := slots.state()
+		qt.Assert(t, requested[4:], qt.DeepEquals, []string{"small", "small"})
+		qt.Assert(t, []int{waiting, maxWaiting}, qt.DeepEquals, []int{4, 4})
+		for range 8 {
+			slots.grant <- struct{}{}
+			synctest.Wait()
+		}
+		requested, _, _ = slots.state()
+		qt.Assert(t, requested[6:], qt.Contains, "small")
+		qt.Assert(t, requested[len(requested)-1], qt.Equals, "large")
+	})
+}
+
 func TestTurnsAreNeitherLostNorDuplicated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const turns = 3
@@ -127,7 +156,7 @@
 		for range 300 {
 			ctx, cancel := context.WithCancel(t.Context())
 			stops = append(stops, cancel)
-			queueItem(ctx, q, "", time.Duration(random.IntN(30))*time.Second)
+			queueItemOf(ctx, q, []string{"", "alpha", "beta"}[random.IntN(3)], "", time.Duration(random.IntN(30))*time.Second)
 			switch random.IntN(3) {
 			case 0:
 				stops[random.IntN(len(stops))]()
