--- a/internal/batchjobs/account_test.go
+++ b/internal/batchjobs/account_test.go
@@ -138,15 +138,21 @@
 	c.slots.SetTargets(nil)
 	stores := []*faultyStore{{Rows: c.state}, {Rows: c.state}}
 	vms := []*vm{c.start("a", stores[0], "b"), c.start("b", stores[1], "a")}
-	c.eventually("first read", func() bool { return vms[0].submitAs("", c.config, "first", body("first", 1, tokens)) == http.StatusAccepted })
-	c.eventually("first read", func() bool { return vms[1].submitAs("", c.config, "first", body("first", 1, tokens)) == http.StatusAccepted })
+	c.eventually("first read", func() bool {
+		return vms[0].submitAs("", c.config, "first", body("first", 1, tokens)) == http.StatusAccepted
+	})
+	c.eventually("first read", func() bool {
+		return vms[1].submitAs("", c.config, "first", body("first", 1, tokens)) == http.StatusAccepted
+	})
 	stores[0].loseResponse.Store(300)
 	stores[1].loseResponse.Store(300)
 	var clients sync.WaitGroup
 	statuses := map[string]*[jobs]int{alpha: {}, beta: {}}
 	for name, list := range statuses {
 		for i := range jobs {
-			clients.Go(func() { list[i] = vms[i%2].submitAs(name, c.config, fmt.Sprint("j", i), body(fmt.Sprint(i), 1, tokens)) })
+			clients.Go(func() {
+				list[i] = vms[i%2].submitAs(name, c.config, fmt.Sprint("j", i), body(fmt.Sprint(i), 1, tokens))
+			})
 		}
 	}
 	clients.Wait()
@@ -169,7 +175,9 @@
 		qt.Assert(t, vms[1].submitAs(name, c.config, refused, body("again", 1, tokens)), qt.Equals, http.StatusTooManyRequests)
 		i := slices.Index(list[:], http.StatusAccepted)
 		qt.Assert(t, vms[0].as(name, c.config, http.MethodDelete, platform.JobURI(fmt.Sprint("j", i)), "", "").Code, qt.Equals, http.StatusOK)
-		c.eventually("refused job that fits", func() bool { return vms[1].submitAs(name, c.config, refused, body("again", 1, tokens)) == http.StatusAccepted })
+		c.eventually("refused job that fits", func() bool {
+			return vms[1].submitAs(name, c.config, refused, body("again", 1, tokens)) == http.StatusAccepted
+		})
 	}
 }
 
