A target that starts again under its ID keeps no health history, rate limit or runs

Its health history was kept, because the group of its service still listed the ID: a target that was ejected before stayed so. Statements of the former process that other VMs passed on later limited the new one, and slots of the former process that VMs still held were reported as runs of the new one.

--- a/internal/scheduling/service.go
+++ b/internal/scheduling/service.go
@@ -280,7 +280,10 @@
 	for sequence, slot := range s.runs {
 		key := s.groupOf(slot)
 		r := at(key)
-		r.runs = append(r.runs, slot.run(now, sequence))
+		// A run on a former process of the target occupies no slot of the present one.
+		if started, registered := s.starts[slot.Target]; !registered || started == slot.targetStarted {
+			r.runs = append(r.runs, slot.run(now, sequence))
+		}
 		s.reported[key] = true
 	}
 	for sequence, p := range s.pending {
--- a/internal/scheduling/service_test.go
+++ b/internal/scheduling/service_test.go
@@ -220,6 +220,18 @@
 	}
 }
 
+// A VM that still held a slot of a target's former process reported it, so that the slot of the new process was not granted.
+func TestSlotOfAFormerProcessIsNotReported(t *testing.T) {
+	vms := start(t, 2, 1, 1, always)
+	former := acquire(t, vms[1], online())
+	for _, v := range vms {
+		v.SetTargets([]routing.Target{{ID: "t0", StartedUnixMilli: 7, Service: service, Address: "10.0.0.1:1", AvailabilityZone: "a", Slots: 1}})
+	}
+	time.Sleep(time.Second)
+	acquire(t, vms[0], online()).Release(scheduler.Finished, 0)
+	former.Release(scheduler.Interrupted, 0)
+}
+
 func always(string, string) bool { return true }
 
 func online() scheduler.Request {
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -25,7 +25,9 @@
 	preempted chan struct{}
 	// coordinator is the VM that granted the slot.
 	coordinator string
-	releaseOnce sync.Once
+	// targetStarted is the start time of the target that was registered then.
+	targetStarted int64
+	releaseOnce   sync.Once
 }
 
 // RefusedError means that a request got no slot. It has not run.
@@ -258,6 +260,7 @@
 		coordinator: coordinator,
 	}
 	s.mu.Lock()
+	slot.targetStarted = s.starts[slot.Target]
 	s.runs[grant.Sequence] = slot
 	if grant.RateLimit != nil {
 		now := time.Now()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -120,6 +120,9 @@
 	ignoreTimeoutsUntil time.Time
 	// limiter keeps to the rate limit that the target states.
 	limiter ratelimit.Limiter
+	// restarted is when this VM learned that the target had started again under its ID. Earlier statements are those of its
+	// former process. It is zero if no former process was known.
+	restarted time.Time
 }
 
 // pool is the state of one service.
@@ -172,13 +175,15 @@
 	for _, t := range targets {
 		listed[t.ID] = true
 		known := s.targets[t.ID]
+		var restarted time.Time
 		if known != nil && (known.StartedUnixMilli != t.StartedUnixMilli || known.Service != t.Service) {
 			s.dropTarget(known)
-			known = nil
+			known.pool.health.Restart(t.ID)
+			known, restarted = nil, now
 		}
 		if known == nil {
 			p := s.pool(t.Service)
-			known = &targetState{pool: p}
+			known = &targetState{pool: p, restarted: restarted}
 			s.targets[t.ID] = known
 			p.targets = append(p.targets, known)
 		}
@@ -334,7 +339,7 @@
 // ObserveRateLimit records what a target states about its rate limit, and reports whether the limit changed.
 func (s *Scheduler) ObserveRateLimit(now time.Time, id string, statement ratelimit.Statement) (actions []Action, changed bool) {
 	t := s.targets[id]
-	if t == nil || !t.limiter.Observe(now, statement) {
+	if t == nil || statement.At.Before(t.restarted) || !t.limiter.Observe(now, statement) {
 		return nil, false
 	}
 	return s.dispatch(now, t.pool), true
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarydyke/rosemarydyke/ratelimit"
 	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
@@ -143,6 +144,29 @@
 	granted(t, s.Submit(at(time.Second), online(2, at(time.Second))), 2)
 }
 
+// A target that was ejected before it started again under its ID stayed ejected, and statements of its former process, which
+// arrive later, limited it again.
+func TestRestartedTargetKeepsNoHistory(t *testing.T) {
+	s := newScheduler(2, 1)
+	grants := map[string]int{}
+	for n := 1; n <= 2; n++ {
+		grants[granted(t, s.Submit(epoch, online(n, epoch)), n).Target] = n
+	}
+	s.ObserveRateLimit(epoch, "t0", ratelimit.Statement{PerSecond: 0.1, At: epoch})
+	s.Release(epoch, ticket(grants["t0"]), scheduler.Unreachable, 0)
+	s.ReportDraining("t0", 0)
+	targets := fleet(2, 1)
+	targets[0].StartedUnixMilli = 7
+	s.SetTargets(at(100*time.Millisecond), targets)
+	got := granted(t, s.Submit(at(100*time.Millisecond), online(3, at(100*time.Millisecond))), 3)
+	qt.Assert(t, got.Target, qt.Equals, "t0")
+	qt.Assert(t, got.RateLimit.PerSecond, qt.Equals, 0.0)
+	_, changed := s.ObserveRateLimit(at(2*time.Second), "t0", ratelimit.Statement{PerSecond: 0.1, At: at(50 * time.Millisecond)})
+	qt.Assert(t, changed, qt.IsFalse)
+	_, changed = s.ObserveRateLimit(at(2*time.Second), "t0", ratelimit.Statement{PerSecond: 0.1, At: at(time.Second)})
+	qt.Assert(t, changed, qt.IsTrue)
+}
+
 func TestRepeatedSubmissionGetsTheSameSlot(t *testing.T) {
 	s := newScheduler(3, 1)
 	first := granted(t, s.Submit(epoch, online(1, epoch)), 1)
--- a/target/health.go
+++ b/target/health.go
@@ -123,6 +123,13 @@
 	}
 }
 
+// Restart forgets what was observed of a target, whose process has started again under its name.
+func (g *HealthGroup) Restart(name string) {
+	if g.targets[name] != nil {
+		g.targets[name] = &health{}
+	}
+}
+
 // SetLeaving marks a target as leaving for a reason, or clears the mark if the reason is empty.
 func (g *HealthGroup) SetLeaving(name, reason string) {
 	if h := g.targets[name]; h != nil {
