Registry: rows of other writers name no target unless they are valid

Rows with an address other than IP:port, with a number of slots that overflows sums, or with field names in another case named a target. During the grace period after an outage of the store, a row that was spoiled kept its target. Targets of services that the configuration does not have are not used.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -246,6 +246,10 @@
 		s.table.Store(table)
 		s.configRow = row.Value
 		s.config.Log.Info().Uint64("version", table.Version).Int("routes", len(table.Routes)).Msg("configuration adopted")
+		if s.registryLoaded {
+			// Services may have been added or removed.
+			s.publish()
+		}
 	}
 }
 
@@ -262,6 +266,8 @@
 	for _, row := range rows {
 		if t, ok := s.decode(row); ok {
 			targets = append(targets, t)
+		} else if row.Part == "" && !row.Deleted {
+			s.registry.Drop(row.Key)
 		}
 	}
 	s.registry.Replace(time.Now(), targets)
@@ -274,8 +280,10 @@
 	for _, row := range rows {
 		if t, ok := s.decode(row); ok {
 			s.registry.Put(t)
-		} else if row.Part == "" {
+		} else if row.Part == "" && row.Deleted {
 			s.registry.Remove(time.Now(), row.Key)
+		} else if row.Part == "" {
+			s.registry.Drop(row.Key)
 		}
 	}
 	s.publish()
@@ -328,10 +336,28 @@
 	}
 }
 
+// ofKnownServices returns the targets whose service the configuration in force has, or all if there is none or if it has no
+// services. s.mu must be held.
+func (s *Service) ofKnownServices(registered map[string]routing.Target) map[string]routing.Target {
+	table := s.table.Load()
+	if table == nil || len(table.Services) == 0 {
+		return registered
+	}
+	known := make(map[string]routing.Target, len(registered))
+	for id, t := range registered {
+		if table.UsesService(t.Service) {
+			known[id] = t
+			continue
+		}
+		s.config.Log.Debug().Str("target", id).Str("service", t.Service).Msg("target of a service that is not in the configuration, target not used")
+	}
+	return known
+}
+
 // publish calls OnTargets if the targets have changed or it has not been called yet.
 func (s *Service) publish() {
-	before := s.targets
-	s.targets = s.registry.Targets()
+	before, registered := s.targets, s.registry.Targets()
+	s.targets = s.ofKnownServices(registered)
 	var changed, removed []string
 	for id, t := range s.targets {
 		if old, known := before[id]; !known || old != t {
@@ -348,6 +374,10 @@
 		if _, known := s.targets[id]; !known {
 			removed = append(removed, id)
 			s.goneSince[id] = now
+		}
+	}
+	for id := range s.targetRows {
+		if _, known := registered[id]; !known {
 			delete(s.targetRows, id)
 		}
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
 
 	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/internal/discovery"
@@ -137,6 +139,78 @@
 	})
 }
 
+// drawRow draws a row of another writer, and reports whether it describes a target of the service "s".
+func drawRow(t *rapid.T) (row string, valid bool) {
+	if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+		return string(rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "bytes")), false
+	}
+	valid = true
+	var fields []string
+	for _, f := range []struct {
+		name     string
+		optional bool
+		good     []string
+		bad      []string
+	}{
+		{"service", false, []string{`"s"`}, []string{`""`, `"unknown"`}},
+		{"address", false, []string{`"10.0.0.1:1"`, `"[fd00::1]:80"`}, []string{`""`, `"10.0.0.1"`, `"10.0.0.1:0"`, `"host:80"`, `":80"`, `"\u0000\ufffd:1"`}},
+		{"slots", false, []string{`8`}, []string{`0`, `-3`, `2.5`, `"8"`, `9223372036854775807`, `1e99`}},
+		{"state", false, []string{`"ready"`, `"draining"`}, []string{`"resting"`, `"Ready"`, `""`}},
+		{"zone", true, []string{`"z"`}, nil},
+		{"version", true, []string{`"v"`}, nil},
+		{"born", true, []string{`1787367120293`}, []string{`1.5`, `"1787367120293"`, `1e400`, `99999999999999999999`}},
+	} {
+		name, values := f.name, f.good
+		if rapid.IntRange(0, 9).Draw(t, "spoil "+name) == 0 {
+			values = append([]string{`[]`, `{}`, `true`, "absent", "other name"}, f.bad...)
+		}
+		value := rapid.SampledFrom(values).Draw(t, name)
+		if value == "other name" {
+			name, value = strings.ToUpper(name), f.good[0]
+		}
+		isGood := name == f.name && slices.Contains(f.good, value)
+		valid = valid && (isGood || f.optional && (value == "absent" || name != f.name))
+		if value != "absent" {
+			fields = append(fields, fmt.Sprintf("%q:%s", name, value))
+		}
+	}
+	return "{" + strings.Join(fields, ",") + "}", valid
+}
+
+// Guards against rows of other writers that name a target which can't be used, or that hide other targets.
+func TestRowsOfOtherWriters(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.put(platform.OperatorTable, platform.ConfigKey, `{"version":1,"services":[{"name":"s"}]}`)
+		rapid.Check(t, func(t *rapid.T) {
+			want := []string{"good"}
+			f.register("good", "ready")
+			// Spoiled rows replace valid ones also while deleted ones would be kept, after an outage.
+			for i := range 6 {
+				f.register(fmt.Sprint("other-", i), "ready")
+			}
+			f.store.down.Store(rapid.Bool().Draw(t, "outage"))
+			time.Sleep(2 * time.Second)
+			for i := range 6 {
+				row, valid := drawRow(t)
+				f.put(platform.TargetTable, fmt.Sprint("other-", i), row)
+				if valid {
+					want = append(want, fmt.Sprint("other-", i))
+				}
+			}
+			f.store.down.Store(false)
+			time.Sleep(time.Second)
+			var got []string
+			for _, target := range *f.targets.Load() {
+				got = append(got, target.ID)
+			}
+			slices.Sort(got)
+			if !slices.Equal(got, want) {
+				t.Fatalf("targets %v, want %v", got, want)
+			}
+		})
+	})
+}
+
 // At the planned size every VM reads hundreds of targets when it starts.
 func TestLogIsBoundedWhenManyTargetsChange(t *testing.T) {
 	var output strings.Builder
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -100,6 +100,16 @@
 // Source provides the configuration in force, or nil if none is known yet.
 type Source interface{ Current() *Table }
 
+// UsesService reports whether the configuration has a service, in its list or in a route.
+func (t *Table) UsesService(name string) bool {
+	if _, listed := t.Services[name]; listed {
+		return true
+	}
+	return slices.ContainsFunc(t.Routes, func(r *Route) bool {
+		return slices.ContainsFunc(r.Services, func(w WeightedService) bool { return w.Service == name })
+	})
+}
+
 // Match returns the route of a host with the longest matching path prefix, or nil.
 func (t *Table) Match(host, path string) *Route {
 	var best *Route
--- a/routing/targets.go
+++ b/routing/targets.go
@@ -62,6 +62,12 @@
 	delete(r.missing, id)
 }
 
+// Drop removes a target whose entry names none any more. There is no grace period, since the entry has not expired.
+func (r *Registry) Drop(id string) {
+	delete(r.targets, id)
+	delete(r.missing, id)
+}
+
 // Replace applies a complete list of the registered targets.
 func (r *Registry) Replace(now time.Time, targets []Target) {
 	listed := map[string]bool{}
