--- a/internal/batchjobs/account.go
+++ b/internal/batchjobs/account.go
@@ -78,13 +78,14 @@
 }
 
 // itemAccount returns the name of a job's account, and the weight and priority of its items. An account that the configuration
-// in force does not have has weight zero and the route's priority.
+// in force does not have has weight zero and the route's priority. Without accounts, items are not ranked by priority.
 func (s *Service) itemAccount(job string, head *Head, route *routing.Route) (name string, weight float64, priority int) {
-	name, priority = s.heads.accountOf(job, head), route.Priority
+	name = s.heads.accountOf(job, head)
 	table := s.config.Configuration.Current()
 	if table == nil || table.Accounts == nil {
-		return name, 0, priority
+		return name, 0, 0
 	}
+	priority = route.Priority
 	if a, ok := table.Accounts.Lookup(name); ok {
 		weight = a.Weight
 		if a.Priority != nil {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -78,6 +78,8 @@
 	registryLoaded bool
 	// published is true once OnTargets has been called, even with no targets.
 	published bool
+	// unknownServices are the registered targets whose service the configuration does not have, sorted.
+	unknownServices []string
 	// targetRows and configRow hold the rows that were read last.
 	targetRows map[string][]byte
 	configRow  []byte
@@ -344,13 +346,20 @@
 		return registered
 	}
 	known := make(map[string]routing.Target, len(registered))
+	var unknown []string
 	for id, t := range registered {
 		if table.UsesService(t.Service) {
 			known[id] = t
-			continue
+		} else {
+			unknown = append(unknown, id)
 		}
-		s.config.Log.Debug().Str("target", id).Str("service", t.Service).Msg("target of a service that is not in the configuration, target not used")
 	}
+	slices.Sort(unknown)
+	if !slices.Equal(unknown, s.unknownServices) {
+		s.config.Log.Warn().Strs("targets", unknown[:min(len(unknown), maxLoggedTargets)]).Int("count", len(unknown)).Uint64("config_version", table.Version).
+			Msg("targets of services that are not in the configuration are not used")
+	}
+	s.unknownServices = unknown
 	return known
 }
 
