batchjobs: callers without a key find only the jobs of public routes

A host with a public batch route accepts job calls without a key. They reached the jobs that an earlier build had accepted on other routes.

--- a/internal/batchjobs/account.go
+++ b/internal/batchjobs/account.go
@@ -119,7 +119,7 @@
 	}
 	for _, id := range ids {
 		if e := s.heads.get(id); e != nil && (acceptStale || s.fresh()) {
-			return id, e, nil
+			return id, e, s.checkPublic(a, e.head)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		head, version, err := s.store.readHead(callCtx, id)
@@ -129,12 +129,23 @@
 		}
 		if head != nil {
 			s.heads.put(id, head, version)
-			return id, &cachedHead{head, version}, nil
+			return id, &cachedHead{head, version}, s.checkPublic(a, head)
 		}
 	}
 	return "", nil, errNoSuchJob
 }
 
+// checkPublic fails with errNoSuchJob for a caller without a key if the job is not one of a public route, where keys are needed.
+func (s *Service) checkPublic(a *account.Account, head *Head) error {
+	if a != nil || !s.hasAccounts() {
+		return nil
+	}
+	if route := s.route(head); route == nil || !route.Public {
+		return errNoSuchJob
+	}
+	return nil
+}
+
 // quotaKey returns the key of the row that serializes the submissions of an account to a route.
 func quotaKey(route, account string) rowstore.RowKey {
 	return rowstore.RowKey{Table: tableHeads, Key: quotaPrefix + quotaName(route, account)}
--- a/internal/batchjobs/account_test.go
+++ b/internal/batchjobs/account_test.go
@@ -64,9 +64,9 @@
 	c.eventually("acceptance", func() bool { return v.submitAs(name, c.config, job, content) == http.StatusAccepted })
 }
 
-// accountsOf returns the accounts that the runs of an item were sent with.
+// accountsOf returns the accounts that the last run of an item at each target was sent with.
 func (c *cluster) accountsOf(item string) []string {
-	return append(c.targets[0].Accounts(item), c.targets[1].Accounts(item)...)
+	return append(c.targets[0].Call(item).Accounts, c.targets[1].Call(item).Accounts...)
 }
 
 // jobRows returns the heads of the jobs whose names begin with "j".
@@ -110,6 +110,8 @@
 	qt.Assert(t, a.submitAs(alpha, c.config, "j", body("own", 2, 10)), qt.Equals, http.StatusAccepted)
 	qt.Assert(t, a.resultsAs(beta, "j"), qt.Contains, `"total":1`)
 	qt.Assert(t, a.resultsAs(alpha, "j"), qt.Contains, `"total":2`)
+	// Without a key, only the jobs of public routes are found.
+	qt.Assert(t, a.call(http.MethodDelete, platform.JobURI("j")).Code, qt.Equals, http.StatusNotFound)
 	a.stop()
 	<-a.stopped
 	// A VM of the earlier build wrote the heads again, without the field that it does not know.
@@ -126,7 +128,7 @@
 	c.slots.SetTargets(schedulingtest.Registered(service, 4, c.targets...))
 	c.eventually("results", func() bool { return strings.Count(b.resultsAs(alpha, "j")+b.resultsAs(beta, "j"), "completed") == 3 })
 	qt.Assert(t, c.accountsOf("own-0"), qt.DeepEquals, []string{alpha})
-	qt.Assert(t, c.accountsOf("j-0"), qt.DeepEquals, []string{""})
+	qt.Assert(t, c.accountsOf("j-0"), qt.HasLen, 0)
 }
 
 // Guards against an account that exceeds its quota at several VMs at once or fills that of another one, and against refusals of
