--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
 
 	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/internal/discovery"
@@ -137,6 +140,61 @@
 	})
 }
 
+// drawSpoiledRow draws a row of another writer that names no target.
+func drawSpoiledRow(t *rapid.T) string {
+	if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+		return string(rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "bytes"))
+	}
+	fields := map[string]string{"service": `"s"`, "address": `"10.0.0.1:1"`, "zone": `"z"`, "slots": "8", "state": `"ready"`, "born": "1787367120293"}
+	spoiled := map[string][]string{
+		"service": {`""`, `"unknown"`, "null", "7"}, "address": {`""`, `"10.0.0.1"`, `"10.0.0.1:0"`, `"host:80"`, `"\u0000:1"`, "null"}, "zone": {"[]", "7"},
+		"slots": {"0", "-3", "2.5", `"8"`, "9223372036854775807", "1e99"}, "state": {`"resting"`, `"Ready"`, "true"}, "born": {"1.5", `"1"`, "1e400", "99999999999999999999", "{}"},
+	}
+	name := rapid.SampledFrom(slices.Sorted(maps.Keys(spoiled))).Draw(t, "field")
+	value := rapid.SampledFrom(spoiled[name]).Draw(t, "value")
+	required := slices.Contains([]string{"service", "address", "slots", "state"}, name)
+	if other := strings.ToUpper(name); required && rapid.IntRange(0, 3).Draw(t, "other name") == 0 {
+		name, fields[other] = other, fields[name]
+		delete(fields, strings.ToLower(name))
+	} else {
+		fields[name] = value
+	}
+	var list []string
+	for name, value := range fields {
+		list = append(list, fmt.Sprintf("%q:%s", name, value))
+	}
+	return "{" + strings.Join(list, ",") + "}"
+}
+
+// Guards against rows of other writers that name a target which can't be used, or that hide other targets. Spoiled rows replace
+// valid ones also after an outage, when those that are deleted are kept for a while.
+func TestRowsOfOtherWriters(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.put(platform.OperatorTable, platform.ConfigKey, `{"version":1,"services":[{"name":"s"}]}`)
+		rapid.Check(t, func(t *rapid.T) {
+			want := []string{"0", "1", "2", "3", "4", "5"}
+			for _, id := range want {
+				f.register(id, "ready")
+			}
+			f.store.down.Store(rapid.Bool().Draw(t, "outage"))
+			time.Sleep(2 * time.Second)
+			for range rapid.IntRange(1, 5).Draw(t, "spoiled") {
+				f.put(platform.TargetTable, want[0], drawSpoiledRow(t))
+				want = want[1:]
+			}
+			f.store.down.Store(false)
+			time.Sleep(time.Second)
+			var got []string
+			for _, target := range *f.targets.Load() {
+				got = append(got, target.ID)
+			}
+			if !slices.Equal(got, want) {
+				t.Fatalf("targets %v, want %v", got, want)
+			}
+		})
+	})
+}
+
 // At the planned size every VM reads hundreds of targets when it starts.
 func TestLogIsBoundedWhenManyTargetsChange(t *testing.T) {
 	var output strings.Builder
