Connections to targets are kept and reused where that is safe

Change: a pure package decides which idle connection is used, kept or closed, and the client for targets has a transport of its own where the VM's settings list the capability 'pool' and the service states max_conns. Without these nothing changes.

--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
@@ -45,6 +46,8 @@
 	itemProgress
 
 	tried []string
+	// connReused is set when the item is sent on a connection that served an earlier request.
+	connReused atomic.Bool
 	// held means that the item waits because targets crash under what it holds.
 	held bool
 	// consecutiveInterruptions counts the attempts in a row that were interrupted before the target sent an
@@ -210,7 +213,8 @@
 	began, eventsBefore := time.Now(), state.Events
 	status, firstEvent, err := s.send(ctx, slot, run.items[index], head, state, content)
 	outcome := outcomeOf(ctx, err)
-	if outcome == scheduler.TimedOut && !s.config.Targets.PathWorks(ctx, slot.Address) {
+	// Without an event, a connection that was idle before may be silent instead of its target.
+	if outcome == scheduler.TimedOut && (!s.config.Targets.PathWorks(ctx, slot.Address) || firstEvent == 0 && state.connReused.Load()) {
 		outcome = scheduler.Abandoned
 	}
 	slot.Release(outcome, firstEvent)
@@ -374,6 +378,9 @@
 		Header:    item.Header,
 		Body:      item.Body,
 		LastEvent: state.Position,
+		// Items run again after a failure, which costs their progress on the target only.
+		Repeatable: true,
+		ConnReused: &state.connReused,
 	})
 	if err != nil {
 		return 0, err
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -90,6 +90,8 @@
 	outcome string
 	// via is the VM by way of which the target was reached, or empty.
 	via string
+	// connReused means that the request was sent on a connection that served an earlier one.
+	connReused bool
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
@@ -98,6 +100,9 @@
 	if a.via != "" {
 		e.Str("via", a.via)
 	}
+	if a.connReused {
+		e.Bool("conn_reused", true)
+	}
 }
 
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
@@ -375,6 +380,7 @@
 		outcome = e.classifyFailure(ctx, err)
 		r.record.outcome = r.explain(err).Error()
 	}
+	r.record.connReused = r.connReused.Load()
 	r.slot.Release(outcome, r.record.firstEvent)
 	e.recordCrash(r, outcome, err)
 	if !slices.Contains(e.tried, r.slot.Target) {
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -36,7 +36,7 @@
 
 // follow serves the request with the slot until the response is complete, which is errDone, or the run has failed.
 func (e *exchange) follow(ctx context.Context, slot *scheduling.Slot, waited time.Duration) error {
-	h := &handover{exchange: e, current: e.startRun(ctx, slot, waited), silence: newStoppedTimer(), overlap: newStoppedTimer()}
+	h := &handover{exchange: e, current: e.startRun(ctx, slot, waited, e.mayStartAnother()), silence: newStoppedTimer(), overlap: newStoppedTimer()}
 	defer h.stop()
 	h.awaitNext(firstEventTimeout)
 	for {
@@ -104,7 +104,8 @@
 	if !r.reportedSilent {
 		r.reportedSilent = true
 		silencesTotal.Inc()
-		go h.exchange.reportSilent(ctx, r)
+		// The connection may be silent instead of the target if it was idle before.
+		go h.exchange.reportSilent(ctx, r, r.connReused.Load() && r.record.firstEvent == 0)
 	}
 	if h.exchange.mayStartAnother() {
 		h.search = h.exchange.startSearch(ctx, 0, r)
@@ -123,16 +124,23 @@
 		r.slot.Release(scheduler.Abandoned, 0)
 		return
 	}
-	h.replacement = h.exchange.startRun(ctx, r.slot, r.waited)
+	h.replacement = h.exchange.startRun(ctx, r.slot, r.waited, false)
 	h.overlap.Reset(handoverOverlap)
 }
 
-// reportSilent reports that a target is silent, unless that is the fault of the path to it.
-func (e *exchange) reportSilent(ctx context.Context, r *run) {
-	if e.server.config.Targets.PathWorks(ctx, r.address) {
+// reportSilent reports that a target is silent, unless that is the fault of the path to it or may be that of its connection. The
+// next request to the target gets a new connection, which tells the two apart.
+func (e *exchange) reportSilent(ctx context.Context, r *run, connSuspected bool) {
+	works := e.server.config.Targets.PathWorks(ctx, r.address)
+	if works && !connSuspected {
 		r.slot.ReportSilent()
 		return
 	}
+	if works {
+		e.server.config.Log.Info().Str("request", e.client.ID).Str("target", r.slot.Target).
+			Msg("target is silent on a reused connection; the silence is not reported, and its idle connections are closed")
+		return
+	}
 	e.server.config.Log.Info().Str("request", e.client.ID).Str("target", r.slot.Target).
 		Msg("target is silent, and the direct path to it is broken; the silence is not reported")
 }
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
@@ -31,6 +32,8 @@
 	failed bool
 	// reportedSilent means that the scheduler has been told of a silence of the target.
 	reportedSilent bool
+	// connReused is set when the request is sent on a connection that served an earlier one.
+	connReused atomic.Bool
 }
 
 // arrival is the next part of a target's response: an event, or the body of a response that is not a stream.
@@ -63,8 +66,9 @@
 	errNotNeeded = errors.New("the silent target continues")
 )
 
-// startRun sends the request to the target of a slot.
-func (e *exchange) startRun(ctx context.Context, slot *scheduling.Slot, waited time.Duration) *run {
+// startRun sends the request to the target of a slot. A request that is not repeatable gets no connection that has been idle for
+// long, since it can't be sent again if it is lost.
+func (e *exchange) startRun(ctx context.Context, slot *scheduling.Slot, waited time.Duration, repeatable bool) *run {
 	if e.started {
 		resumedTotal.Inc()
 	}
@@ -78,16 +82,18 @@
 		address:  slot.Address,
 	}
 	request := &platform.TargetRequest{
-		Address:   slot.Address,
-		Instance:  slot.Target,
-		ID:        e.client.ID,
-		Method:    e.request.Method,
-		Host:      e.request.Host,
-		URI:       e.request.RequestURI,
-		Header:    e.request.Header,
-		Body:      e.body,
-		TimeLeft:  time.Until(e.deadline),
-		LastEvent: e.lastEvent,
+		Address:    slot.Address,
+		Instance:   slot.Target,
+		ID:         e.client.ID,
+		Method:     e.request.Method,
+		Host:       e.request.Host,
+		URI:        e.request.RequestURI,
+		Header:     e.request.Header,
+		Body:       e.body,
+		TimeLeft:   time.Until(e.deadline),
+		LastEvent:  e.lastEvent,
+		Repeatable: repeatable,
+		ConnReused: &r.connReused,
 	}
 	request.HasAccounts, request.Account = e.targetAccount()
 	go r.receive(ctx, e.server.config.Targets, request, e.isStream())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/account"
+	"github.com/rosemarydyke/rosemarydyke/connreuse"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchjobs"
 	"github.com/rosemarydyke/rosemarydyke/internal/boottime"
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
@@ -84,6 +85,9 @@
 	listeners    []net.Listener
 	// dialTarget connects to a target directly.
 	dialTarget platform.DialFunc
+	targets    *platform.TargetClient
+	// liveVMs is the number of VMs that are alive, this one included.
+	liveVMs atomic.Int64
 }
 
 // New opens the sockets and wires the components. Nothing runs before Run.
@@ -153,6 +157,7 @@
 				addresses[i] = t.Address
 			}
 			n.relay.SetTargets(addresses)
+			n.targets.SetTargets(targets)
 		},
 		Node:       n.transport,
 		Peers:      n.otherPeers,
@@ -168,9 +173,16 @@
 		Usable:           n.discovery.Usable,
 		Log:              n.log,
 	})
-	n.members.OnChange(func([]member.Member) { n.slots.MembersChanged() })
+	n.members.OnChange(func(members []member.Member) {
+		n.countLiveVMs(members)
+		n.slots.MembersChanged()
+	})
 	n.relay = targetrelay.New(targetrelay.Config{Dial: n.dialTarget, Peers: n.relayPeers, Usable: n.discovery.UsableAddress, Log: n.log})
 	targets := platform.NewTargetClient(targetObserver{n}, n.relay)
+	if slices.Contains(s.Capabilities, platform.CapabilityConnections) {
+		targets.ReuseConnections(n.connectionShare)
+	}
+	n.targets = targets
 	tracker := evidence.NewSharedTracker(quarantine.Config{
 		CrashThreshold: quarantineCrashes,
 		Attribution:    quarantine.AttributionConfig{Random: rand.Float64},
@@ -228,6 +240,26 @@
 	o.node.slots.ObserveRateLimit(target, perSecond)
 }
 
+// countLiveVMs records the number of VMs that share the connections to a target.
+func (n *Node) countLiveVMs(members []member.Member) {
+	live := int64(0)
+	for _, m := range members {
+		if m.State == member.Alive {
+			live++
+		}
+	}
+	n.liveVMs.Store(live)
+}
+
+// connectionShare returns how many connections this VM may have to each target of a service.
+func (n *Node) connectionShare(service string) int {
+	table := n.discovery.Current()
+	if table == nil {
+		return 0
+	}
+	return connreuse.Share(table.Services[service].MaxConns, int(n.liveVMs.Load()))
+}
+
 // seedPeers returns the peer addresses of the seeds. All VMs use the same peer port.
 func seedPeers(s *config.Ingress) []string {
 	_, port, err := net.SplitHostPort(s.Peers)
@@ -389,6 +421,7 @@
 		})
 	}
 	shutdowns.Wait()
+	n.targets.CloseConnections()
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancelLeave()
 	n.registry.deregister(leaveCtx, n.log)
--- a/internal/targetrelay/relay.go
+++ b/internal/targetrelay/relay.go
@@ -292,6 +292,9 @@
 	address string
 }
 
+// NetConn returns the connection itself, whose state can be checked.
+func (c *directConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. A connection that breaks while its path is known to be broken says nothing about the target.
 func (c *directConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
