Connections: idle ones are not used while the direct path is known to be broken; tests

Cause: an idle connection is as silent as a partitioned path, while a new connection is raced by way of other VMs. Change: the dialer says whether the path is known to be broken. The tests of responses run with and without reuse. The links of the stand-in VM now end a silent Read when the connection is closed, as a socket does.

--- a/connreuse/connreuse.go
+++ b/connreuse/connreuse.go
@@ -125,7 +125,7 @@
 	expires   time.Time
 }
 
-// Served reports whether the connection carried an earlier request with this ID.
+// Served reports whether the connection carried a request with this ID.
 func (c *Conn[C]) Served(id string) bool { return slices.Contains(c.served, id) }
 
 // Closed is a connection that has to be closed.
@@ -254,10 +254,11 @@
 		}
 		h.idle = slices.Delete(h.idle, i, i+1)
 		p.idle--
+		c.served = append(c.served, r.ID)
 		return c, false, closed
 	}
 	closed = p.drop(closed, h, len(h.idle)+h.inUse-r.Share, Surplus)
-	return &Conn[C]{host: h}, true, closed
+	return &Conn[C]{host: h, served: []string{r.ID}}, true, closed
 }
 
 func (p *Pool[C]) expire(now time.Time, h *host[C], closed []Closed[C]) []Closed[C] {
@@ -275,7 +276,6 @@
 
 // End is how a request on a connection ended.
 type End struct {
-	ID string
 	// Cause is why the connection may not be kept, or empty.
 	Cause Cause
 	// IdleTimeout is for how long the target keeps the connection open (function IdleTimeout).
@@ -287,7 +287,6 @@
 func (p *Pool[C]) End(now time.Time, c *Conn[C], end End) (cause Cause, closed []Closed[C]) {
 	h := c.host
 	h.inUse--
-	c.served = append(c.served, end.ID)
 	switch {
 	case end.Cause != "":
 		return end.Cause, nil
--- a/internal/node/stranded_test.go
+++ b/internal/node/stranded_test.go
@@ -63,12 +63,21 @@
 // linkConn is a connection over links.
 type linkConn struct {
 	net.Conn
-	links *links
+	links  *links
+	closed *atomic.Bool
+}
+
+func (c linkConn) NetConn() net.Conn { return c.Conn }
+
+// Close also ends a Read that is silent, as that of a socket.
+func (c linkConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
 }
 
 func (c linkConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	for cut(c.links.cut.Load()) == hang && err == nil {
+	for cut(c.links.cut.Load()) == hang && err == nil && !c.closed.Load() {
 		// The connection is silent until the links are up again.
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -92,7 +101,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[conn] = true
-	return linkConn{conn, l}, nil
+	return linkConn{conn, l, new(atomic.Bool)}, nil
 }
 
 // vm is a node with links that can be cut.
@@ -108,6 +117,10 @@
 	eventInterval = 5 * time.Millisecond
 )
 
+func withReuse(s *config.Ingress) { s.Capabilities = []string{platform.CapabilityConnections} }
+
+func withoutReuse(s *config.Ingress) { s.Capabilities = nil }
+
 // startVMs starts VMs on loopback addresses before four targets with four slots each.
 func startVMs(t *testing.T, count int, adjust ...func(*config.Ingress)) ([]*vm, []*streamtarget.Target) {
 	state := memory.New()
@@ -127,7 +140,7 @@
 	put(platform.OperatorTable, platform.ConfigKey, `{"version":1,"routes":[
 	 {"name":"r","host":"a.example","path_prefix":"/s/","route_kind":"streaming","timeout_ms":3000,"goal_ms":300,"service":"s","max_attempts":2,"resumable":true,"gap_target_ms":400},
 	 {"name":"o","host":"a.example","path_prefix":"/o/","route_kind":"streaming","timeout_ms":3000,"goal_ms":300,"service":"s","max_attempts":1,"gap_target_ms":400}],
-	 "services":[{"name":"s"}],"limits":{"max_body_bytes":100000}}`)
+	 "services":[{"name":"s","max_conns":40}],"limits":{"max_body_bytes":100000}}`)
 	peers := testports.Port(t)
 	var vms []*vm
 	ctx, stop := context.WithCancel(context.Background())
@@ -203,14 +216,16 @@
 	for name, test := range map[string]struct {
 		cut    cut
 		cutOff int
+		adjust func(*config.Ingress)
 	}{
-		"one VM, packets are dropped":       {hang, 1},
-		"most VMs, packets are dropped":     {hang, 3},
-		"most VMs, connections are refused": {refuse, 3},
-		"most VMs, connections are reset":   {reset, 3},
+		"one VM, packets are dropped":       {hang, 1, withoutReuse},
+		"most VMs, packets are dropped":     {hang, 3, withoutReuse},
+		"most VMs, connections are refused": {refuse, 3, withoutReuse},
+		"most VMs, connections are reset":   {reset, 3, withoutReuse},
+		"packets are dropped, with reuse":   {hang, 3, withReuse},
 	} {
 		t.Run(name, func(t *testing.T) {
-			vms, targets := startVMs(t, 4)
+			vms, targets := startVMs(t, 4, test.adjust)
 			for _, v := range vms[:test.cutOff] {
 				v.links.set(test.cut)
 			}
@@ -258,6 +273,27 @@
 	}
 }
 
+// Guards against connections that are not kept although the settings ask for it, or kept although they don't.
+func TestConnectionsAreReusedWhereTheSettingsListIt(t *testing.T) {
+	const streams = 12
+	for name, adjust := range map[string]func(*config.Ingress){"on": withReuse, "off": withoutReuse} {
+		t.Run(name, func(t *testing.T) {
+			vms, targets := startVMs(t, 1, adjust)
+			for n := range streams {
+				qt.Assert(t, vms[0].stream("/s/x", fmt.Sprint(n)), qt.IsNil)
+			}
+			vms[0].links.mu.Lock()
+			opened := len(vms[0].links.conns)
+			vms[0].links.mu.Unlock()
+			if name == "off" {
+				qt.Check(t, opened, qt.Equals, streams)
+				return
+			}
+			qt.Check(t, opened <= len(targets), qt.IsTrue, qt.Commentf("%d connections opened", opened))
+		})
+	}
+}
+
 func TestClientsAreRefusedAtOnceWhileNoVMReachesATarget(t *testing.T) {
 	vms, targets := startVMs(t, 3)
 	for _, v := range vms {
--- a/internal/targetrelay/relay.go
+++ b/internal/targetrelay/relay.go
@@ -241,7 +241,7 @@
 // PathWorks checks the direct path to a target that is silent, so that the silence can be told from that of the path. It reports
 // true if ctx ends before the check.
 func (r *Relay) PathWorks(ctx context.Context, address string) bool {
-	if r.broken(address) {
+	if r.PathBroken(address) {
 		return false
 	}
 	checkCtx, cancel := context.WithTimeout(ctx, checkTimeout)
@@ -262,7 +262,8 @@
 	return true
 }
 
-func (r *Relay) broken(address string) bool {
+// PathBroken implements platform.Dialer.
+func (r *Relay) PathBroken(address string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.paths.Broken(address)
@@ -299,7 +300,7 @@
 func (c *directConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	var failure *net.OpError
-	if errors.As(err, &failure) && !errors.Is(err, net.ErrClosed) && c.relay.broken(c.address) {
+	if errors.As(err, &failure) && !errors.Is(err, net.ErrClosed) && c.relay.PathBroken(c.address) {
 		err = &reach.PathError{Cause: err}
 	}
 	return n, err
