--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -320,6 +320,27 @@
 	qt.Assert(t, f.log.String(), qt.Contains, `"outcome":"target \"i-0\" sent nothing for 220ms`)
 }
 
+// Guards against a reused connection that can't be told from the log, and against targets that are blamed for the silence of a
+// connection.
+func TestLogNamesReusedConnections(t *testing.T) {
+	f := &fixture{}
+	f.adjust = func(c *ingress.Config, _ *routing.Table) {
+		c.Targets.ReuseConnections(func(string) int { return 4 })
+		c.Targets.SetTargets(schedulingtest.Registered(service, 4, f.targets...))
+	}
+	f.addTarget(t, streamtarget.Config{ID: "i-0", Pause: 400 * time.Millisecond})
+	f.serve(t, 4, timeout, quarantine.Config{})
+	for range 2 {
+		response, _ := f.send(t, "/once/")
+		qt.Assert(t, response.status, qt.Equals, http.StatusOK)
+	}
+	qt.Check(t, strings.Count(f.log.String(), `"conn_reused":true`), qt.Equals, 1)
+	f.inject(streamtarget.PauseFirst)
+	response, _ := f.send(t, "/once/")
+	qt.Check(t, response.status, qt.Equals, http.StatusOK)
+	qt.Check(t, strings.Count(f.log.String(), "silent on a reused connection"), qt.Equals, 1)
+}
+
 func TestNonRetryableRequestRunsOnce(t *testing.T) {
 	for name, test := range map[string]struct {
 		path   string
