--- a/Makefile
+++ b/Makefile
@@ -41,5 +41,5 @@
 fuzz:
 	@seed=$${ROSEMARYDYKE_FUZZ_SEED:-$$(date +%s)}; echo "ROSEMARYDYKE_FUZZ_SEED=$$seed"; \
 	ROSEMARYDYKE_FUZZ_SEED=$$seed ROSEMARYDYKE_FUZZ_CHECKS=$(FUZZ_CHECKS) $(GO) test -count=1 -timeout 60m \
-		./dispatch ./idempotency ./internal/callerapi ./internal/idempotency ./internal/jobstore ./internal/settingstore \
+		./connreuse ./dispatch ./idempotency ./internal/callerapi ./internal/idempotency ./internal/jobstore ./internal/settingstore \
 		./job ./lease ./member ./quarantine ./ratelimit ./reach ./target
