--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -75,6 +75,8 @@
 	// possibleRuns counts the targets that may have run the request.
 	possibleRuns int
 	tried        []string
+	// completed means that the client has received the complete response.
+	completed bool
 	// attempts are recorded for the log.
 	attempts []attempt
 }
@@ -340,6 +342,7 @@
 }
 
 func (e *exchange) finish(outcome, status string) {
+	e.completed = true
 	completedTotal.Inc()
 	responseTime.UpdateDuration(e.arrived)
 	e.log(outcome, nil, status)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -84,6 +84,14 @@
 	Resolve(ctx context.Context, attempt, service string, onlyService bool) (origin.Origin, bool)
 }
 
+// Usage counts the requests of client accounts over all VMs.
+type Usage interface {
+	// Acquire counts one request of an account. It fails with *usage.OverLimitError if the request is beyond the limit.
+	Acquire(ctx context.Context, a *account.Account) error
+	// Return gives back a counted request that has not run.
+	Return(a *account.Account)
+}
+
 // Config configures a Server.
 type Config struct {
 	Configuration Configuration
@@ -92,6 +100,8 @@
 	Jobs          Jobs
 	Quarantine    Quarantine
 	Origins       Origins
+	// Usage counts requests against the usage limits of client accounts.
+	Usage Usage
 	// Revocation limits the age of the configuration by which API keys are accepted.
 	Revocation account.Revocation
 	Log        zerolog.Logger
@@ -213,5 +223,9 @@
 		e.log("refused", errUnknownOrigin, strconv.Itoa(http.StatusServiceUnavailable))
 		return
 	}
+	if !e.countUsage(ctx) {
+		return
+	}
+	defer e.returnUsage()
 	e.run(ctx)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -75,6 +75,7 @@
 	targets []*streamtarget.Target
 	slots   *scheduling.Service
 	log     syncBuffer
+	usage   fakeUsage
 	n       int
 	// adjust changes the configuration of the server. Optional.
 	adjust func(*ingress.Config, *routing.Table)
@@ -136,7 +137,7 @@
 	serverConfig := ingress.Config{
 		Configuration: configuration{table},
 		Slots:         f.slots,
-		Targets:       platform.NewTargetClient(&streamtarget.Observer{}, platform.DialFunc(platform.DialTarget)), Jobs: noJobs{}, Origins: resolver, Log: zerolog.New(&f.log),
+		Targets:       platform.NewTargetClient(&streamtarget.Observer{}, platform.DialFunc(platform.DialTarget)), Jobs: noJobs{}, Origins: resolver, Usage: &f.usage, Log: zerolog.New(&f.log),
 		Quarantine: evidence.NewSharedTracker(config),
 	}
 	if f.adjust != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/internal/storerelay"
 	"github.com/rosemarydyke/rosemarydyke/internal/targetrelay"
+	"github.com/rosemarydyke/rosemarydyke/internal/usage"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
@@ -72,6 +73,7 @@
 	members      *membership.Service
 	registry     *vmRegistry
 	slots        *scheduling.Service
+	usage        *usage.Service
 	discovery    *discovery.Service
 	jobs         *batchjobs.Service
 	evidence     *evidence.Service
@@ -173,9 +175,17 @@
 		Usable:           n.discovery.Usable,
 		Log:              n.log,
 	})
+	n.usage = usage.New(usage.Config{
+		Node:     n.transport,
+		Members:  n.members,
+		Accounts: n.accounts,
+		Expected: len(s.Seeds),
+		Log:      n.log,
+	})
 	n.members.OnChange(func(members []member.Member) {
 		n.countLiveVMs(members)
 		n.slots.MembersChanged()
+		n.usage.MembersChanged()
 	})
 	n.relay = targetrelay.New(targetrelay.Config{Dial: n.dialTarget, Peers: n.relayPeers, Usable: n.discovery.UsableAddress, Log: n.log})
 	targets := platform.NewTargetClient(targetObserver{n}, n.relay)
@@ -216,11 +226,21 @@
 		Jobs:          n.jobs,
 		Quarantine:    tracker,
 		Origins:       n.origins,
+		Usage:         n.usage,
 		Revocation:    revocation,
 		Log:           n.log,
 	})
 }
 
+// accounts returns the client accounts of the configuration in force and its version.
+func (n *Node) accounts() (*account.Directory, uint64) {
+	table := n.discovery.Current()
+	if table == nil {
+		return nil, 0
+	}
+	return table.Accounts, table.Version
+}
+
 // targetObserver passes on what targets state about themselves.
 type targetObserver struct{ node *Node }
 
@@ -384,6 +404,7 @@
 	n.members.Start(runCtx)
 	tasks.Go(func() { n.registry.register(runCtx, n.log) })
 	tasks.Go(func() { n.slots.Run(runCtx) })
+	tasks.Go(func() { n.usage.Run(runCtx) })
 	tasks.Go(func() { n.discovery.Run(runCtx) })
 	tasks.Go(func() { n.jobs.Run(runCtx) })
 	tasks.Go(func() { n.evidence.Run(runCtx) })
