--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -33,6 +34,14 @@
 	return fingerprints
 }
 
+// PrefixFingerprint returns the identity of the parts that prompts for a model begin with, or zero if there are none.
+func PrefixFingerprint(model string, parts []string) uint64 {
+	if len(parts) == 0 {
+		return 0
+	}
+	return PartFingerprint(model, strings.Join(parts, "\x00"))
+}
+
 // wholeBit marks the keys of whole contents. Keys of parts don't have it.
 const wholeBit = 1 << 63
 
