Scheduler: placement by expected cost and remaining work

With Config.ByCost a request goes to the target where its prompt would first be read, by the target's speed, occupancy, recent starts, remaining work, prefixes and availability zone. Memory of targets is respected, waits are predicted from the expected ends of the runs, and nearly complete items are preempted last. Off by default: targets are then chosen by free slots as before.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -31,6 +31,9 @@
 
 // place grants a slot to an online request: a free one, or one that is preempted from an item.
 func (s *Scheduler) place(now time.Time, p *pool, w *waiter) ([]Action, bool) {
+	if p.costs.enabled {
+		return s.placeByCost(now, p, w)
+	}
 	if t := p.pickFree(now, w); t != nil {
 		return []Action{s.grant(now, t, w)}, true
 	}
@@ -59,6 +62,14 @@
 	return best
 }
 
+// pickForItem returns the target with a free slot that an item is granted.
+func (s *Scheduler) pickForItem(now time.Time, p *pool, w *waiter) *targetState {
+	if p.costs.enabled {
+		return s.pick(now, p, w)
+	}
+	return p.pickFree(now, w)
+}
+
 // victim returns the item that can best afford to be preempted, on a target that the request may use.
 func (s *Scheduler) victim(now time.Time, p *pool, w *waiter) *run {
 	var best *run
@@ -108,6 +119,8 @@
 	t.recordGrant(now)
 	t.limiter.Take(now)
 	r := &run{ticket: w.Ticket, class: w.Class, granted: now, due: w.StartBy, expected: w.Expected}
+	t.pool.prepareRun(now, t, r, &w.Request)
+	t.recordStart(now, &w.Request)
 	s.startRun(t, r)
 	return r.grant()
 }
@@ -117,12 +130,12 @@
 	var actions []Action
 	for _, w := range slices.Clone(p.online) {
 		granted, placed := s.place(now, p, w)
+		actions = append(actions, granted...)
 		if placed {
 			s.dequeue(w)
-			actions = append(actions, granted...)
 			continue
 		}
-		if len(w.Tried) == 0 && w.Version == "" {
+		if len(w.Tried) == 0 && w.Version == "" && !w.memoryBound {
 			// If a request that may use any target finds no slot, no later request does.
 			break
 		}
@@ -150,7 +163,7 @@
 		if spare <= 0 && !s.isUrgent(now, w) {
 			continue
 		}
-		t := p.pickFree(now, w)
+		t := s.pickForItem(now, p, w)
 		if t == nil {
 			if p.freeSlots(now) == 0 {
 				break
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -81,6 +81,14 @@
 	Target   string        `cbor:"3,keyasint"`
 	DueIn    time.Duration `cbor:"4,keyasint,omitempty"`
 	Expected time.Duration `cbor:"5,keyasint,omitempty"`
+	// Age is the time since the grant, and the other fields are those of the request. They are stated where targets are chosen by
+	// cost; without them a run counts as begun when it is first reported, and as one of unknown size.
+	Age          time.Duration `cbor:"6,keyasint,omitempty"`
+	PromptTokens int           `cbor:"7,keyasint,omitempty"`
+	OutputTokens int           `cbor:"8,keyasint,omitempty"`
+	Route        string        `cbor:"9,keyasint,omitempty"`
+	Prefix       uint64        `cbor:"10,keyasint,omitempty"`
+	Account      string        `cbor:"11,keyasint,omitempty"`
 }
 
 // Outcome is how a run ended.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -41,6 +41,8 @@
 	ReportGrace time.Duration
 	// WaitLease is how long a waiting request is kept without renewal. Default 600 ms.
 	WaitLease time.Duration
+	// ByCost makes the scheduler choose targets by expected cost and remaining work instead of free slots.
+	ByCost bool
 	// Health configures the ejection of targets.
 	Health target.HealthConfig
 }
@@ -80,6 +82,8 @@
 	running map[Ticket]*run
 	waiting map[Ticket]*waiter
 	targets map[string]*targetState
+	// pick chooses a target with a free slot by expected cost.
+	pick func(now time.Time, p *pool, w *waiter) *targetState
 }
 
 // run is a request that holds a slot.
@@ -94,12 +98,17 @@
 	preempted bool
 	// silent runs have been counted against their target.
 	silent bool
+	costs  runCosts
 }
 
 // waiter is a queued request.
 type waiter struct {
 	Request
 	arrived, renewed time.Time
+	// memoryBound means that memory kept the request from a slot when it was last tried, and awaits is the item that was preempted
+	// for its memory.
+	memoryBound bool
+	awaits      *run
 }
 
 // targetState is the state of one target.
@@ -120,6 +129,7 @@
 	ignoreTimeoutsUntil time.Time
 	// limiter keeps to the rate limit that the target states.
 	limiter ratelimit.Limiter
+	costs   targetCosts
 }
 
 // pool is the state of one service.
@@ -138,12 +148,13 @@
 	arrivals []time.Time
 	// onlineSlotTime is the moving average of the slot time of online requests.
 	onlineSlotTime time.Duration
+	costs          costs
 }
 
 // New returns a scheduler without targets.
 func New(config Config, random *rand.Rand) *Scheduler {
 	config.setDefaults()
-	return &Scheduler{
+	s := &Scheduler{
 		config:  config,
 		random:  random,
 		pools:   map[string]*pool{},
@@ -151,6 +162,8 @@
 		waiting: map[Ticket]*waiter{},
 		targets: map[string]*targetState{},
 	}
+	s.pick = s.pickByCost
+	return s
 }
 
 func (s *Scheduler) pool(name string) *pool {
@@ -160,6 +173,7 @@
 			name:           name,
 			health:         target.NewHealthGroup(s.config.Health),
 			onlineSlotTime: s.config.OnlineSlotTime,
+			costs:          newCosts(s.config),
 		}
 		s.pools[name] = p
 	}
@@ -230,6 +244,7 @@
 		s.endRun(r)
 	}
 	delete(s.targets, t.ID)
+	t.pool.costs.prefixes.Forget(t)
 	t.pool.targets = slices.DeleteFunc(t.pool.targets, func(o *targetState) bool { return o == t })
 }
 
@@ -263,10 +278,10 @@
 		return actions
 	}
 	if refusal, refused := s.admit(now, p, w); refused {
-		return []Action{refusal}
+		return append(actions, refusal)
 	}
 	s.enqueueOnline(p, w)
-	return nil
+	return actions
 }
 
 // enqueueOnline queues retries before first attempts.
@@ -307,8 +322,11 @@
 		p.observeSlotTime(now.Sub(r.granted))
 	}
 	var actions []Action
+	if outcome == Finished {
+		actions = p.observeCost(now, r)
+	}
 	if !r.silent || outcome != Interrupted && outcome != TimedOut {
-		actions = p.observeHealth(now, r, outcome, firstEvent)
+		actions = append(actions, p.observeHealth(now, r, outcome, firstEvent)...)
 	}
 	return append(actions, s.dispatch(now, p)...)
 }
@@ -344,6 +362,7 @@
 	r.target = t
 	t.runs = append(t.runs, r)
 	t.occupied++
+	t.costs.tokens += r.costs.tokens
 	if r.class == Online {
 		t.pool.onlineRuns++
 	}
@@ -357,6 +376,7 @@
 	if !r.preempted {
 		t.occupied--
 	}
+	t.costs.tokens -= r.costs.tokens
 	if r.class == Online {
 		t.pool.onlineRuns--
 	}
@@ -440,7 +460,9 @@
 	if w := s.waiting[ticket]; w != nil {
 		s.dequeue(w)
 	}
-	s.startRun(t, &run{ticket: ticket, class: r.Class, granted: now, due: now.Add(r.DueIn), expected: r.Expected})
+	restored := &run{ticket: ticket, class: r.Class, granted: now, due: now.Add(r.DueIn), expected: r.Expected}
+	t.pool.restoreCosts(now, t, restored, r)
+	s.startRun(t, restored)
 }
 
 // grant returns the Grant of a run, whose VM may have missed it.
