Scheduling: cost of runs in reports, and the switch for placement by cost

Reports state age, size, route, prefix and account of runs where the VM's settings list the capability health, so that a new coordinator knows the remaining work.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
 	"github.com/rosemarydyke/rosemarydyke/routing"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
 const (
@@ -166,6 +167,8 @@
 		Node:             n.transport,
 		Members:          n.members,
 		Usable:           n.discovery.Usable,
+		Scheduler:        scheduler.Config{ByCost: slices.Contains(s.Capabilities, platform.CapabilityHealth)},
+		Engines:          n.engines,
 		Log:              n.log,
 	})
 	n.members.OnChange(func([]member.Member) { n.slots.MembersChanged() })
@@ -209,6 +212,19 @@
 	})
 }
 
+// engines returns what the configuration states about the engines of a service, or nil if its targets are not engines.
+func (n *Node) engines(service string) *scheduler.EngineInfo {
+	table := n.discovery.Current()
+	if table == nil {
+		return nil
+	}
+	s := table.Services[service]
+	if s.Slots <= 0 && s.MemoryTokens <= 0 {
+		return nil
+	}
+	return &scheduler.EngineInfo{MemoryTokens: s.MemoryTokens}
+}
+
 // targetObserver passes on what targets state about themselves.
 type targetObserver struct{ node *Node }
 
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -225,6 +225,17 @@
 		case scheduler.Ejection:
 			s.config.Log.Info().Str("target", a.Target).Str("process", a.VM).Str("reason", a.Reason).Int("usable", a.Usable).
 				Msg("target ejected by what this process saw of it; no new requests are granted there until a probe succeeds")
+		case scheduler.Observation:
+			expectedSlotTime.Update(a.Expected.Seconds())
+			observedSlotTime.Update(a.Actual.Seconds())
+			if !a.Known {
+				unknownCosts.Inc()
+			}
+		case scheduler.SpeedChange:
+			speedChanges.Inc()
+			s.config.Log.Info().Str("target", a.Target).Float64("slowdown", a.Slowdown).Float64("slowdown_before", a.Before).
+				Float64("slowdown_nearly_full", a.NearlyFull).Int("occupied", a.Occupied).
+				Msg("speed of a target changed; requests take this many times as long there as expected")
 		case scheduler.Preempt:
 			s.deliver(a.Ticket, methodPreempt, ticketMessage{Sequence: a.Ticket.Sequence}, func() { s.onPreempt(a.Ticket.Sequence) })
 		}
--- a/internal/scheduling/groups.go
+++ b/internal/scheduling/groups.go
@@ -83,6 +83,7 @@
 	if !s.hasRegistry {
 		return
 	}
+	s.updateEngines()
 	now := time.Now()
 	for _, key := range s.division.Keys() {
 		own := s.division.Group(key)
--- /dev/null
+++ b/internal/scheduling/metrics.go
@@ -0,0 +1,12 @@
+package scheduling
+
+import "github.com/VictoriaMetrics/metrics"
+
+// Metrics of the coordinator, where targets are chosen by cost.
+var (
+	expectedSlotTime = metrics.NewHistogram("rosemarydyke_slot_time_expected_seconds")
+	observedSlotTime = metrics.NewHistogram("rosemarydyke_slot_time_seconds")
+	// unknownCosts counts the requests that were placed without observations of their class.
+	unknownCosts = metrics.NewCounter("rosemarydyke_slot_time_unknown_total")
+	speedChanges = metrics.NewCounter("rosemarydyke_target_speed_changes_total")
+)
--- a/internal/scheduling/service.go
+++ b/internal/scheduling/service.go
@@ -74,7 +74,10 @@
 	// from the registry may grant slots of targets that are draining.
 	Usable    func(target string) bool
 	Scheduler scheduler.Config
-	Log       zerolog.Logger
+	// Engines returns what is known of the engines of a service, or nil if its targets are not engines. It is used if the
+	// scheduler places by cost.
+	Engines func(service string) *scheduler.EngineInfo
+	Log     zerolog.Logger
 }
 
 // Service requests slots from coordinators, and coordinates some services itself.
@@ -197,6 +200,7 @@
 	s.division = group.Divide(targets)
 	s.forgetRateLimits(targets)
 	clear(s.coordinators)
+	s.updateEngines()
 	maps.DeleteFunc(s.loads, func(key string, _ group.Load) bool { return s.division.Group(key) == nil })
 	s.execute(s.scheduler.SetTargets(now, groupedTargets(s.division, targets)))
 	s.restoreRateLimits(now)
@@ -280,7 +284,7 @@
 	for sequence, slot := range s.runs {
 		key := s.groupOf(slot)
 		r := at(key)
-		r.runs = append(r.runs, slot.run(now, sequence))
+		r.runs = append(r.runs, slot.run(now, sequence, s.config.Scheduler.ByCost))
 		s.reported[key] = true
 	}
 	for sequence, p := range s.pending {
@@ -311,14 +315,31 @@
 	return slot.request.Service
 }
 
-func (s *Slot) run(now time.Time, sequence uint64) scheduler.Run {
-	return scheduler.Run{
+// run returns the slot's part of a report, with what the costs of the run follow from if that is wanted.
+func (s *Slot) run(now time.Time, sequence uint64, withCosts bool) scheduler.Run {
+	run := scheduler.Run{
 		Sequence: sequence,
 		Class:    s.request.Class,
 		Target:   s.Target,
 		DueIn:    s.request.StartBy.Sub(now),
 		Expected: s.request.Expected,
 	}
+	if withCosts {
+		run.Age = max(now.Sub(s.granted), time.Nanosecond)
+		run.PromptTokens, run.OutputTokens = s.request.PromptTokens, s.request.OutputTokens
+		run.Route, run.Prefix, run.Account = s.request.Route, s.request.Prefix, s.request.Account
+	}
+	return run
+}
+
+// updateEngines tells the scheduler what is known of the engines of each group. The configuration may have changed.
+func (s *Service) updateEngines() {
+	if !s.config.Scheduler.ByCost || s.config.Engines == nil {
+		return
+	}
+	for _, key := range s.division.Keys() {
+		s.scheduler.SetEngines(key, s.config.Engines(group.ServiceOf(key)))
+	}
 }
 
 func (s *Service) send(to netip.AddrPort, method peer.Method, message any) {
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -23,8 +23,9 @@
 	sequence  uint64
 	request   scheduler.Request
 	preempted chan struct{}
-	// coordinator is the VM that granted the slot.
+	// coordinator is the VM that granted the slot, and granted is when its grant arrived.
 	coordinator string
+	granted     time.Time
 	releaseOnce sync.Once
 }
 
@@ -256,6 +257,7 @@
 		request:   request,
 
 		coordinator: coordinator,
+		granted:     time.Now(),
 	}
 	s.mu.Lock()
 	s.runs[grant.Sequence] = slot
