--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -181,14 +181,19 @@
 	if s.holdQuarantined(ctx, run, index, content, state) {
 		return itemResult{}, false
 	}
+	item := run.items[index]
 	slot, err := s.waitQueue.acquire(ctx, scheduler.Request{
-		Class:    scheduler.Item,
-		Service:  route.Pick(rand.Float64()),
-		Tried:    state.tried,
-		Version:  state.Version,
-		StartBy:  s.dueAt(head, route),
-		Expires:  s.dueAt(head, route),
-		Expected: s.estimator.remaining(state.Events),
+		Class: scheduler.Item,
+		Route: route.Name,
+		// Jobs state only the sum of the prompt and the output, which is what the item may hold in the target's memory.
+		OutputTokens: int(item.Tokens),
+		Prefix:       quarantine.PrefixFingerprint(platform.PromptModel(item.Header), platform.SharedParts(item.Header)),
+		Service:      route.Pick(rand.Float64()),
+		Tried:        state.tried,
+		Version:      state.Version,
+		StartBy:      s.dueAt(head, route),
+		Expires:      s.dueAt(head, route),
+		Expected:     s.estimator.remaining(state.Events),
 	})
 	if err != nil {
 		// There may be no other target than those that the item must not use.
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -275,14 +275,18 @@
 		expires = startBy.Add(resumeGrace)
 	}
 	request := scheduler.Request{
-		Class:       scheduler.Online,
-		Service:     e.service,
-		Tried:       tried,
-		Version:     version,
-		StartBy:     startBy,
-		Expires:     expires,
-		Retry:       e.retry || repeated,
-		RetryWithin: max(time.Duration(retryWithinShare*float64(time.Until(e.arrived.Add(e.client.Timeout)))), 0),
+		Class:        scheduler.Online,
+		Service:      e.service,
+		Route:        e.route.Name,
+		PromptTokens: e.client.PromptTokens,
+		OutputTokens: e.client.OutputTokens,
+		Prefix:       quarantine.PrefixFingerprint(e.client.Model, e.client.SharedParts),
+		Tried:        tried,
+		Version:      version,
+		StartBy:      startBy,
+		Expires:      expires,
+		Retry:        e.retry || repeated,
+		RetryWithin:  max(time.Duration(retryWithinShare*float64(time.Until(e.arrived.Add(e.client.Timeout)))), 0),
 	}
 	if e.hasAccounts {
 		request.Priority = e.route.Priority
