--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -48,9 +48,11 @@
 	maxWait := w.StartBy.Sub(now)
 	ahead := p.requestsAhead(now, w, maxWait)
 	// Slots become free at a steady rate, except shortly after all of them were taken at once.
-	wait := max(time.Duration(ahead+1)*interval, s.estimateWait(now, p, w, ahead))
-	if w.memoryBound {
-		wait = max(wait, p.memoryWait(now, w))
+	wait := time.Duration(ahead+1) * interval
+	if p.costs.enabled {
+		wait = max(wait, p.waitByCost(now, w, ahead, maxWait, interval))
+	} else {
+		wait = max(wait, s.estimateWait(now, p, w, ahead))
 	}
 	if wait <= maxWait {
 		return Refuse{}, false
@@ -69,10 +71,6 @@
 func (s *Scheduler) estimateWait(now time.Time, p *pool, w *waiter, ahead int) time.Duration {
 	var ends [remainingBuckets + 1]int
 	runs, step := 0, max(p.onlineSlotTime/remainingBuckets, 1)
-	if p.costs.enabled {
-		// Runs may be expected to take longer than the mean.
-		step *= 2
-	}
 	for _, t := range p.targets {
 		if !p.usable(now, t) || !w.mayUse(t) {
 			continue
@@ -113,7 +111,7 @@
 // remaining returns the expected time until an online run ends. Durations vary, so a run that has exceeded the mean
 // is expected to end soon, and one that has just started may be short.
 func (r *run) remaining(now time.Time, mean time.Duration) time.Duration {
-	if r.costs.high > 0 {
+	if r.costs.longest > 0 {
 		return r.remainingByCost(now)
 	}
 	age := now.Sub(r.granted)
--- a/scheduler/cost.go
+++ b/scheduler/cost.go
@@ -18,8 +18,9 @@
 	maxTokens = 1 << 30
 	// outputTokensPerMs is the speed at which one run makes output: events of 12 tokens, 36 ms apart.
 	outputTokensPerMs = 1.0 / 3
-	// stepMs is the time of a step of an engine, and stepGrowth the share by which each run lengthens it.
-	stepMs, stepGrowth = 3.0, 0.03
+	// firstEventMs is the time of the steps that make the first event once the prompt is read, and stepGrowth the share by which each
+	// run lengthens a step.
+	firstEventMs, stepGrowth = 36.0, 0.03
 	// startWindow is the time within which the prompts of earlier starts may delay another one.
 	startWindow = 250 * time.Millisecond
 	// zoneMs is the cost of another availability zone: a message each way at 0.5 to 1.4 ms.
@@ -27,11 +28,15 @@
 	// prefixShare is the share of a prompt that need not be read again where its prefix was read before. Only the identity of the
 	// prefix is known, not its length.
 	prefixShare = 0.5
-	// workWeight is the price of a ms of remaining work for each slot. It is low, because remaining work delays a request that has
-	// a slot only by longer steps; it prefers targets whose slots become free soon.
-	workWeight = 0.01
+	// workWeight is the price of a ms of remaining work for each slot. Remaining work delays a request that has a slot only by longer
+	// steps, but a target that is kept from being full serves the next requests better. Half and double of it do as well in replays;
+	// a tenth of it fills the fast targets first, so that requests in their slow phases are late.
+	workWeight = 0.1
 	// workHorizon bounds the remaining work of one run that counts: about the slot time of an online request.
 	workHorizon = time.Second
+	// workLifetime is how long the remaining work of a target is carried forward instead of computed from all of its runs, which would
+	// be half of the time of a placement.
+	workLifetime = 50 * time.Millisecond
 	// tieMs is the difference of cost within which targets are chosen at random, so that simultaneous requests of several
 	// coordinators do not go to the same target: the differences that the model cannot tell apart.
 	tieMs = 1.0
@@ -59,8 +64,10 @@
 	enabled bool
 	// memoryTokens is the number of tokens that the requests on one target may hold together. Zero means no limit.
 	memoryTokens int
-	estimates    estimator
-	accuracy     workload.Accuracy
+	// itemTokens is the part of memoryTokens that items which are not urgent may fill.
+	itemTokens int
+	estimates  estimator
+	accuracy   workload.Accuracy
 	// median is the moving median of the slot time of online requests.
 	median   time.Duration
 	prefixes *workload.Prefixes[*targetState]
@@ -82,6 +89,9 @@
 	starts []start
 	// tokens is the number of tokens that the runs hold, including preempted ones, which hold them until they have ended.
 	tokens int
+	// work is the remaining work in ms at workAt. A zero workAt means that runs have begun or ended since.
+	work   float64
+	workAt time.Time
 	// loggedSlowdown is the slowdown that was last reported.
 	loggedSlowdown float64
 	loggedAt       time.Time
@@ -97,10 +107,12 @@
 	class workload.Class
 	// estimate is the estimate when the run was granted, and median and high the slot times that were expected without regard to
 	// the target's speed.
-	estimate     workload.Estimate
-	median, high time.Duration
-	tokens       int
-	nearlyFull   bool
+	estimate workload.Estimate
+	median   time.Duration
+	// shortest and longest are the bounds of the slot time on the target, see endsWithin.
+	shortest, longest time.Duration
+	tokens            int
+	nearlyFull        bool
 	// ageUnknown means that the run was learned from a report that did not state its age.
 	ageUnknown bool
 }
@@ -151,6 +163,19 @@
 	return t.costs.tokens+r.tokens() <= t.pool.costs.memoryTokens
 }
 
+// reserveMemory keeps the share of the memory that the headroom is of the slots from items that are not urgent. Where memory and not
+// the slots limits what runs, an item would otherwise take the memory of each one that was preempted.
+func (p *pool) reserveMemory(headroom, slots int) {
+	reserved := float64(headroom) / float64(max(slots, 1)) * float64(p.costs.memoryTokens)
+	p.costs.itemTokens = p.costs.memoryTokens - int(reserved)
+}
+
+// leavesHeadroom reports whether a request is not an item, or leaves the memory that is reserved for online requests. An item that
+// is larger than the rest gets a target that holds nothing.
+func (s *Scheduler) leavesHeadroom(now time.Time, t *targetState, w *waiter) bool {
+	return w.Class == Online || t.costs.tokens == 0 || t.costs.tokens+w.tokens() <= t.pool.costs.itemTokens || s.isUrgent(now, w)
+}
+
 // nearlyFullWith reports whether a target is nearly full with a number of runs.
 func (t *targetState) nearlyFullWith(runs int) bool {
 	return float64(runs) >= nearlyFullShare*float64(t.Slots)
@@ -166,7 +191,7 @@
 		if p.free(now, t) <= 0 || !w.mayUse(t) {
 			continue
 		}
-		if limited && !t.fits(&w.Request) {
+		if limited && !(t.fits(&w.Request) && s.leavesHeadroom(now, t, w)) {
 			w.memoryBound = true
 			continue
 		}
@@ -202,8 +227,8 @@
 		cost += zoneMs
 	}
 	slowdown := t.costs.speed.Slowdown(c.now, t.nearlyFullWith(t.occupied+1))
-	step := stepMs * (1 + stepGrowth*float64(t.occupied))
-	cost += slowdown * (step + prompt + t.unreadMs(c.now))
+	decode := firstEventMs * (1 + stepGrowth*float64(t.occupied))
+	cost += slowdown * (prompt + decode + t.unreadMs(c.now))
 	return cost + workWeight*t.remainingWork(c.now)/float64(max(t.Slots, 1))
 }
 
@@ -223,20 +248,23 @@
 
 // remainingWork returns the expected time in ms until the runs of a target have ended, one after the other.
 func (t *targetState) remainingWork(now time.Time) float64 {
+	if age := now.Sub(t.costs.workAt); age >= 0 && age < workLifetime {
+		return max(t.costs.work-float64(t.occupied)*float64(age)/float64(time.Millisecond), 0)
+	}
 	var sum time.Duration
 	for _, r := range t.runs {
 		if !r.preempted {
 			sum += min(r.remaining(now, t.pool.onlineSlotTime), workHorizon)
 		}
 	}
-	return float64(sum) / float64(time.Millisecond)
+	t.costs.work, t.costs.workAt = float64(sum)/float64(time.Millisecond), now
+	return t.costs.work
 }
 
-// remainingByCost returns the expected time until a run ends. One that has exceeded its mean is expected to approach its high
-// quantile.
+// remainingByCost returns the expected time until a run ends.
 func (r *run) remainingByCost(now time.Time) time.Duration {
 	age := now.Sub(r.granted)
-	return max(r.expected-age, (r.costs.high-age)/2, r.expected/minRemainingDivisor)
+	return max(r.expected-age, r.expected/minRemainingDivisor)
 }
 
 // prepareRun sets the costs of a run that starts on a target with one run less than it has now.
@@ -262,7 +290,10 @@
 	}
 	r.costs.median = median
 	r.expected = time.Duration(float64(mean) * slowdown)
-	r.costs.high = time.Duration(float64(high) * slowdown)
+	r.costs.longest = time.Duration(float64(high) * slowdown)
+	// The lower quantile is as far from the median as the upper one, in the logarithm. Runs that end before it are allowed for by
+	// half of it; with the whole of it, replays of overload refuse more requests than could have started in time.
+	r.costs.shortest = time.Duration(float64(median) * min(float64(median)/float64(high), 1) / 2 * slowdown)
 }
 
 // restoreCosts sets the costs of a run that another coordinator has granted.
@@ -440,6 +471,45 @@
 	return rereadFactor * (float64(prompt) + made) / promptTokensPerMs
 }
 
+// endsWithin returns the probability that an online run ends within d. Its slot time is taken as evenly distributed between its
+// quantiles: with costs that vary tenfold, many runs end well before the mean.
+func (r *run) endsWithin(now time.Time, d time.Duration) float64 {
+	age := now.Sub(r.granted)
+	from, left := max(age, r.costs.shortest), max(r.costs.longest-age, r.expected/minRemainingDivisor)
+	return min(max(float64(age+d-from)/float64(min(left, r.costs.longest-r.costs.shortest)), 0), 1)
+}
+
+// waitByCost estimates when a slot becomes free that none of the requests ahead takes, from the costs of the runs in progress.
+func (p *pool) waitByCost(now time.Time, w *waiter, ahead int, maxWait, interval time.Duration) time.Duration {
+	ends := 0.0
+	for _, t := range p.targets {
+		if !p.usable(now, t) || !w.mayUse(t) {
+			continue
+		}
+		if t.limiter.Limited() && t.occupied < t.Slots {
+			// The target's rate limit decides when it takes requests, not the ends of its runs.
+			for n := 1; n <= t.Slots && t.limiter.Wait(now, n) <= maxWait; n++ {
+				ends++
+			}
+			continue
+		}
+		for _, r := range t.runs {
+			if r.class == Online {
+				ends += r.endsWithin(now, maxWait)
+			}
+		}
+	}
+	wanted := float64(ahead + 1)
+	wait := time.Duration(float64(maxWait) * wanted / max(ends, 1))
+	if ends < wanted {
+		wait = max(maxWait, 0) + time.Duration((wanted-ends)*float64(interval))
+	}
+	if w.memoryBound {
+		wait = max(wait, p.memoryWait(now, w))
+	}
+	return wait
+}
+
 // memoryWait returns when a target is expected to have a slot and memory for a request that only memory keeps from a free slot.
 func (p *pool) memoryWait(now time.Time, w *waiter) time.Duration {
 	best := time.Duration(math.MaxInt64)
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -123,9 +124,18 @@
 }
 
 func TestSlotsAreNeitherOversubscribedNorIdleWhileRequestsWait(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	rapid.Check(t, slotsAreUsed(scheduler.Config{}))
+}
+
+func TestSlotsPlacedByCostAreNeitherOversubscribedNorIdleWhileRequestsWait(t *testing.T) {
+	rapid.Check(t, slotsAreUsed(byCost))
+}
+
+func slotsAreUsed(config scheduler.Config) func(*rapid.T) {
+	return func(t *rapid.T) {
 		count, slots := rapid.IntRange(1, 4).Draw(t, "targets"), rapid.IntRange(1, 4).Draw(t, "slots")
-		s := newScheduler(count, slots)
+		s := scheduler.New(config, rand.New(rand.NewPCG(1, 2)))
+		s.SetTargets(epoch, fleet(count, slots))
 		o := &oracle{
 			now: epoch, waiting: map[scheduler.Ticket]scheduler.Request{}, running: map[scheduler.Ticket]string{},
 			preempted: map[scheduler.Ticket]bool{}, class: map[scheduler.Ticket]scheduler.Class{}, version: map[scheduler.Ticket]string{}, targets: map[string]routing.Target{},
@@ -210,5 +220,5 @@
 			},
 			"": func(t *rapid.T) {},
 		})
-	})
+	}
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -145,11 +145,16 @@
 
 // dispatchItems grants the free slots beyond the headroom, and those within it to urgent items.
 func (s *Scheduler) dispatchItems(now time.Time, p *pool) []Action {
+	if len(p.items) == 0 {
+		return nil
+	}
 	free := p.freeSlots(now)
-	if len(p.items) == 0 || free == 0 {
+	if free == 0 {
 		return nil
 	}
-	spare := free - s.headroom(now, p)
+	headroom := s.headroom(now, p)
+	p.reserveMemory(headroom, p.usableSlots(now))
+	spare := free - headroom
 	eligible := slices.Clone(p.items)
 	if spare <= 0 {
 		eligible = slices.DeleteFunc(eligible, func(w *waiter) bool { return !s.isUrgent(now, w) })
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -277,8 +277,10 @@
 	if placed {
 		return actions
 	}
-	if refusal, refused := s.admit(now, p, w); refused {
-		return append(actions, refusal)
+	if w.awaits == nil {
+		if refusal, refused := s.admit(now, p, w); refused {
+			return []Action{refusal}
+		}
 	}
 	s.enqueueOnline(p, w)
 	return actions
@@ -363,6 +365,7 @@
 	t.runs = append(t.runs, r)
 	t.occupied++
 	t.costs.tokens += r.costs.tokens
+	t.costs.workAt = time.Time{}
 	if r.class == Online {
 		t.pool.onlineRuns++
 	}
@@ -377,6 +380,7 @@
 		t.occupied--
 	}
 	t.costs.tokens -= r.costs.tokens
+	t.costs.workAt = time.Time{}
 	if r.class == Online {
 		t.pool.onlineRuns--
 	}
@@ -387,6 +391,7 @@
 func (r *run) preempt() {
 	r.preempted = true
 	r.target.occupied--
+	r.target.costs.workAt = time.Time{}
 }
 
 func (s *Scheduler) dequeue(w *waiter) {
