--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -23,8 +23,9 @@
 	sequence  uint64
 	request   scheduler.Request
 	preempted chan struct{}
-	// coordinator is the VM that granted the slot.
+	// coordinator is the VM that granted the slot, and granted is when its grant arrived.
 	coordinator string
+	granted     time.Time
 	// targetStarted is the start time of the target that was registered then.
 	targetStarted int64
 	releaseOnce   sync.Once
@@ -258,6 +259,7 @@
 		request:   request,
 
 		coordinator: coordinator,
+		granted:     time.Now(),
 	}
 	s.mu.Lock()
 	slot.targetStarted = s.starts[slot.Target]
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -48,7 +48,12 @@
 	maxWait := w.StartBy.Sub(now)
 	ahead := p.requestsAhead(now, w, maxWait)
 	// Slots become free at a steady rate, except shortly after all of them were taken at once.
-	wait := max(time.Duration(ahead+1)*interval, s.estimateWait(now, p, w, ahead))
+	wait := time.Duration(ahead+1) * interval
+	if p.costs.enabled {
+		wait = max(wait, p.waitByCost(now, w, ahead, maxWait, interval))
+	} else {
+		wait = max(wait, s.estimateWait(now, p, w, ahead))
+	}
 	if wait <= maxWait {
 		return Refuse{}, false
 	}
@@ -106,6 +111,9 @@
 // remaining returns the expected time until an online run ends. Durations vary, so a run that has exceeded the mean
 // is expected to end soon, and one that has just started may be short.
 func (r *run) remaining(now time.Time, mean time.Duration) time.Duration {
+	if r.costs.longest > 0 {
+		return r.remainingByCost(now)
+	}
 	age := now.Sub(r.granted)
 	return max(mean-age, mean/minRemainingDivisor)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -41,6 +41,8 @@
 	ReportGrace time.Duration
 	// WaitLease is how long a waiting request is kept without renewal. Default 600 ms.
 	WaitLease time.Duration
+	// ByCost makes the scheduler choose targets by expected cost and remaining work instead of free slots.
+	ByCost bool
 	// Health configures the ejection of targets.
 	Health target.HealthConfig
 }
@@ -80,6 +82,8 @@
 	running map[Ticket]*run
 	waiting map[Ticket]*waiter
 	targets map[string]*targetState
+	// pick chooses a target with a free slot by expected cost.
+	pick func(now time.Time, p *pool, w *waiter) *targetState
 }
 
 // run is a request that holds a slot.
@@ -94,12 +98,17 @@
 	preempted bool
 	// silent runs have been counted against their target.
 	silent bool
+	costs  runCosts
 }
 
 // waiter is a queued request.
 type waiter struct {
 	Request
 	arrived, renewed time.Time
+	// memoryBound means that memory kept the request from a slot when it was last tried, and awaits is the item that was preempted
+	// for its memory.
+	memoryBound bool
+	awaits      *run
 }
 
 // targetState is the state of one target.
@@ -123,6 +132,7 @@
 	// restarted is when this VM learned that the target had started again under its ID. Earlier statements are those of its
 	// former process. It is zero if no former process was known.
 	restarted time.Time
+	costs     targetCosts
 }
 
 // pool is the state of one service.
@@ -141,12 +151,13 @@
 	arrivals []time.Time
 	// onlineSlotTime is the moving average of the slot time of online requests.
 	onlineSlotTime time.Duration
+	costs          costs
 }
 
 // New returns a scheduler without targets.
 func New(config Config, random *rand.Rand) *Scheduler {
 	config.setDefaults()
-	return &Scheduler{
+	s := &Scheduler{
 		config:  config,
 		random:  random,
 		pools:   map[string]*pool{},
@@ -154,6 +165,8 @@
 		waiting: map[Ticket]*waiter{},
 		targets: map[string]*targetState{},
 	}
+	s.pick = s.pickByCost
+	return s
 }
 
 func (s *Scheduler) pool(name string) *pool {
@@ -163,6 +176,7 @@
 			name:           name,
 			health:         target.NewHealthGroup(s.config.Health),
 			onlineSlotTime: s.config.OnlineSlotTime,
+			costs:          newCosts(s.config),
 		}
 		s.pools[name] = p
 	}
@@ -235,6 +249,7 @@
 		s.endRun(r)
 	}
 	delete(s.targets, t.ID)
+	t.pool.costs.prefixes.Forget(t)
 	t.pool.targets = slices.DeleteFunc(t.pool.targets, func(o *targetState) bool { return o == t })
 }
 
@@ -267,11 +282,13 @@
 	if placed {
 		return actions
 	}
-	if refusal, refused := s.admit(now, p, w); refused {
-		return []Action{refusal}
+	if w.awaits == nil {
+		if refusal, refused := s.admit(now, p, w); refused {
+			return []Action{refusal}
+		}
 	}
 	s.enqueueOnline(p, w)
-	return nil
+	return actions
 }
 
 // enqueueOnline queues retries before first attempts.
@@ -312,8 +329,11 @@
 		p.observeSlotTime(now.Sub(r.granted))
 	}
 	var actions []Action
+	if outcome == Finished {
+		actions = p.observeCost(now, r)
+	}
 	if !r.silent || outcome != Interrupted && outcome != TimedOut {
-		actions = p.observeHealth(now, r, outcome, firstEvent)
+		actions = append(actions, p.observeHealth(now, r, outcome, firstEvent)...)
 	}
 	return append(actions, s.dispatch(now, p)...)
 }
@@ -349,6 +369,8 @@
 	r.target = t
 	t.runs = append(t.runs, r)
 	t.occupied++
+	t.costs.tokens += r.costs.tokens
+	t.costs.workAt = time.Time{}
 	if r.class == Online {
 		t.pool.onlineRuns++
 	}
@@ -362,6 +384,8 @@
 	if !r.preempted {
 		t.occupied--
 	}
+	t.costs.tokens -= r.costs.tokens
+	t.costs.workAt = time.Time{}
 	if r.class == Online {
 		t.pool.onlineRuns--
 	}
@@ -372,6 +396,7 @@
 func (r *run) preempt() {
 	r.preempted = true
 	r.target.occupied--
+	r.target.costs.workAt = time.Time{}
 }
 
 func (s *Scheduler) dequeue(w *waiter) {
@@ -445,7 +470,9 @@
 	if w := s.waiting[ticket]; w != nil {
 		s.dequeue(w)
 	}
-	s.startRun(t, &run{ticket: ticket, class: r.Class, granted: now, due: now.Add(r.DueIn), expected: r.Expected})
+	restored := &run{ticket: ticket, class: r.Class, granted: now, due: now.Add(r.DueIn), expected: r.Expected}
+	t.pool.restoreCosts(now, t, restored, r)
+	s.startRun(t, restored)
 }
 
 // grant returns the Grant of a run, whose VM may have missed it.
