scheduler: share the slots of a group between accounts

An account in a surge filled the online queue in order of arrival, so that requests of other accounts were late or refused. The queue, the predicted waits and the order of items now follow the weighted recent use of slots by account (package fairshare), after the priority. A waiting request that is overtaken and can no longer start in time is refused at once. Without accounts and priorities the order is unchanged.

Known failure: TestSurgeOfAccountsDelaysNoOthers/1_accounts_times_7.5. With one account of four times the usual size, 2 of 534 requests of other accounts are late or refused (149 with the plain queue); the bound is 0. The cause has not been established. The other three cases of the test pass.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -44,16 +44,9 @@
 	if capacity == 0 {
 		return Refuse{Ticket: w.Ticket, RetryAfter: s.jitter(s.config.NoTargetRetry), Reason: NoTarget}, true
 	}
-	interval := p.interval(capacity)
 	maxWait := w.StartBy.Sub(now)
 	ahead := p.requestsAhead(now, w, maxWait)
-	// Slots become free at a steady rate, except shortly after all of them were taken at once.
-	wait := time.Duration(ahead+1) * interval
-	if p.costs.enabled {
-		wait = max(wait, p.waitByCost(now, w, ahead, maxWait, interval))
-	} else {
-		wait = max(wait, s.estimateWait(now, p, w, ahead))
-	}
+	wait, interval := s.predictWait(now, p, w, ahead, maxWait, capacity)
 	if wait <= maxWait {
 		return Refuse{}, false
 	}
@@ -67,6 +60,17 @@
 	}, true
 }
 
+// predictWait returns the expected wait of an online request, and the mean time between two slots that become free.
+func (s *Scheduler) predictWait(now time.Time, p *pool, w *waiter, ahead int, maxWait time.Duration, capacity float64) (wait, interval time.Duration) {
+	interval = p.interval(capacity)
+	// Slots become free at a steady rate, except shortly after all of them were taken at once.
+	wait = time.Duration(ahead+1) * interval
+	if p.costs.enabled {
+		return max(wait, p.waitByCost(now, w, ahead, maxWait, interval)), interval
+	}
+	return max(wait, s.estimateWait(now, p, w, ahead)), interval
+}
+
 // estimateWait estimates, from the ages of the runs, when a slot becomes free that none of the requests ahead takes.
 func (s *Scheduler) estimateWait(now time.Time, p *pool, w *waiter, ahead int) time.Duration {
 	var ends [remainingBuckets + 1]int
@@ -160,17 +164,20 @@
 // requestsAhead returns the number of requests that will start before w: those that are queued, and the retries that
 // are expected within maxWait.
 func (p *pool) requestsAhead(now time.Time, w *waiter, maxWait time.Duration) int {
-	ahead := 0
-	for _, o := range p.online {
-		if !w.Retry || o.Retry {
-			ahead++
+	var retries []expectedRetry
+	if !w.Retry {
+		for _, r := range p.expectedRetries {
+			if r.at.Before(now.Add(maxWait)) && r.at.After(now.Add(-retryWindow)) {
+				retries = append(retries, r)
+			}
 		}
 	}
-	if w.Retry {
-		return ahead
+	if p.isShared(w) {
+		return slices.IndexFunc(p.turns(now, w, retries), func(t turn) bool { return t.waiter == w })
 	}
-	for _, at := range p.expectedRetries {
-		if at.Before(now.Add(maxWait)) && at.After(now.Add(-retryWindow)) {
+	ahead := len(retries)
+	for _, o := range p.online {
+		if !w.Retry || o.Retry {
 			ahead++
 		}
 	}
@@ -184,19 +191,19 @@
 	if w.Resuming {
 		return minRetryAfter
 	}
-	p.expectedRetries = slices.DeleteFunc(p.expectedRetries, func(at time.Time) bool { return at.Before(now.Add(-retryWindow)) })
+	p.expectedRetries = slices.DeleteFunc(p.expectedRetries, func(r expectedRetry) bool { return r.at.Before(now.Add(-retryWindow)) })
 	at := now.Add(max(excess, minRetryAfter))
 	if n := len(p.expectedRetries); n > 0 {
 		spacing := time.Duration(float64(interval) / p.spareShare(now, interval))
-		if next := p.expectedRetries[n-1].Add(spacing); next.After(at) {
+		if next := p.expectedRetries[n-1].at.Add(spacing); next.After(at) {
 			at = next
 		}
 	}
 	if limit := time.Duration(maxRetryDelayShare * float64(w.RetryWithin)); limit > 0 && at.After(now.Add(limit)) {
 		at = now.Add(limit)
 	}
-	index, _ := slices.BinarySearchFunc(p.expectedRetries, at, time.Time.Compare)
-	p.expectedRetries = slices.Insert(p.expectedRetries, index, at)
+	index, _ := slices.BinarySearchFunc(p.expectedRetries, at, func(r expectedRetry, at time.Time) int { return r.at.Compare(at) })
+	p.expectedRetries = slices.Insert(p.expectedRetries, index, expectedRetry{at, w.Account, w.Weight, w.Priority})
 	return at.Sub(now)
 }
 
@@ -222,10 +229,11 @@
 	return float64(recent) * float64(d) / float64(arrivalWindow)
 }
 
-// consumeRetry removes the earliest expected retry when a client retries.
-func (p *pool) consumeRetry(now time.Time) {
-	if len(p.expectedRetries) > 0 && p.expectedRetries[0].Before(now.Add(retryWindow)) {
-		p.expectedRetries = p.expectedRetries[1:]
+// consumeRetry removes the earliest expected retry of an account when a client retries.
+func (p *pool) consumeRetry(now time.Time, account string) {
+	index := slices.IndexFunc(p.expectedRetries, func(r expectedRetry) bool { return r.account == account })
+	if index >= 0 && p.expectedRetries[index].at.Before(now.Add(retryWindow)) {
+		p.expectedRetries = slices.Delete(p.expectedRetries, index, index+1)
 	}
 }
 
--- a/scheduler/loads.go
+++ b/scheduler/loads.go
@@ -66,7 +66,7 @@
 	slices.Reverse(list)
 	if class == Item {
 		list = slices.Clone(p.items)
-		sortItems(now, list)
+		s.sortItems(now, p, list)
 	}
 	list = slices.DeleteFunc(list, func(w *waiter) bool { return w.Version != "" && !accepts(w.Version) })
 	var tickets []Ticket
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -121,6 +121,7 @@
 	r := &run{ticket: w.Ticket, class: w.Class, granted: now, due: w.StartBy, expected: w.Expected}
 	t.pool.prepareRun(now, t, r, &w.Request)
 	t.recordStart(now, &w.Request)
+	t.pool.recordUse(now, w, r)
 	s.startRun(t, r)
 	return r.grant()
 }
@@ -128,6 +129,7 @@
 // dispatch grants free slots, first to online requests in queue order, then to items.
 func (s *Scheduler) dispatch(now time.Time, p *pool) []Action {
 	var actions []Action
+	p.sortOnline(now)
 	for _, w := range slices.Clone(p.online) {
 		granted, placed := s.place(now, p, w)
 		actions = append(actions, granted...)
@@ -159,7 +161,7 @@
 	if spare <= 0 {
 		eligible = slices.DeleteFunc(eligible, func(w *waiter) bool { return !s.isUrgent(now, w) })
 	}
-	sortItems(now, eligible)
+	s.sortItems(now, p, eligible)
 	var actions []Action
 	for _, w := range eligible {
 		if p.hasTriedAll(now, w) {
@@ -187,11 +189,6 @@
 	return len(w.Tried) > 0 && !slices.ContainsFunc(p.targets, func(t *targetState) bool { return p.usable(now, t) && w.mayUse(t) })
 }
 
-// sortItems sorts items into the order in which they are granted slots.
-func sortItems(now time.Time, items []*waiter) {
-	slices.SortStableFunc(items, func(a, b *waiter) int { return CompareItems(now, a.Request, b.Request) })
-}
-
 // CompareItems orders items by due time. Items that would miss it come after those that can still meet it.
 func CompareItems(now time.Time, a, b Request) int {
 	lateA, lateB := a.MissesDueTime(now), b.MissesDueTime(now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/fairshare"
 	"github.com/rosemarydyke/rosemarydyke/ratelimit"
 	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/target"
@@ -105,6 +106,8 @@
 type waiter struct {
 	Request
 	arrived, renewed time.Time
+	// arrival numbers the online requests of a pool.
+	arrival uint64
 	// memoryBound means that memory kept the request from a slot when it was last tried, and awaits is the item that was preempted
 	// for its memory.
 	memoryBound bool
@@ -145,8 +148,12 @@
 	health     *target.HealthGroup
 	online     []*waiter
 	items      []*waiter
-	// expectedRetries are the times at which refused clients were told to retry, sorted.
-	expectedRetries []time.Time
+	// arrived is the number of online requests so far.
+	arrived uint64
+	// onlineUse and itemUse are the recent use by account. They are separate because items run in slots that online requests leave.
+	onlineUse, itemUse fairshare.Usage
+	// expectedRetries are the retries that refused clients were told to make, sorted by time.
+	expectedRetries []expectedRetry
 	// arrivals are the times of first attempts of online requests within arrivalWindow.
 	arrivals []time.Time
 	// onlineSlotTime is the moving average of the slot time of online requests.
@@ -271,10 +278,12 @@
 		s.enqueueItem(p, w)
 		return s.dispatch(now, p)
 	}
+	p.arrived++
+	w.arrival = p.arrived
 	switch {
 	case r.Resuming:
 	case r.Retry:
-		p.consumeRetry(now)
+		p.consumeRetry(now, r.Account)
 	default:
 		p.observeArrival(now)
 	}
@@ -287,12 +296,12 @@
 			return []Action{refusal}
 		}
 	}
-	s.enqueueOnline(p, w)
-	return actions
+	s.enqueueOnline(now, p, w)
+	return append(actions, s.refuseOvertaken(now, p, w)...)
 }
 
-// enqueueOnline queues retries before first attempts.
-func (s *Scheduler) enqueueOnline(p *pool, w *waiter) {
+// enqueueOnline queues requests by priority, by account, and retries before first attempts.
+func (s *Scheduler) enqueueOnline(now time.Time, p *pool, w *waiter) {
 	s.waiting[w.Ticket] = w
 	at := len(p.online)
 	if w.Retry {
@@ -302,6 +311,7 @@
 		}
 	}
 	p.online = slices.Insert(p.online, at, w)
+	p.sortOnline(now)
 }
 
 func (s *Scheduler) enqueueItem(p *pool, w *waiter) {
