usage: the reach of a counting VM is estimated each 200 ms; names of accounts have no control characters

Cause: 20 questions a second for each VM would cost more processor time than all its other messages (by calculation: a question and its answer cost about as much as a probe, 1.0 ms at both ends). Names go to targets in a header, and net/http refuses a request with a control character there.

--- a/account/account.go
+++ b/account/account.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"strings"
 )
 
 // Account is a client account.
@@ -66,6 +67,10 @@
 	if a.Name == "" {
 		return errors.New("client account has no name")
 	}
+	// Targets get the name in a header.
+	if strings.ContainsFunc(a.Name, func(r rune) bool { return r < ' ' || r == 0x7f }) {
+		return fmt.Errorf("name of client account %q has a control character", a.Name)
+	}
 	for _, v := range []float64{a.Weight, a.Limit.PerSecond, a.Limit.Burst} {
 		if v < 0 || math.IsNaN(v) || math.IsInf(v, 0) {
 			return fmt.Errorf("client account %q has a weight or limit of %v", a.Name, v)
--- a/internal/usage/fleet.go
+++ b/internal/usage/fleet.go
@@ -28,10 +28,13 @@
 	// settleTime is how long after its start a VM relies on the number of VMs in its settings. VMs that start together
 	// know each other after a second.
 	settleTime = 3 * time.Second
-	// reachQuestions are kept to estimate the reach, one each tick. A VM is cut off when cutOffQuestions of them had no
-	// answer within reachTimeout: after 0.4 s. If 16 in 100 VMs do not answer, this happens by chance once in 5,000 ticks.
-	reachQuestions  = 10
-	cutOffQuestions = 7
+	// reachQuestions are kept to estimate the reach, one each reachInterval. A VM is cut off when cutOffQuestions of them had
+	// no answer within reachTimeout: after about a second. More frequent questions cost more processor time than all other
+	// messages of a VM, and a VM that is cut off counts only what its own clients send. If 16 in 100 VMs do not answer, it
+	// happens by chance once in 2,000 questions.
+	reachInterval   = 200 * time.Millisecond
+	reachQuestions  = 6
+	cutOffQuestions = 5
 	reachTimeout    = 50 * time.Millisecond
 	reachMaxAge     = 2 * time.Second
 )
@@ -257,6 +260,8 @@
 		answered bool
 	}
 	next int
+	// last is when the last question was asked.
+	last time.Time
 }
 
 func (r *reach) asked(sequence uint64, now time.Time) {
@@ -286,9 +291,10 @@
 
 // estimateReach asks one of the other VMs for an answer while this VM counts.
 func (s *Service) estimateReach(now time.Time) {
-	if s.buckets.Len() == 0 {
+	if s.buckets.Len() == 0 || now.Sub(s.fleet.reach.last) < reachInterval {
 		return
 	}
+	s.fleet.reach.last = now
 	for vm, p := range s.fleet.peers {
 		if p.counts && !p.silent {
 			id := s.nextID()
