--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -282,14 +283,23 @@
 
 // loopbackNode connects two services: calls on one node are handled by the other.
 type loopbackNode struct {
+	mu        sync.Mutex
 	handlers  map[peer.Method]peer.CallHandler
 	connected *loopbackNode
 }
 
 func (n *loopbackNode) HandleCall(method peer.Method, handler peer.CallHandler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.handlers[method] = handler
 }
 
+func (n *loopbackNode) handler(method peer.Method) peer.CallHandler {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.handlers[method]
+}
+
 func (n *loopbackNode) Call(ctx context.Context, _ netip.AddrPort, method peer.Method, request, response any) error {
 	recode := func(from, into any) error {
 		content, err := cbor.Marshal(from)
@@ -298,7 +308,7 @@
 		}
 		return cbor.Unmarshal(content, into)
 	}
-	handler := n.connected.handlers[method]
+	handler := n.connected.handler(method)
 	if handler == nil {
 		// The peer has not started.
 		return &peer.UnansweredError{}
@@ -384,9 +394,9 @@
 			time.Sleep(2 * time.Second)
 			f[0].store.down.Store(true)
 			if oldPeer {
-				nodes[0].handlers["discovery.copy"] = func(_ context.Context, _ peer.Identity, decode func(any) error) (any, error) {
+				nodes[0].HandleCall("discovery.copy", func(_ context.Context, _ peer.Identity, decode func(any) error) (any, error) {
 					return map[int]any{1: []byte(fmt.Sprintf(config, 1)), 2: map[string][]byte{}}, decode(&struct{}{})
-				}
+				})
 			}
 			time.Sleep(1500 * time.Millisecond)
 			f[0].put(platform.OperatorTable, platform.ConfigKey, fmt.Sprintf(config, 2))
