--- a/account/revocation_test.go
+++ b/account/revocation_test.go
@@ -221,7 +221,7 @@
 	qt.Assert(t, Revocation{}.AcceptsKeys(Confirmation{}) && Revocation{}.Listed(Confirmation{}), qt.IsTrue)
 }
 
-// Key, usage cap and order together may take 5 microseconds per request.
+// Key lookup, usage limit and queue order together may take 5 microseconds per request.
 func BenchmarkAuthorize(b *testing.B) {
 	var entries []Entry
 	for i := range 4100 {
