origins: a resumed stream goes on at its version after a loss of all VMs

Cause: a VM that nobody could tell where a stream began took the only version registered at that moment, and the history of versions began anew with each process. After a loss of all VMs a stream of a version that had just left went on at the next one with status 200; while two versions served, every such stream was refused.

Change: the versions of each service are recorded in the store, and targets are used once their version is recorded. While several versions may have begun a stream, collectors write the origins of streams in batches. What neither tells is refused. A known origin at a service that the route no longer uses is refused, too.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -203,26 +203,27 @@
 	e.log("quarantined", nil, strconv.Itoa(http.StatusServiceUnavailable))
 }
 
-// errUnknownOrigin means that a stream is not resumed, because it could go on at another version than the one that began it.
-var errUnknownOrigin = errors.New("no VM knows which version began the stream, and several serve")
+// errOriginNotUsed means that a stream is not resumed, because its route does not lead to the service that began it any more.
+var errOriginNotUsed = errors.New("the route does not use the service that began the stream any more")
 
-// resolveOrigin finds the version that began the stream which the client resumes, and reports whether it is known.
-func (e *exchange) resolveOrigin(ctx context.Context) bool {
-	o, known := e.server.config.Origins.Resolve(ctx, e.client.Resumes, e.service, len(e.route.Services) <= 1)
-	if !known {
-		return false
+// resolveOrigin finds the version that began the stream which the client resumes. It fails if the stream can't go on there.
+func (e *exchange) resolveOrigin(ctx context.Context) error {
+	o, err := e.server.config.Origins.Resolve(ctx, e.client.Resumes, e.service, len(e.route.Services) <= 1)
+	if err != nil {
+		return err
 	}
-	if o.Service == e.service || e.route.Uses(o.Service) {
-		e.service, e.version = o.Service, o.Version
+	if o.Service != e.service && !e.route.Uses(o.Service) {
+		return errOriginNotUsed
 	}
-	return true
+	e.service, e.version = o.Service, o.Version
+	return nil
 }
 
 // recordOrigin records the version that begins the stream, before the client gets its first event.
 func (e *exchange) recordOrigin(r *run) {
 	e.version = r.slot.Version
 	if e.route.Retryable() {
-		e.server.config.Origins.Record(e.client.ID, origin.Origin{Service: e.service, Version: e.version})
+		e.server.config.Origins.Record(e.client.ID, origin.Origin{Service: e.service, Version: e.version}, len(e.route.Services) > 1)
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -78,10 +78,10 @@
 
 // Origins knows which software version began a stream, at any VM.
 type Origins interface {
-	// Record records where the stream of an attempt began.
-	Record(attempt string, o origin.Origin)
-	// Resolve returns where the stream of an attempt began, and reports whether that is known.
-	Resolve(ctx context.Context, attempt, service string, onlyService bool) (origin.Origin, bool)
+	// Record records where the stream of an attempt began. splitRoute means that its route has several services.
+	Record(attempt string, o origin.Origin, splitRoute bool)
+	// Resolve returns where the stream of an attempt began. It fails if that is not known.
+	Resolve(ctx context.Context, attempt, service string, onlyService bool) (origin.Origin, error)
 }
 
 // Usage counts the requests of client accounts over all VMs.
@@ -217,11 +217,17 @@
 			Parts:       quarantine.PartFingerprints(parsed.Model, parsed.SharedParts),
 		},
 	}
-	if e.isStream() && parsed.LastEvent != platform.NoEvent && !e.resolveOrigin(ctx) {
-		refusedTotal.Inc()
-		platform.WriteRefusal(w, http.StatusServiceUnavailable, unknownOriginRetryAfter, "it is not known which version began the stream")
-		e.log("refused", errUnknownOrigin, strconv.Itoa(http.StatusServiceUnavailable))
-		return
+	if e.isStream() && parsed.LastEvent != platform.NoEvent {
+		if err := e.resolveOrigin(ctx); err != nil {
+			refusedTotal.Inc()
+			if errors.Is(err, errOriginNotUsed) {
+				platform.WriteRefusal(w, http.StatusServiceUnavailable, 0, err.Error())
+			} else {
+				platform.WriteRefusal(w, http.StatusServiceUnavailable, unknownOriginRetryAfter, "it is not known which version began the stream")
+			}
+			e.log("refused", err, strconv.Itoa(http.StatusServiceUnavailable))
+			return
+		}
 	}
 	if !e.countUsage(ctx) {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,7 +153,6 @@
 	n.discovery = discovery.New(discovery.Config{
 		Rows: n.rows,
 		OnTargets: func(targets []routing.Target) {
-			n.slots.SetTargets(targets)
 			n.origins.SetTargets(targets)
 			addresses := make([]string, len(targets))
 			for i, t := range targets {
@@ -189,6 +188,7 @@
 		n.countLiveVMs(members)
 		n.slots.MembersChanged()
 		n.usage.MembersChanged()
+		n.origins.MembersChanged(members)
 	})
 	n.relay = targetrelay.New(targetrelay.Config{Dial: n.dialTarget, Peers: n.relayPeers, Usable: n.discovery.UsableAddress, Log: n.log})
 	targets := platform.NewTargetClient(targetObserver{n}, n.relay)
@@ -221,7 +221,7 @@
 		Interval: evidenceInterval,
 	})
 	n.evidence.Register(n.transport)
-	n.origins = origins.New(origins.Config{Members: n.members, Node: n.transport, Log: n.log})
+	n.origins = origins.New(origins.Config{Members: n.members, Node: n.transport, Rows: n.rows, OnTargets: n.slots.SetTargets, Log: n.log})
 	n.ingress = ingress.New(ingress.Config{
 		Configuration: n.discovery,
 		Slots:         n.slots,
@@ -424,6 +424,7 @@
 	tasks.Go(func() { n.discovery.Run(runCtx) })
 	tasks.Go(func() { n.jobs.Run(runCtx) })
 	tasks.Go(func() { n.evidence.Run(runCtx) })
+	tasks.Go(func() { n.origins.Run(runCtx) })
 	serveErrors := make(chan error, len(n.servers))
 	for i, server := range n.servers {
 		go func() { serveErrors <- server.Serve(n.listeners[i]) }()
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -1,12 +1,16 @@
-// Package origins finds out which software version of a service began a stream that a client takes up at any VM.
+// Package origins finds out which software version of a service began a stream that a client resumes at any VM.
 //
 // The VM at which a stream begins tells two other VMs, chosen by rendezvous hashing of the attempt's ID, so that the
 // origin survives the loss of the VM, which is a common reason for a client to return. No VM keeps more than its share.
+//
+// What has to survive the loss of all VMs is in the store: the versions of each service (Record), and, while a stream may
+// have begun at one of several, the origins of recent streams.
 package origins
 
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"sync"
@@ -17,6 +21,7 @@
 
 	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/origin"
 	"github.com/rosemarydyke/rosemarydyke/routing"
@@ -35,6 +40,15 @@
 	// findTimeout bounds the time to ask: two transmissions between availability zones. A VM that was lost a moment ago
 	// does not answer.
 	findTimeout = 100 * time.Millisecond
+	// confirmTimeout bounds the time to ask while this VM knows a single version, in case it learns of another one late.
+	confirmTimeout = 25 * time.Millisecond
+)
+
+var (
+	// ErrUnknown means that a stream may have begun at one of several versions, and that its origin was not kept.
+	ErrUnknown = errors.New("no VM knows which version began the stream, nor does the store, and several serve or served lately")
+	// ErrNotRead means that the origin may be in the store, which could not be read.
+	ErrNotRead = errors.New("no VM knows which version began the stream, and the store was not read")
 )
 
 var (
@@ -58,77 +72,183 @@
 
 type findRequest struct {
 	Attempt string `cbor:"1,keyasint"`
+	// Service is the service whose only version is asked for, too.
+	Service string `cbor:"2,keyasint,omitempty"`
+	// Stored asks a VM to look in the store, too.
+	Stored bool `cbor:"3,keyasint,omitempty"`
 }
 
 type findResponse struct {
 	Known  bool          `cbor:"1,keyasint,omitempty"`
 	Origin origin.Origin `cbor:"2,keyasint"`
+	// Sole means that all streams of the service began at SoleVersion.
+	Sole        bool   `cbor:"3,keyasint,omitempty"`
+	SoleVersion string `cbor:"4,keyasint,omitempty"`
+	// StoreRead means that the VM has looked in the store.
+	StoreRead bool `cbor:"5,keyasint,omitempty"`
+	// SoleBefore means that all streams of the service began at VersionBefore that are older than the VM's process, and that all
+	// VMs it has known since are alive.
+	SoleBefore    bool   `cbor:"6,keyasint,omitempty"`
+	VersionBefore string `cbor:"7,keyasint,omitempty"`
 }
 
 // Config configures a Service.
 type Config struct {
 	Members member.View
 	Node    Node
-	Log     zerolog.Logger
+	Rows    platform.Rows
+	// OnTargets is called with the targets that may begin streams after each change.
+	OnTargets func([]routing.Target)
+	Log       zerolog.Logger
 }
 
 // Service records and finds the origins of streams. It is safe for concurrent use.
 type Service struct {
 	config Config
+	// changed wakes the task that keeps the record of versions.
+	changed chan struct{}
+	stored  *storedOrigins
+
+	// publishMu orders the calls of OnTargets.
+	publishMu sync.Mutex
 
 	mu      sync.Mutex
 	ledger  *origin.Ledger
 	history *origin.History
+	targets []routing.Target
+	// records says what is known of the record of each service.
+	records map[string]*recordState
+	// incarnations holds the VMs that were alive, and vmLost says that one of them is not any more.
+	incarnations map[string]uint64
+	vmLost       bool
 }
 
-// New returns a service, and registers its handlers at the node.
+// New returns a service, and registers its handlers at the node. Nothing runs before Run.
 func New(config Config) *Service {
-	s := &Service{config: config, ledger: origin.NewLedger(), history: origin.NewHistory()}
+	s := &Service{
+		config:       config,
+		changed:      make(chan struct{}, 1),
+		ledger:       origin.NewLedger(),
+		history:      origin.NewHistory(time.Now()),
+		records:      map[string]*recordState{},
+		incarnations: map[string]uint64{},
+	}
+	s.stored = newStoredOrigins(config, s.collector)
 	config.Node.HandleMessage(methodRecord, s.onRecord)
+	config.Node.HandleMessage(methodStore, s.onStore)
 	config.Node.HandleCall(methodFind, s.onFind)
 	return s
 }
 
-// SetTargets replaces the registered targets.
-func (s *Service) SetTargets(targets []routing.Target) {
+// Run keeps the record of versions, and writes origins to the store, until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	tasks.Go(func() { s.keepRecords(ctx) })
+	tasks.Go(func() { s.stored.run(ctx) })
+	tasks.Wait()
+}
+
+// MembersChanged learns which VMs are lost.
+func (s *Service) MembersChanged(members []member.Member) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.history.SetTargets(time.Now(), targets)
+	alive := map[string]uint64{}
+	for _, m := range members {
+		if m.State == member.Alive || m.State == member.Suspect {
+			alive[m.VM] = m.Incarnation
+		}
+	}
+	for vm, incarnation := range s.incarnations {
+		if current, present := alive[vm]; !present || current != incarnation {
+			s.vmLost = true
+		}
+	}
+	s.incarnations = alive
+	s.mu.Unlock()
+	s.stored.resubmit()
 }
 
-// Record records where the stream of an attempt began, here and at other VMs.
-func (s *Service) Record(attempt string, o origin.Origin) {
+// Record records where the stream of an attempt began, here and at other VMs. splitRoute means that the route has several
+// services, so that the versions of one don't tell the origin.
+func (s *Service) Record(attempt string, o origin.Origin, splitRoute bool) {
 	s.put(attempt, o)
 	for _, to := range s.peers(attempt, replicas) {
 		if err := s.config.Node.Send(to, methodRecord, recordMessage{Attempt: attempt, Origin: o}); err != nil {
 			s.config.Log.Debug().Err(err).Str("attempt", attempt).Stringer("to", to).Msg("origin of a stream not sent to peer; other copies remain")
 		}
 	}
+	s.mu.Lock()
+	ambiguous := splitRoute || s.history.Mixed(time.Now(), o.Service)
+	s.mu.Unlock()
+	s.stored.began(attempt, o, ambiguous)
 }
 
-// Resolve returns where the stream of an attempt began. If no VM knows, or if the client did not name the attempt, it is the
-// only version of the service, provided that there is one. onlyService means that the stream can't have begun at another service.
-func (s *Service) Resolve(ctx context.Context, attempt, service string, onlyService bool) (origin.Origin, bool) {
+// Resolve returns where the stream of an attempt began. An origin that no VM kept is read from the store. If it is not there, or if
+// the client did not name the attempt, it is the only version at which streams of the service can have begun, if there is one.
+// onlyService means that the stream can't have begun at another service. It fails with ErrUnknown or ErrNotRead.
+func (s *Service) Resolve(ctx context.Context, attempt, service string, onlyService bool) (origin.Origin, error) {
 	s.mu.Lock()
 	now := time.Now()
 	local, known := s.ledger.Get(now, attempt)
-	version, sole, certain := s.history.Sole(now, service)
+	version, single, certain := s.history.Sole(now, service)
 	s.mu.Unlock()
-	if known {
+	certain = certain && onlyService
+	sole := origin.Origin{Service: service, Version: version}
+	switch {
+	case known:
 		originsFound.Inc()
-		return local, true
+		return s.checkVersion(local, certain)
+	case attempt == "" && certain:
+		return sole, nil
+	case attempt == "":
+		return origin.Origin{}, ErrUnknown
 	}
-	if attempt == "" || certain && onlyService {
-		return origin.Origin{Service: service, Version: version}, sole
-	}
-	if o, found := s.ask(ctx, attempt); found {
+	answer := s.ask(ctx, findRequest{Attempt: attempt, Service: service, Stored: !certain})
+	switch {
+	case answer.Known:
 		originsFound.Inc()
-		return o, true
+		return s.checkVersion(answer.Origin, certain)
+	case certain:
+		return sole, nil
+	case onlyService && answer.Sole && answer.SoleVersion == version:
+		return sole, nil
+	}
+	if version, sole := s.soleBefore(service, answer); sole && onlyService && answer.all && answer.StoreRead {
+		return origin.Origin{Service: service, Version: version}, nil
 	}
 	originsUnknown.Inc()
-	s.config.Log.Info().Str("attempt", attempt).Str("service", service).Str("version", version).Bool("only_version", sole).
-		Msg("no VM knows where a stream began; it is resumed only if the service has a single version")
-	return origin.Origin{Service: service, Version: version}, sole
+	err := ErrUnknown
+	if !answer.StoreRead {
+		err = ErrNotRead
+	}
+	s.config.Log.Info().Err(err).Str("attempt", attempt).Str("service", service).Bool("only_version", single).Bool("split_route", !onlyService).Bool("all_answered", answer.all).
+		Bool("store_read", answer.StoreRead).Msg("origin of a stream not found; it is not resumed")
+	return origin.Origin{}, err
+}
+
+// checkVersion fails for a target without a version, unless all others have none either: any version could go on.
+func (s *Service) checkVersion(o origin.Origin, certain bool) (origin.Origin, error) {
+	if o.Version == "" && !certain {
+		return origin.Origin{}, ErrUnknown
+	}
+	return o, nil
+}
+
+// soleBefore returns the version at which all streams began that no VM knows, as far as this VM or one that answered can tell:
+// they are older than its process, since all VMs that it has known are alive.
+func (s *Service) soleBefore(service string, answer answers) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version, sole := s.soleAtStart(service); sole {
+		return version, true
+	}
+	return answer.VersionBefore, answer.SoleBefore && !s.vmLost
+}
+
+// soleAtStart returns the version at which all streams began that are older than this process, unless a VM was lost since.
+// s.mu must be held.
+func (s *Service) soleAtStart(service string) (string, bool) {
+	version, sole := s.history.SoleAtStart(time.Now(), service)
+	return version, sole && !s.vmLost
 }
 
 // Knows reports whether this VM knows by itself where the stream of an attempt began.
@@ -139,37 +259,84 @@
 	return known
 }
 
-// ask returns the first answer of a VM that knows the origin of an attempt.
-func (s *Service) ask(ctx context.Context, attempt string) (origin.Origin, bool) {
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+// answers is what the asked VMs know together.
+type answers struct {
+	findResponse
+	// all means that all of them responded.
+	all bool
+}
+
+// ask asks other VMs for the origin of an attempt until one knows it. If the store is to be read, the collector of the
+// attempt does so, or else this VM.
+func (s *Service) ask(ctx context.Context, request findRequest) answers {
+	timeout := confirmTimeout
+	if request.Stored {
+		timeout = findTimeout
+	}
+	askCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	peers := s.peers(attempt, asked)
-	answers := make(chan findResponse, len(peers))
+	peers := s.peers(request.Attempt, asked)
+	type reply struct {
+		findResponse
+		err error
+	}
+	replies := make(chan reply, len(peers)+1)
+	call := func(ctx context.Context, to netip.AddrPort, request findRequest) {
+		var response findResponse
+		err := s.config.Node.Call(ctx, to, methodFind, request, &response)
+		if err != nil {
+			s.config.Log.Debug().Err(err).Str("attempt", request.Attempt).Stringer("from", to).Msg("peer does not say where a stream began; others are asked too")
+		}
+		replies <- reply{response, err}
+	}
+	expected := len(peers)
 	for _, to := range peers {
+		go call(askCtx, to, findRequest{Attempt: request.Attempt, Service: request.Service})
+	}
+	if request.Stored {
+		expected++
 		go func() {
-			var response findResponse
-			if err := s.config.Node.Call(ctx, to, methodFind, findRequest{Attempt: attempt}, &response); err != nil {
-				s.config.Log.Debug().Err(err).Str("attempt", attempt).Stringer("from", to).Msg("peer does not say where a stream began; others are asked too")
-			}
-			answers <- response
+			response, err := s.askStore(ctx, request)
+			replies <- reply{response, err}
 		}()
 	}
-	for range peers {
-		if answer := <-answers; answer.Known {
-			return answer.Origin, true
+	result := answers{all: true}
+	for range expected {
+		r := <-replies
+		if r.Known {
+			return answers{findResponse: r.findResponse}
+		}
+		result.all = result.all && r.err == nil
+		result.StoreRead = result.StoreRead || r.StoreRead
+		if r.Sole {
+			result.Sole, result.SoleVersion = true, r.SoleVersion
+		}
+		if r.SoleBefore {
+			result.SoleBefore, result.VersionBefore = true, r.VersionBefore
 		}
 	}
-	return origin.Origin{}, false
+	return result
+}
+
+// rankedPeer is another VM with its rank for a key.
+type rankedPeer struct {
+	rank    uint64
+	address netip.AddrPort
 }
 
-// peers returns the first other VMs in the order of rendezvous hashing of an attempt's ID.
-func (s *Service) peers(attempt string, n int) []netip.AddrPort {
-	type ranked struct {
-		rank    uint64
-		address netip.AddrPort
+// peers returns the first other VMs in the order of rendezvous hashing of a key.
+func (s *Service) peers(key string, n int) []netip.AddrPort {
+	ranked := s.rankedPeers(key, n)
+	addresses := make([]netip.AddrPort, len(ranked))
+	for i, r := range ranked {
+		addresses[i] = r.address
 	}
-	byRank := func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) }
-	best := make([]ranked, 0, n+1)
+	return addresses
+}
+
+func (s *Service) rankedPeers(key string, n int) []rankedPeer {
+	byRank := func(a, b rankedPeer) int { return cmp.Compare(b.rank, a.rank) }
+	best := make([]rankedPeer, 0, n+1)
 	self := s.config.Members.Self().VM
 	for _, m := range s.config.Members.Members() {
 		if m.VM == self || m.State != member.Alive && m.State != member.Suspect {
@@ -179,18 +346,14 @@
 		if err != nil {
 			continue
 		}
-		candidate := ranked{target.Rank(attempt, m.VM), address}
+		candidate := rankedPeer{target.Rank(key, m.VM), address}
 		index, _ := slices.BinarySearchFunc(best, candidate, byRank)
 		if index < n {
 			best = slices.Insert(best, index, candidate)
 			best = best[:min(n, len(best))]
 		}
 	}
-	addresses := make([]netip.AddrPort, len(best))
-	for i, r := range best {
-		addresses[i] = r.address
-	}
-	return addresses
+	return best
 }
 
 func (s *Service) put(attempt string, o origin.Origin) {
@@ -208,13 +371,22 @@
 	s.put(m.Attempt, m.Origin)
 }
 
-func (s *Service) onFind(_ context.Context, _ peer.Identity, decode func(any) error) (any, error) {
+func (s *Service) onFind(ctx context.Context, _ peer.Identity, decode func(any) error) (any, error) {
 	var m findRequest
 	if err := decode(&m); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	o, known := s.ledger.Get(time.Now(), m.Attempt)
-	return findResponse{Known: known, Origin: o}, nil
+	now := time.Now()
+	o, known := s.ledger.Get(now, m.Attempt)
+	response := findResponse{Known: known, Origin: o}
+	if m.Service != "" {
+		response.SoleVersion, _, response.Sole = s.history.Sole(now, m.Service)
+		response.VersionBefore, response.SoleBefore = s.soleAtStart(m.Service)
+	}
+	s.mu.Unlock()
+	if !known && m.Stored {
+		response.Origin, response.Known, response.StoreRead = s.stored.find(ctx, m.Attempt)
+	}
+	return response, nil
 }
--- /dev/null
+++ b/internal/origins/versions.go
@@ -0,0 +1,305 @@
+package origins
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/origin"
+	"github.com/rosemarydyke/rosemarydyke/routing"
+	"github.com/rosemarydyke/rosemarydyke/target"
+)
+
+const (
+	versionsPrefix = "versions/"
+	versionsEnd    = "versions0"
+	// recordTimeout bounds one call about a record.
+	recordTimeout = time.Second
+	// recordRetry is the pause before the next attempt, and firstWriterLead the time for which the other VMs leave a change to
+	// the first one in rank.
+	recordRetry     = 100 * time.Millisecond
+	firstWriterLead = 50 * time.Millisecond
+	// secondWriterLead is the time after which any VM writes a change that is still not recorded.
+	secondWriterLead = 500 * time.Millisecond
+	// absentBeforeGone is how long a version must have no registered target before it is recorded as gone. It exceeds the age
+	// of a registry that is still followed.
+	absentBeforeGone = 3 * time.Second
+	// verifyInterval is how often the first VMs in rank compare the record with the registry, and verifiers their number.
+	verifyInterval = 20 * time.Second
+	verifiers      = 3
+)
+
+// recordState is what this VM knows of the record of a service.
+type recordState struct {
+	record  origin.Record
+	version uint64
+	// live holds the versions that are recorded as serving, and that have been registered ever since.
+	live map[string]bool
+	// changedAt is when the registered versions began to differ from the record, zero if they don't.
+	changedAt time.Time
+}
+
+// SetTargets replaces the registered targets.
+func (s *Service) SetTargets(targets []routing.Target) {
+	s.mu.Lock()
+	s.targets = targets
+	s.history.SetTargets(time.Now(), targets)
+	for _, t := range targets {
+		if s.records[t.Service] == nil {
+			s.records[t.Service] = &recordState{live: map[string]bool{}}
+		}
+	}
+	for service, state := range s.records {
+		registered, _ := s.history.Registered(time.Now(), service, 0)
+		for version := range state.live {
+			if !slices.Contains(registered, version) {
+				delete(state.live, version)
+			}
+		}
+	}
+	s.mu.Unlock()
+	s.publishTargets()
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// publishTargets passes on the targets that may begin streams: those whose version is in the record, so that a stream is never
+// older than the record of its version. A service none of whose targets are recorded and available uses all of them.
+func (s *Service) publishTargets() {
+	if s.config.OnTargets == nil {
+		return
+	}
+	s.publishMu.Lock()
+	defer s.publishMu.Unlock()
+	s.mu.Lock()
+	served := map[string]bool{}
+	for _, t := range s.targets {
+		if s.records[t.Service].live[t.Version] && !t.Draining {
+			served[t.Service] = true
+		}
+	}
+	usable := make([]routing.Target, 0, len(s.targets))
+	for _, t := range s.targets {
+		if s.records[t.Service].live[t.Version] || !served[t.Service] {
+			usable = append(usable, t)
+		}
+	}
+	s.mu.Unlock()
+	s.config.OnTargets(usable)
+}
+
+// keepRecords keeps the record of each service's versions until ctx ends.
+func (s *Service) keepRecords(ctx context.Context) {
+	verify := time.NewTicker(verifyInterval)
+	defer verify.Stop()
+	for pause := time.Duration(0); ; {
+		var retry <-chan time.Time
+		if pause > 0 {
+			retry = time.After(pause)
+		}
+		verifying := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.changed:
+		case <-retry:
+		case <-verify.C:
+			verifying = s.rankFor(versionsPrefix) < verifiers
+		}
+		pause = s.reconcile(ctx, verifying)
+	}
+}
+
+// reconcile reads the records if the registered versions differ from them, and corrects them. It returns when to continue,
+// zero if nothing is left to do.
+func (s *Service) reconcile(ctx context.Context, verifying bool) time.Duration {
+	first := s.rankFor(versionsPrefix) == 0
+	if !s.recordsDiffer(time.Now()) && !verifying {
+		return s.nextGone(first)
+	}
+	if !first && !verifying {
+		// The first VM in rank has written by then, so that the others only read.
+		select {
+		case <-ctx.Done():
+			return 0
+		case <-time.After(firstWriterLead + rand.N(firstWriterLead)):
+		}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
+	asked := time.Now()
+	page, err := s.config.Rows.Read(callCtx, tableOrigins, "", platform.KeyRange{From: versionsPrefix, To: versionsEnd})
+	cancel()
+	if err != nil {
+		s.config.Log.Info().Err(err).Msg("versions of services not read from the store; streams of unknown origin are not resumed while several may have begun them")
+		return recordRetry
+	}
+	s.stored.setClock(page.Now)
+	s.loadRecords(asked, page)
+	for _, change := range s.changes(page.Now, first || verifying) {
+		callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
+		s.writeRecord(callCtx, change)
+		cancel()
+	}
+	s.publishTargets()
+	s.stored.resubmitAmbiguous(s.isAmbiguous)
+	if s.recordsDiffer(time.Now()) {
+		return recordRetry
+	}
+	return s.nextGone(first)
+}
+
+// nextGone returns when to look for versions that are gone. Only the first VM in rank records them, and the others when they
+// verify the record.
+func (s *Service) nextGone(first bool) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service, state := range s.records {
+		registered, _ := s.history.Registered(time.Now(), service, 0)
+		for _, version := range state.record.Live() {
+			if first && !slices.Contains(registered, version) {
+				return absentBeforeGone
+			}
+		}
+	}
+	return 0
+}
+
+// recordsDiffer reports whether a registered version is not known to be recorded, or, at the first VM in rank, whether a
+// recorded one is gone.
+func (s *Service) recordsDiffer(now time.Time) bool {
+	first := s.rankFor(versionsPrefix) == 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	differ := false
+	for service, state := range s.records {
+		registered, gone := s.history.Registered(now, service, absentBeforeGone)
+		missing := slices.ContainsFunc(registered, func(v string) bool { return !state.live[v] })
+		outdated := first && slices.ContainsFunc(state.record.Live(), func(v string) bool { return slices.Contains(gone, v) })
+		if !missing && !outdated {
+			state.changedAt = time.Time{}
+			continue
+		}
+		if state.changedAt.IsZero() {
+			state.changedAt = now
+		}
+		differ = true
+	}
+	return differ
+}
+
+// loadRecords adopts the records of a page.
+func (s *Service) loadRecords(asked time.Time, page platform.Page) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := map[string]bool{}
+	for _, row := range page.Rows {
+		var r origin.Record
+		if err := cbor.Unmarshal(row.Value, &r); err != nil {
+			s.config.Log.Error().Err(err).Str("row", row.Key).Msg("versions of a service not decoded; the record is ignored")
+			continue
+		}
+		service := row.Key[len(versionsPrefix):]
+		found[service] = true
+		s.adoptRecord(asked, service, r, row.Version, page.Now)
+	}
+	for service := range s.records {
+		if !found[service] {
+			s.history.LoadAbsent(service)
+		}
+	}
+}
+
+// adoptRecord adopts the record of a service. s.mu must be held.
+func (s *Service) adoptRecord(asked time.Time, service string, r origin.Record, version uint64, storeNow time.Duration) {
+	state := s.records[service]
+	if state == nil {
+		state = &recordState{}
+		s.records[service] = state
+	}
+	now := time.Now()
+	s.history.Load(asked, now, service, r, storeNow)
+	state.record, state.version, state.live = r, version, map[string]bool{}
+	registered, _ := s.history.Registered(now, service, 0)
+	for _, v := range r.Live() {
+		if slices.Contains(registered, v) {
+			state.live[v] = true
+		}
+	}
+}
+
+// recordChange is a record to be written.
+type recordChange struct {
+	service  string
+	record   origin.Record
+	version  uint64
+	storeNow time.Duration
+}
+
+// changes returns the records that this VM has to write.
+func (s *Service) changes(storeNow time.Duration, first bool) []recordChange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var changes []recordChange
+	for service, state := range s.records {
+		registered, gone := s.history.Registered(now, service, absentBeforeGone)
+		updated, differs := state.record.Update(storeNow, registered, gone)
+		late := !state.changedAt.IsZero() && now.Sub(state.changedAt) > secondWriterLead
+		if differs && (first || late) {
+			changes = append(changes, recordChange{service, updated, state.version, storeNow})
+		}
+	}
+	return changes
+}
+
+// writeRecord writes a record if nobody else has changed it.
+func (s *Service) writeRecord(ctx context.Context, change recordChange) {
+	value, err := cbor.Marshal(change.record)
+	if err != nil {
+		s.config.Log.Error().Err(err).Str("service", change.service).Msg("versions of a service not encoded; the record stays as it is")
+		return
+	}
+	key := platform.RowKey{Table: tableOrigins, Key: versionsPrefix + change.service}
+	version, err := s.config.Rows.Apply(ctx, platform.RowTxn{
+		Conditions: []platform.RowCondition{{RowKey: key, Version: change.version}},
+		Writes:     []platform.RowWrite{{RowKey: key, Value: value}},
+	})
+	var conflict *platform.RowConflictError
+	if errors.As(err, &conflict) {
+		return
+	}
+	if err != nil {
+		s.config.Log.Info().Err(err).Str("service", change.service).Msg("versions of a service not recorded; tried again")
+		return
+	}
+	s.config.Log.Info().Str("service", change.service).Strs("serving", change.record.Live()).Int("recent", len(change.record.Versions)).Msg("versions of a service recorded")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.adoptRecord(time.Now(), change.service, change.record, version, change.storeNow)
+}
+
+// isAmbiguous reports whether the origin of a stream can't be told from the versions of its service.
+func (s *Service) isAmbiguous(o origin.Origin) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.Mixed(time.Now(), o.Service)
+}
+
+// rankFor returns the position of this VM among the live ones for a key, 0 being the first.
+func (s *Service) rankFor(key string) int {
+	self := target.Rank(key, s.config.Members.Self().VM)
+	position := 0
+	for _, p := range s.rankedPeers(key, verifiers) {
+		if p.rank > self {
+			position++
+		}
+	}
+	return position
+}
