scheduler: first attempts before clients who return, who wait until they are due

Cause: clients who returned went before all first attempts, and a first attempt counted every expected retry as ahead of it. Each retry that was served made a first attempt return later, so after a backlog of seconds everyone was refused first and answered 1.7 s later, at full throughput. A client that had returned was refused again after 240 ms although it still had seconds. Retry-After named more than a third of the time that was left after a wait in the queue.

Change: those who can be answered in time go first: interrupted streams, first attempts, then returned clients in time, then late ones by their deadlines, which travel with the request. Returned clients claim slots ahead of first attempts when they are due, but only while no returned client had to be refused within 6 s.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -294,6 +294,8 @@
 		StartBy:      startBy,
 		Expires:      expires,
 		Retry:        e.retry || repeated,
+		Interrupted:  repeated,
+		AnswerBy:     e.deadline,
 		RetryWithin:  max(time.Duration(retryWithinShare*float64(time.Until(e.arrived.Add(e.client.Timeout)))), 0),
 	}
 	if e.hasAccounts {
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -55,9 +55,17 @@
 	PromptTokens int    `cbor:"19,keyasint,omitempty"`
 	OutputTokens int    `cbor:"20,keyasint,omitempty"`
 	Prefix       uint64 `cbor:"21,keyasint,omitempty"`
+	// Interrupted means that the client has a part of the response.
+	Interrupted bool `cbor:"22,keyasint,omitempty"`
+	// AnswerIn is the time until the client's deadline. Zero means unknown.
+	AnswerIn time.Duration `cbor:"23,keyasint,omitempty"`
 }
 
 func newSubmitMessage(now time.Time, r scheduler.Request, redirects int) submitMessage {
+	answerIn := time.Duration(0)
+	if !r.AnswerBy.IsZero() {
+		answerIn = r.AnswerBy.Sub(now)
+	}
 	return submitMessage{
 		Ticket:           r.Ticket,
 		Class:            r.Class,
@@ -72,6 +80,8 @@
 		Redirects:        redirects,
 		Version:          r.Version,
 		Resuming:         r.Resuming,
+		Interrupted:      r.Interrupted,
+		AnswerIn:         answerIn,
 		Account:          r.Account,
 		Weight:           r.Weight,
 		Priority:         r.Priority,
@@ -83,6 +93,10 @@
 }
 
 func (m *submitMessage) request(now time.Time) scheduler.Request {
+	var answerBy time.Time
+	if m.AnswerIn != 0 {
+		answerBy = now.Add(m.AnswerIn)
+	}
 	return scheduler.Request{
 		Ticket:           m.Ticket,
 		Class:            m.Class,
@@ -96,6 +110,8 @@
 		RetryWithin:      m.RetryWithin,
 		Version:          m.Version,
 		Resuming:         m.Resuming,
+		Interrupted:      m.Interrupted,
+		AnswerBy:         answerBy,
 		Account:          m.Account,
 		Weight:           m.Weight,
 		Priority:         m.Priority,
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -22,6 +22,10 @@
 	// minRetryShare is the share of a service's slots that is reserved for retries, however many first attempts there
 	// are.
 	minRetryShare = 0.05
+	// maxReturnedWaitShare is the share of its remaining time for which a client that has returned may wait for a slot.
+	maxReturnedWaitShare = 0.7
+	// answerTimeFactor is the time that a response needs, as a multiple of the mean slot time.
+	answerTimeFactor = 1.25
 	// burstWindow is the time within which runs count as started together: about the time that a target of the
 	// reference deployments needs to process the prompts of all its slots.
 	burstWindow = 250 * time.Millisecond
@@ -35,6 +39,8 @@
 	remainingBuckets = 64
 	// maxRetryDelayShare limits the retry delay of a client, as a share of the request's RetryWithin.
 	maxRetryDelayShare = 0.97
+	// retryTimeShare is the share of the time that a client has left within which it returns.
+	retryTimeShare = 1.0 / 3
 )
 
 // admit decides whether an online request that found no slot may wait. Its expected wait follows from the requests
@@ -45,11 +51,17 @@
 		return Refuse{Ticket: w.Ticket, RetryAfter: s.jitter(s.config.NoTargetRetry), Reason: NoTarget}, true
 	}
 	maxWait := w.StartBy.Sub(now)
-	ahead := p.requestsAhead(now, w, maxWait)
+	if w.Retry && !w.Interrupted {
+		maxWait = w.Expires.Sub(now)
+	}
+	ahead := s.requestsAhead(now, p, w)
 	wait, interval := s.predictWait(now, p, w, ahead, maxWait, capacity)
 	if wait <= maxWait {
 		return Refuse{}, false
 	}
+	if w.Retry && !w.Interrupted {
+		p.overcommitted = now
+	}
 	return Refuse{
 		Ticket:     w.Ticket,
 		RetryAfter: s.scheduleRetry(now, p, w, wait-maxWait, interval),
@@ -65,6 +77,10 @@
 	interval = p.interval(capacity)
 	// Slots become free at a steady rate, except shortly after all of them were taken at once.
 	wait = time.Duration(ahead+1) * interval
+	if maxWait > p.onlineSlotTime {
+		// The runs that end within that time include some that have not started yet.
+		return wait, interval
+	}
 	if p.costs.enabled {
 		return max(wait, p.waitByCost(now, w, ahead, maxWait, interval)), interval
 	}
@@ -161,27 +177,33 @@
 	return n
 }
 
-// requestsAhead returns the number of requests that will start before w: those that are queued, and the retries that
-// are expected within maxWait.
-func (p *pool) requestsAhead(now time.Time, w *waiter, maxWait time.Duration) int {
-	var retries []expectedRetry
-	if !w.Retry {
-		for _, r := range p.expectedRetries {
-			if r.at.Before(now.Add(maxWait)) && r.at.After(now.Add(-retryWindow)) {
-				retries = append(retries, r)
-			}
-		}
+// requestsAhead returns the number of requests that will start before w. Those that have returned get what first attempts leave,
+// of which only a share is known until they are due.
+func (s *Scheduler) requestsAhead(now time.Time, p *pool, w *waiter) int {
+	if !w.Retry || w.Interrupted {
+		return slices.IndexFunc(s.turns(now, p, w), func(t turn) bool { return t.waiter == w })
 	}
-	if p.isShared(w) {
-		return slices.IndexFunc(p.turns(now, w, retries), func(t turn) bool { return t.waiter == w })
-	}
-	ahead := len(retries)
+	ahead := 0
 	for _, o := range p.online {
-		if !w.Retry || o.Retry {
+		if o.Retry && (o.Interrupted || !o.Expires.After(w.Expires)) {
 			ahead++
 		}
 	}
-	return ahead
+	return int(float64(ahead) / returnedShare)
+}
+
+// extendWait lets a request that has returned wait for as long as its client can still be answered, but not for so long that it
+// would have done better to go elsewhere.
+func (p *pool) extendWait(now time.Time, w *waiter) {
+	if w.AnswerBy.IsZero() || w.Interrupted {
+		return
+	}
+	left := w.AnswerBy.Sub(now)
+	latest := now.Add(min(time.Duration(maxReturnedWaitShare*float64(left)), left-time.Duration(answerTimeFactor*float64(p.onlineSlotTime))))
+	w.Expires = latest
+	if latest.Before(w.StartBy) {
+		w.StartBy = latest
+	}
 }
 
 // scheduleRetry returns the delay after which a refused client is expected to find a slot: in the capacity that first
@@ -199,8 +221,10 @@
 			at = next
 		}
 	}
-	if limit := time.Duration(maxRetryDelayShare * float64(w.RetryWithin)); limit > 0 && at.After(now.Add(limit)) {
-		at = now.Add(limit)
+	// A client that has waited returns within a share of what is left.
+	within := w.RetryWithin - time.Duration(retryTimeShare*float64(now.Sub(w.arrived)))
+	if limit := time.Duration(maxRetryDelayShare * float64(within)); w.RetryWithin > 0 && at.After(now.Add(max(limit, 0))) {
+		at = now.Add(max(limit, 0))
 	}
 	index, _ := slices.BinarySearchFunc(p.expectedRetries, at, func(r expectedRetry, at time.Time) int { return r.at.Compare(at) })
 	p.expectedRetries = slices.Insert(p.expectedRetries, index, expectedRetry{at, w.Account, w.Weight, w.Priority})
--- a/scheduler/export_test.go
+++ b/scheduler/export_test.go
@@ -38,3 +38,42 @@
 func (e fixedEstimator) Estimate(_ time.Time, c workload.Class) workload.Estimate {
 	return e(c)
 }
+
+// OrderBy replaces the order in which clients that return and first attempts are served.
+func (s *Scheduler) OrderBy(name string) {
+	inTimeFirst := func(now time.Time, turns []turn) {
+		for i := range turns {
+			turns[i].standing = standingOf(now, turns[i])
+		}
+	}
+	orders := map[string]func(now time.Time, turns []turn, interval time.Duration){
+		"retries first": func(_ time.Time, turns []turn, _ time.Duration) {
+			for i := range turns {
+				if !turns[i].retry {
+					turns[i].standing = first
+				}
+			}
+		},
+		"first attempts first": func(_ time.Time, turns []turn, _ time.Duration) {
+			for i := range turns {
+				if turns[i].retry {
+					turns[i].standing = returned
+				}
+			}
+		},
+		"least slack": func(_ time.Time, turns []turn, _ time.Duration) {
+			for i := range turns {
+				turns[i].standing = late
+				if !turns[i].retry {
+					turns[i].due = turns[i].startBy
+				}
+			}
+		},
+		"in time first": func(now time.Time, turns []turn, _ time.Duration) { inTimeFirst(now, turns) },
+		"overdue share": func(now time.Time, turns []turn, interval time.Duration) {
+			inTimeFirst(now, turns)
+			claim(now, turns, interval)
+		},
+	}
+	s.order = func(_ *pool, now time.Time, turns []turn, interval time.Duration) { orders[name](now, turns, interval) }
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -129,7 +129,7 @@
 // dispatch grants free slots, first to online requests in queue order, then to items.
 func (s *Scheduler) dispatch(now time.Time, p *pool) []Action {
 	var actions []Action
-	p.sortOnline(now)
+	s.sortOnline(now, p)
 	for _, w := range slices.Clone(p.online) {
 		granted, placed := s.place(now, p, w)
 		actions = append(actions, granted...)
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -41,6 +41,9 @@
 	StartBy time.Time
 	// Expires is when an online request is no longer worth starting.
 	Expires time.Time
+	// AnswerBy is the deadline of the client of an online request. A client that was refused before is rather answered late than
+	// never, and may wait longer than until Expires. Zero means unknown.
+	AnswerBy time.Time
 	// Expected is the expected slot time of an item. Zero means unknown.
 	Expected time.Duration
 	// Retry marks an online request that was refused before.
@@ -48,6 +51,8 @@
 	// Resuming marks an online request that a target has begun to run. A refusal does not reach its client, so that no retry
 	// of the client is expected.
 	Resuming bool
+	// Interrupted marks an online request whose client has a part of the response, from this attempt or an earlier one.
+	Interrupted bool
 	// RetryWithin is the longest delay after which the client of an online request still retries. Zero means unknown.
 	RetryWithin time.Duration
 	// Account is the name of the client account, or empty, and Weight its share of contended slots. Zero means 1.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -83,6 +83,8 @@
 	running map[Ticket]*run
 	waiting map[Ticket]*waiter
 	targets map[string]*targetState
+	// order sets the standing of each turn. interval is the mean time between two slots that become free.
+	order func(p *pool, now time.Time, turns []turn, interval time.Duration)
 	// pick chooses a target with a free slot by expected cost.
 	pick func(now time.Time, p *pool, w *waiter) *targetState
 }
@@ -156,6 +158,8 @@
 	expectedRetries []expectedRetry
 	// arrivals are the times of first attempts of online requests within arrivalWindow.
 	arrivals []time.Time
+	// overcommitted is when a client that returned was last refused.
+	overcommitted time.Time
 	// onlineSlotTime is the moving average of the slot time of online requests.
 	onlineSlotTime time.Duration
 	costs          costs
@@ -173,6 +177,7 @@
 		targets: map[string]*targetState{},
 	}
 	s.pick = s.pickByCost
+	s.order = (*pool).order
 	return s
 }
 
@@ -284,6 +289,7 @@
 	case r.Resuming:
 	case r.Retry:
 		p.consumeRetry(now, r.Account)
+		p.extendWait(now, w)
 	default:
 		p.observeArrival(now)
 	}
@@ -300,18 +306,11 @@
 	return append(actions, s.refuseOvertaken(now, p, w)...)
 }
 
-// enqueueOnline queues requests by priority, by account, and retries before first attempts.
+// enqueueOnline queues a request in the order of turns.
 func (s *Scheduler) enqueueOnline(now time.Time, p *pool, w *waiter) {
 	s.waiting[w.Ticket] = w
-	at := len(p.online)
-	if w.Retry {
-		at = slices.IndexFunc(p.online, func(o *waiter) bool { return !o.Retry })
-		if at < 0 {
-			at = len(p.online)
-		}
-	}
-	p.online = slices.Insert(p.online, at, w)
-	p.sortOnline(now)
+	p.online = append(p.online, w)
+	s.sortOnline(now, p)
 }
 
 func (s *Scheduler) enqueueItem(p *pool, w *waiter) {
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -6,16 +6,18 @@
 	"time"
 )
 
-// turn is the place of a waiting request, or of an expected retry, in the order of a queue.
+// turn is the place of a waiting request in the order of a queue.
 type turn struct {
-	// waiter is nil for an expected retry.
 	waiter   *waiter
 	account  string
 	weight   float64
 	priority int
-	retry    bool
-	arrival  uint64
-	tag      float64
+	// interrupted and retry are those of the request, startBy its start deadline, and due its Expires.
+	interrupted, retry bool
+	startBy, due       time.Time
+	arrival            uint64
+	standing           standing
+	tag                float64
 }
 
 // expectedRetry is a retry that a refused client was told to make.
@@ -26,31 +28,23 @@
 	priority int
 }
 
-// compareArrivals orders turns by priority, then retries before first attempts, then by arrival.
-func compareArrivals(a, b turn) int {
-	switch {
-	case a.priority != b.priority:
-		return cmp.Compare(a.priority, b.priority)
-	case a.retry != b.retry && a.retry:
-		return -1
-	case a.retry != b.retry:
-		return 1
-	}
-	return cmp.Compare(a.arrival, b.arrival)
-}
-
 // isShared reports whether the order of the queue depends on accounts or priorities once w is queued.
 func (p *pool) isShared(w *waiter) bool {
 	differs := func(account string, priority int) bool { return account != w.Account || priority != w.Priority }
-	return slices.ContainsFunc(p.online, func(o *waiter) bool { return differs(o.Account, o.Priority) }) ||
-		slices.ContainsFunc(p.expectedRetries, func(r expectedRetry) bool { return differs(r.account, r.priority) })
+	return slices.ContainsFunc(p.online, func(o *waiter) bool { return differs(o.Account, o.Priority) })
 }
 
-// turns returns the order of the queued online requests together with w, which may be nil, and with expected retries.
-func (p *pool) turns(now time.Time, w *waiter, retries []expectedRetry) []turn {
-	turns := make([]turn, 0, len(p.online)+len(retries)+1)
+// turns returns the order of the queued online requests together with w, which may be nil.
+func (s *Scheduler) turns(now time.Time, p *pool, w *waiter) []turn {
+	turns := make([]turn, 0, len(p.online)+1)
+	shared, retries := false, false
 	add := func(o *waiter) {
-		turns = append(turns, turn{waiter: o, account: o.Account, weight: o.Weight, priority: o.Priority, retry: o.Retry, arrival: o.arrival})
+		turns = append(turns, turn{
+			waiter: o, account: o.Account, weight: o.Weight, priority: o.Priority, arrival: o.arrival,
+			interrupted: o.Interrupted, retry: o.Retry, startBy: o.StartBy, due: o.Expires,
+		})
+		shared = shared || o.Account != turns[0].account || o.Priority != turns[0].priority
+		retries = retries || o.Retry
 	}
 	for _, o := range p.online {
 		add(o)
@@ -58,11 +52,13 @@
 	if w != nil {
 		add(w)
 	}
-	for _, r := range retries {
-		// An expected retry arrives after those that are queued.
-		turns = append(turns, turn{account: r.account, weight: r.weight, priority: r.priority, retry: true, arrival: p.arrived + 1})
+	if retries {
+		s.order(p, now, turns, p.interval(max(float64(p.usableSlots(now)), 1)))
+		slices.SortStableFunc(turns, compareStandings)
+	}
+	if !shared {
+		return turns
 	}
-	slices.SortStableFunc(turns, compareArrivals)
 	order := p.onlineUse.Turns(now)
 	for i := range turns {
 		turns[i].tag = order.Next(turns[i].account, turns[i].weight, p.onlineSlotTime.Seconds())
@@ -71,17 +67,17 @@
 		if a.priority != b.priority {
 			return cmp.Compare(a.priority, b.priority)
 		}
-		return cmp.Or(cmp.Compare(a.tag, b.tag), compareArrivals(a, b))
+		return cmp.Or(cmp.Compare(a.tag, b.tag), compareStandings(a, b))
 	})
 	return turns
 }
 
-// sortOnline brings the queue into the present order, which changes as use is recorded and decays.
-func (p *pool) sortOnline(now time.Time) {
-	if len(p.online) < 2 || !p.isShared(p.online[0]) {
+// sortOnline brings the queue into the present order, which changes with the time and as use is recorded and decays.
+func (s *Scheduler) sortOnline(now time.Time, p *pool) {
+	if len(p.online) < 2 {
 		return
 	}
-	for i, t := range p.turns(now, nil, nil) {
+	for i, t := range s.turns(now, p, nil) {
 		p.online[i] = t.waiter
 	}
 }
