fairshare: accounts of usual use don't overtake each other

One account whose use was a little above the others' was overtaken by every newcomer and refused after 244 ms, when it could no longer start in time. Ruled out: too few slots for the others; at that moment one to two requests were ahead.

Change: tags up to the usual use, twice the median and at most half of the largest, count as equal, so arrival decides.

--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -9,6 +9,7 @@
 import (
 	"container/list"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	retention = 10 * time.Second
 	// maxAccounts bounds the number of accounts: twice the planned 4,100.
 	maxAccounts = 8192
+	// usualAge is the age up to which the usual use is used again.
+	usualAge = 100 * time.Millisecond
 )
 
 // Usage is the recent use of slots by account. The zero value has no recorded use.
@@ -27,6 +30,9 @@
 	accounts map[string]*list.Element
 	// byTime holds the entries in the order of their last use.
 	byTime list.List
+	// usual is the usual use at the time usualAt.
+	usual   float64
+	usualAt time.Time
 }
 
 type entry struct {
@@ -55,6 +61,24 @@
 	}
 }
 
+// Usual returns the recent use up to which an account uses no more than is usual: twice the median of the accounts that have used
+// something lately, and half of the largest use.
+func (u *Usage) Usual(now time.Time) float64 {
+	if now.Sub(u.usualAt) < usualAge {
+		return u.usual
+	}
+	uses := make([]float64, 0, len(u.accounts))
+	for _, element := range u.accounts {
+		uses = append(uses, element.Value.(*entry).decayed(now))
+	}
+	slices.Sort(uses)
+	u.usual, u.usualAt = 0, now
+	if n := len(uses); n > 0 {
+		u.usual = min(2*uses[n/2], uses[n-1]/2)
+	}
+	return u.usual
+}
+
 // Of returns the recent use of an account.
 func (u *Usage) Of(now time.Time, account string) float64 {
 	element := u.accounts[account]
--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -51,3 +51,24 @@
 		t.Fatalf("an account with use 3 has tag %v, before %v of an account without use", a, b)
 	}
 }
+
+// Guards against an order by use among accounts that use what is usual.
+func TestUsualUse(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		uses []float64
+		want float64
+	}{
+		{"no use", nil, 0},
+		{"one account uses far more than the others", []float64{1, 2, 2, 3, 30}, 4},
+		{"all use about the same", []float64{2, 2, 2, 3}, 1.5},
+	} {
+		var u Usage
+		for i, use := range c.uses {
+			u.Record(epoch, fmt.Sprint(i), 1, use)
+		}
+		if got := u.Usual(epoch); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%s: usual use is %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -59,9 +59,10 @@
 	if !shared {
 		return turns
 	}
-	order := p.onlineUse.Turns(now)
+	order, usual := p.onlineUse.Turns(now), p.onlineUse.Usual(now)
 	for i := range turns {
-		turns[i].tag = order.Next(turns[i].account, turns[i].weight, p.onlineSlotTime.Seconds())
+		// Accounts of usual use don't overtake each other, so that none of them waits much longer than the others.
+		turns[i].tag = max(order.Next(turns[i].account, turns[i].weight, p.onlineSlotTime.Seconds()), usual)
 	}
 	slices.SortStableFunc(turns, func(a, b turn) int {
 		if a.priority != b.priority {
