scheduling: the load of a group is told to eight others, coordinators are chosen anew only after changes

Cause: coordinators told each other the loads of all groups of a service four times a second, groups times groups; with 3,000 targets that is some 94 groups and 35,000 messages a second. Each VM ranked all members for each group as often.

Change: a group tells the first eight others by rendezvous hashing. A coordinator is kept until members, registry or backoffs change, 5 s at most. A request of a version goes to a group that serves it also when no load of such a group is known; before it was refused.

--- a/group/choose.go
+++ b/group/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -53,7 +54,8 @@
 // which they would have to wait, for one in which they would not, or only in a queue less than half as long. Of several
 // groups one is chosen in proportion to the slots, because several coordinators redirect at the same time.
 //
-// A request of a version is sent to groups that serve it only, and leaves one that does not for any of these.
+// A request of a version is sent to groups that serve it only, and leaves one that does not for any of these, also for one whose
+// load is not known.
 func (d *Division) Redirect(own *Group, load Load, loads map[string]Load, version string, item bool, now time.Time, random *rand.Rand) (string, bool) {
 	if !item && load.Free > 0 || item && load.Spare > 0 {
 		return "", false
@@ -65,8 +67,11 @@
 		}
 	}
 	if !own.Serves(version) {
-		if g := pick(others, func(g *Group) int { return g.Slots }, random); g != nil {
-			return g.Key, true
+		serving := slices.DeleteFunc(slices.Clone(d.byService[own.Service]), func(g *Group) bool { return !g.Serves(version) })
+		for _, choice := range [][]*Group{others, serving} {
+			if g := pick(choice, func(g *Group) int { return g.Slots }, random); g != nil {
+				return g.Key, true
+			}
 		}
 		return "", false
 	}
--- a/group/divide.go
+++ b/group/divide.go
@@ -9,6 +9,7 @@
 package group
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -26,6 +27,10 @@
 	minGroupTargets = 8
 )
 
+// maxListeners is the number of groups that are told the load of a group, which bounds the messages of a service with many
+// groups. A few choices are enough to find free slots (Mitzenmacher 2001, "The Power of Two Choices").
+const maxListeners = 8
+
 // keySeparator separates the service from the rest of a group's key.
 const keySeparator = "@"
 
@@ -135,6 +140,22 @@
 // Groups returns the groups of a service, ordered by key.
 func (d *Division) Groups(service string) []*Group { return d.byService[service] }
 
+// Listeners returns the groups of a service that are told the load of one of them: all others, or the first in the order of
+// rendezvous hashing if there are many.
+func (d *Division) Listeners(own *Group) []*Group {
+	others := make([]*Group, 0, len(d.byService[own.Service]))
+	for _, g := range d.byService[own.Service] {
+		if g != own {
+			others = append(others, g)
+		}
+	}
+	if len(others) > maxListeners {
+		slices.SortFunc(others, func(a, b *Group) int { return cmp.Compare(target.Rank(own.Key, b.Key), target.Rank(own.Key, a.Key)) })
+		others = others[:maxListeners]
+	}
+	return others
+}
+
 // Keys returns the keys of all groups, sorted.
 func (d *Division) Keys() []string {
 	keys := make([]string, 0, len(d.groups))
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -200,14 +200,33 @@
 	}
 }
 
+// A request of a version was refused as if the version were gone while the loads of the groups that serve it were not known.
+func TestRequestOfAVersionGoesToAGroupOfUnknownLoad(t *testing.T) {
+	targets := fleet(122, 5)
+	for i := range targets {
+		if targets[i].AvailabilityZone == "az-1" {
+			targets[i].Version = "v2"
+		}
+	}
+	d := group.Divide(targets)
+	key, redirected := d.Redirect(d.Group("llm@az-0"), group.Load{}, nil, "v2", false, time.Unix(1000, 0), rand.New(rand.NewPCG(1, 2)))
+	qt.Assert(t, redirected, qt.IsTrue)
+	qt.Assert(t, key, qt.Equals, "llm@az-1")
+}
+
 // With one coordinator for a service, its VM handles every request however many VMs there are. Here the load of the busiest
 // VM stays about the same from the smallest fleet that is divided to the planned size.
 func TestNoVMCoordinatesALoadThatGrowsWithTheFleet(t *testing.T) {
 	for _, size := range []struct{ vms, targets, zones int }{{12, 20, 3}, {79, 71, 3}, {295, 122, 5}, {360, 830, 8}, {1000, 2300, 8}} {
 		t.Run(fmt.Sprintf("%d VMs before %d targets", size.vms, size.targets), func(t *testing.T) {
 			d := group.Divide(fleet(size.targets, size.zones))
-			coordinated := map[string]int{}
+			coordinated, told := map[string]int{}, map[string]int{}
 			for _, g := range d.Groups(service) {
+				listeners := d.Listeners(g)
+				qt.Check(t, len(listeners) <= 8 && len(listeners) >= min(len(d.Groups(service))-1, 8), qt.IsTrue)
+				for _, l := range listeners {
+					told[l.Key]++
+				}
 				qt.Check(t, g.Targets <= 48, qt.IsTrue, qt.Commentf("%d targets in %s", g.Targets, g.Key))
 				best, candidate := "", group.Candidate{}
 				for i := range size.vms {
@@ -218,6 +237,9 @@
 				}
 				coordinated[best] += g.Targets
 			}
+			for _, g := range d.Groups(service) {
+				qt.Check(t, len(d.Groups(service)) == 1 || told[g.Key] > 0, qt.IsTrue, qt.Commentf("%s knows no load", g.Key))
+			}
 			for vm, targets := range coordinated {
 				qt.Check(t, targets <= 96, qt.IsTrue, qt.Commentf("%s coordinates %d targets", vm, targets))
 			}
--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -17,9 +17,13 @@
 	at      time.Time
 }
 
-// coordinatorCacheTime is how long the choice of a coordinator is kept while the members do not change, because choosing
-// goes through all of them.
-const coordinatorCacheTime = 250 * time.Millisecond
+const (
+	// coordinatorCacheTime is how long the choice of a coordinator is kept while the members and backoffs do not change, because
+	// choosing goes through all members.
+	coordinatorCacheTime = 5 * time.Second
+	// backoffCacheTime is the same while a VM is in backoff, which ends by itself.
+	backoffCacheTime = 250 * time.Millisecond
+)
 
 // MembersChanged makes the service choose the coordinators anew.
 func (s *Service) MembersChanged() {
@@ -31,7 +35,11 @@
 // coordinator returns the coordinator of a group: the best candidate that has not been replaced because it does not
 // respond.
 func (s *Service) coordinator(now time.Time, key string) coordinatorVM {
-	if c, known := s.coordinators[key]; known && now.Sub(c.at) < coordinatorCacheTime {
+	cacheTime := coordinatorCacheTime
+	if len(s.backoffs) > 0 {
+		cacheTime = backoffCacheTime
+	}
+	if c, known := s.coordinators[key]; known && now.Sub(c.at) < cacheTime {
 		return c
 	}
 	self := s.config.Members.Self()
--- a/internal/scheduling/groups.go
+++ b/internal/scheduling/groups.go
@@ -75,7 +75,7 @@
 	s.loads[m.Group] = group.Load{Slots: m.Slots, Free: m.Free, Spare: m.Spare, Open: m.Open, Waiting: m.Waiting, At: time.Now()}
 }
 
-// shareLoads tells the coordinators of other groups the loads of the groups that this VM coordinates, and sends waiting
+// shareLoads tells the coordinators of some other groups the loads of the groups that this VM coordinates, and sends waiting
 // requests to groups that have free slots.
 func (s *Service) shareLoads() {
 	s.mu.Lock()
@@ -87,14 +87,13 @@
 	now := time.Now()
 	for _, key := range s.division.Keys() {
 		own := s.division.Group(key)
-		others := s.division.Groups(own.Service)
-		if len(others) == 1 || s.coordinator(now, key).VM != s.vm {
+		if len(s.division.Groups(own.Service)) == 1 || s.coordinator(now, key).VM != s.vm {
 			continue
 		}
 		load := loadOf(s.scheduler.Capacity(now, key, ""), now)
 		s.loads[key] = load
 		told := map[string]bool{s.vm: true}
-		for _, other := range others {
+		for _, other := range s.division.Listeners(own) {
 			if c := s.coordinator(now, other.Key); !told[c.VM] {
 				told[c.VM] = true
 				s.send(c.address, methodLoad, loadMessage{Group: key, Slots: load.Slots, Open: load.Open, Spare: load.Spare, Waiting: load.Waiting, Free: load.Free})
