origins: rows of ended processes are deleted, concurrent reads of a shard are one

Cause, found by reading: a collector deleted its rows only with its next write, and nobody deleted those of a process that had ended, so each release left rows for ever. After a loss of all VMs each stream that is resumed would have read its shard by itself.

Change: rows are deleted when they are old, also without new origins, and each collector reads one of its shards in turn every 20 s and deletes what others left.

--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -15,6 +16,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/origins"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling/schedulingtest"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/origin"
 	"github.com/rosemarydyke/rosemarydyke/routing"
@@ -353,3 +355,32 @@
 		})
 	}
 }
+
+// Origins of processes that had ended stayed in the store for ever.
+func TestOldOriginsAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		list, mu := []member.Member{{VM: "vm", State: member.Alive}}, sync.Mutex{}
+		run := func() (*origins.Service, context.CancelFunc) {
+			s := origins.New(origins.Config{Members: view{"vm", &mu, &list}, Node: schedulingtest.DiscardNode, Rows: store, Log: zerolog.Nop()})
+			s.SetTargets(registry("v1", "v2"))
+			ctx, cancel := context.WithCancel(t.Context())
+			go s.Run(ctx)
+			return s, cancel
+		}
+		for range 2 {
+			s, stop := run()
+			time.Sleep(time.Second)
+			for i := range 40 {
+				s.Record(fmt.Sprintf("attempt-%d", i), v1, false)
+			}
+			time.Sleep(time.Second)
+			qt.Assert(t, rows(t, store, "stream/", "stream0") > 0, qt.IsTrue)
+			stop()
+		}
+		_, stop := run()
+		defer stop()
+		time.Sleep(20 * time.Minute)
+		qt.Assert(t, rows(t, store, "stream/", "stream0"), qt.Equals, 0)
+	})
+}
--- a/internal/origins/stored.go
+++ b/internal/origins/stored.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
@@ -38,6 +40,8 @@
 	resubmitAge = 15 * time.Second
 	// resubmitInterval limits how often origins are sent again.
 	resubmitInterval = time.Second
+	// cleanupInterval is the time between two looks for old rows.
+	cleanupInterval = 20 * time.Second
 	// maxPending bounds the origins that wait to be written, and maxOwn those that may be sent again.
 	maxPending = 16_384
 	maxOwn     = 4_096
@@ -91,6 +95,8 @@
 	wake      chan struct{}
 	// writer distinguishes the rows of processes.
 	writer string
+	// reads makes concurrent reads of a shard one.
+	reads singleflight.Group
 
 	mu sync.Mutex
 	// own lists the recent streams that began here, oldest first.
@@ -106,6 +112,7 @@
 	copies  map[int]*shardCopy
 }
 
+// writtenRow is a row that is deleted once it is older than origin.Retention.
 type writtenRow struct {
 	key platform.RowKey
 	at  time.Time
@@ -204,12 +211,16 @@
 	o.clock, o.clockAt = clock, time.Now()
 }
 
-// run writes pending origins until ctx ends.
+// run writes pending origins, and deletes old ones, until ctx ends.
 func (o *storedOrigins) run(ctx context.Context) {
+	cleanup := time.NewTicker(cleanupInterval)
+	defer cleanup.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-cleanup.C:
+			o.findOldRows(ctx)
 		case <-o.wake:
 		}
 		select {
@@ -251,9 +262,9 @@
 // flush writes pending origins, and reports whether some remain.
 func (o *storedOrigins) flush(ctx context.Context) (more bool) {
 	o.mu.Lock()
-	empty := len(o.pending) == 0
+	idle := len(o.pending) == 0 && (len(o.written) == 0 || time.Since(o.written[0].at) <= origin.Retention)
 	o.mu.Unlock()
-	if empty {
+	if idle {
 		return false
 	}
 	if !o.knowsClock(ctx) {
@@ -322,6 +333,20 @@
 	return err == nil
 }
 
+// findOldRows reads one shard after the other, if this VM collects it, so that rows of processes that have ended are deleted.
+func (o *storedOrigins) findOldRows(ctx context.Context) {
+	o.mu.Lock()
+	known, clock := !o.clockAt.IsZero(), o.clock+time.Since(o.clockAt)
+	o.mu.Unlock()
+	shard := int(clock/cleanupInterval) % shards
+	if _, self := o.collector(shard); !known || !self {
+		return
+	}
+	if _, err := o.read(ctx, shard); err != nil {
+		o.config.Log.Debug().Err(err).Int("shard", shard).Msg("origins of streams not read; old rows are deleted later")
+	}
+}
+
 // find looks for the origin of an attempt in the store. read is false if the store was not read.
 func (o *storedOrigins) find(ctx context.Context, attempt string) (from origin.Origin, known, read bool) {
 	shard, hash := shardOf(attempt), hashOf(attempt)
@@ -334,19 +359,17 @@
 	if known || held != nil && time.Since(held.readAt) < rereadAfter {
 		return from, known, true
 	}
-	fresh, err := o.read(ctx, shard)
+	// After a loss of all VMs many clients return at once.
+	result, err, _ := o.reads.Do(strconv.Itoa(shard), func() (any, error) { return o.read(context.WithoutCancel(ctx), shard) })
 	if err != nil {
 		o.config.Log.Info().Err(err).Str("attempt", attempt).Msg("origins of streams not read from the store")
 		return origin.Origin{}, false, false
 	}
-	o.mu.Lock()
-	o.copies[shard] = fresh
-	o.mu.Unlock()
-	from, known = fresh.origins[hash]
+	from, known = result.(*shardCopy).origins[hash]
 	return from, known, true
 }
 
-// read reads a shard. Rows of other writers that are too old are deleted with the next write.
+// read reads a shard and keeps the copy. Rows of other writers that are too old are deleted with the next write.
 func (o *storedOrigins) read(ctx context.Context, shard int) (*shardCopy, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -373,6 +396,9 @@
 			}
 		}
 		if !page.More || len(page.Rows) == 0 {
+			o.mu.Lock()
+			o.copies[shard] = fresh
+			o.mu.Unlock()
 			return fresh, nil
 		}
 		keys.From = page.Rows[len(page.Rows)-1].Key + "\x00"
