--- a/internal/origins/stored.go
+++ b/internal/origins/stored.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"net/netip"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,7 +14,6 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
 	"github.com/rosemarydyke/rosemarydyke/origin"
-	"github.com/rosemarydyke/rosemarydyke/target"
 )
 
 const (
@@ -67,12 +64,6 @@
 	Origin  origin.Origin `cbor:"2,keyasint"`
 }
 
-func hashOf(attempt string) uint64 { return target.Rank(attempt, "origin") }
-
-func shardOf(attempt string) int { return int(hashOf(attempt) % shards) }
-
-func shardPrefix(shard int) string { return fmt.Sprintf("stream/%02x/", shard) }
-
 // ownOrigin is the origin of a stream that began at this VM.
 type ownOrigin struct {
 	attempt   string
@@ -81,12 +72,6 @@
 	submitted bool
 }
 
-// shardCopy is the content of a shard as read from the store.
-type shardCopy struct {
-	readAt  time.Time
-	origins map[uint64]origin.Origin
-}
-
 // storedOrigins writes the origins of streams to the store, and reads them.
 type storedOrigins struct {
 	config Config
@@ -315,136 +300,3 @@
 	}
 	return len(o.pending) > 0
 }
-
-// knowsClock reports whether the store's clock is known. If not, it asks the store.
-func (o *storedOrigins) knowsClock(ctx context.Context) bool {
-	o.mu.Lock()
-	known := !o.clockAt.IsZero()
-	o.mu.Unlock()
-	if known {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	page, err := o.config.Rows.Read(ctx, tableOrigins, "", platform.KeyRange{From: versionsPrefix, To: versionsEnd})
-	if err == nil {
-		o.setClock(page.Now)
-	}
-	return err == nil
-}
-
-// findOldRows reads one shard after the other, if this VM collects it, so that rows of processes that have ended are deleted.
-func (o *storedOrigins) findOldRows(ctx context.Context) {
-	o.mu.Lock()
-	known, clock := !o.clockAt.IsZero(), o.clock+time.Since(o.clockAt)
-	o.mu.Unlock()
-	shard := int(clock/cleanupInterval) % shards
-	if _, self := o.collector(shard); !known || !self {
-		return
-	}
-	if _, err := o.read(ctx, shard); err != nil {
-		o.config.Log.Debug().Err(err).Int("shard", shard).Msg("origins of streams not read; old rows are deleted later")
-	}
-}
-
-// find looks for the origin of an attempt in the store. read is false if the store was not read.
-func (o *storedOrigins) find(ctx context.Context, attempt string) (from origin.Origin, known, read bool) {
-	shard, hash := shardOf(attempt), hashOf(attempt)
-	o.mu.Lock()
-	held := o.copies[shard]
-	if held != nil {
-		from, known = held.origins[hash]
-	}
-	o.mu.Unlock()
-	if known || held != nil && time.Since(held.readAt) < rereadAfter {
-		return from, known, true
-	}
-	// After a loss of all VMs many clients return at once.
-	result, err, _ := o.reads.Do(strconv.Itoa(shard), func() (any, error) { return o.read(context.WithoutCancel(ctx), shard) })
-	if err != nil {
-		o.config.Log.Info().Err(err).Str("attempt", attempt).Msg("origins of streams not read from the store")
-		return origin.Origin{}, false, false
-	}
-	from, known = result.(*shardCopy).origins[hash]
-	return from, known, true
-}
-
-// read reads a shard and keeps the copy. Rows of other writers that are too old are deleted with the next write.
-func (o *storedOrigins) read(ctx context.Context, shard int) (*shardCopy, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	fresh := &shardCopy{readAt: time.Now(), origins: map[uint64]origin.Origin{}}
-	prefix := shardPrefix(shard)
-	keys := platform.KeyRange{From: prefix, To: strings.TrimSuffix(prefix, "/") + "0"}
-	for {
-		page, err := o.config.Rows.Read(ctx, tableOrigins, "", keys)
-		if err != nil {
-			return nil, err
-		}
-		o.setClock(page.Now)
-		for _, row := range page.Rows {
-			var stored storedRow
-			if err := cbor.Unmarshal(row.Value, &stored); err != nil {
-				return nil, fmt.Errorf("origins in row %q not decoded: %w", row.Key, err)
-			}
-			if age := page.Now - stored.WrittenAt; age > origin.Retention {
-				o.deleteLater(row.RowKey)
-				continue
-			}
-			for _, entry := range stored.Entries {
-				fresh.origins[entry.Attempt] = entry.Origin
-			}
-		}
-		if !page.More || len(page.Rows) == 0 {
-			o.mu.Lock()
-			o.copies[shard] = fresh
-			o.mu.Unlock()
-			return fresh, nil
-		}
-		keys.From = page.Rows[len(page.Rows)-1].Key + "\x00"
-	}
-}
-
-func (o *storedOrigins) deleteLater(key platform.RowKey) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if len(o.written) < maxPending {
-		o.written = append([]writtenRow{{key: key}}, o.written...)
-	}
-}
-
-// collector returns the VM that writes the origins of a shard to the store.
-func (s *Service) collector(shard int) (netip.AddrPort, bool) {
-	key := shardPrefix(shard)
-	self := s.config.Members.Self().VM
-	best := s.rankedPeers(key, 1)
-	if len(best) == 0 || best[0].rank < target.Rank(key, self) {
-		return netip.AddrPort{}, true
-	}
-	return best[0].address, false
-}
-
-// askStore looks for the origin of an attempt in the store, by way of the collector of its shard, so that a shard is read
-// once after a loss of all VMs.
-func (s *Service) askStore(ctx context.Context, request findRequest) (findResponse, error) {
-	if to, self := s.collector(shardOf(request.Attempt)); !self {
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		var response findResponse
-		err := s.config.Node.Call(callCtx, to, methodFind, request, &response)
-		if err == nil && (response.Known || response.StoreRead) {
-			return response, nil
-		}
-	}
-	o, known, read := s.stored.find(ctx, request.Attempt)
-	return findResponse{Known: known, Origin: o, StoreRead: read}, nil
-}
-
-func (s *Service) onStore(from peer.Identity, decode func(any) error) {
-	var m recordMessage
-	if err := decode(&m); err != nil {
-		s.config.Log.Warn().Err(err).Str("from", from.VM).Msg("origin of a stream not decoded; not stored")
-		return
-	}
-	s.stored.add(storedOrigin{Attempt: hashOf(m.Attempt), Origin: m.Origin})
-}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -79,3 +79,32 @@
 		})
 	}
 }
+
+// Guards against a version that is forgotten while a stream that it began can still be resumed, and against one that is kept for ever.
+func TestRecordOfVersions(t *testing.T) {
+	const now = time.Hour
+	served := func(versions ...origin.Served) origin.Record { return origin.Record{Versions: versions} }
+	for _, test := range []struct {
+		name             string
+		record           origin.Record
+		registered, gone []string
+		want             origin.Record
+		changed          bool
+	}{
+		{"the first version", served(), []string{"v1"}, nil, served(origin.Served{Version: "v1", AddedAt: now}), true},
+		{"no news", served(origin.Served{Version: "v1", AddedAt: 1}), []string{"v1"}, nil, served(origin.Served{Version: "v1", AddedAt: 1}), false},
+		{"a version that is gone stays for a while", served(origin.Served{Version: "v1", AddedAt: 1}), nil, []string{"v1"}, served(origin.Served{Version: "v1", AddedAt: 1, GoneAt: now}), true},
+		{"one that is not seen is not gone", served(origin.Served{Version: "v1", AddedAt: 1}), nil, nil, served(origin.Served{Version: "v1", AddedAt: 1}), false},
+		{"one that comes back is no longer gone", served(origin.Served{Version: "v1", AddedAt: 1, GoneAt: now - 1}), []string{"v1"}, nil, served(origin.Served{Version: "v1", AddedAt: 1}), true},
+		{"one that is gone for longer than streams last", served(origin.Served{Version: "v1", AddedAt: 1, GoneAt: now - origin.Retention - 1}), nil, nil, served(), true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			got, changed := test.record.Update(now, test.registered, test.gone)
+			qt.Assert(t, changed, qt.Equals, test.changed)
+			qt.Assert(t, len(got.Versions), qt.Equals, len(test.want.Versions))
+			for i, v := range got.Versions {
+				qt.Assert(t, v, qt.Equals, test.want.Versions[i])
+			}
+		})
+	}
+}
