origins: a VM that starts reads the record at once, and resumptions wait for it

Cause: a VM that was not the first in rank waited 50 to 100 ms before it read the record of versions, also right after its start, and a client that names no attempt was refused meanwhile.

Change: the first read is made at once, and a resumption waits up to 300 ms for it in the first second of a process. The test no longer leaves time after the start.

--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -42,6 +42,11 @@
 	findTimeout = 100 * time.Millisecond
 	// confirmTimeout bounds the time to ask while this VM knows a single version, in case it learns of another one late.
 	confirmTimeout = 25 * time.Millisecond
+	// loadTimeout bounds the time for which a resumption waits for a VM that has just started: long compared with a read of the
+	// store, short compared with the pause that the client sees anyway.
+	loadTimeout = 300 * time.Millisecond
+	// startTime is how long after its start a VM is expected to load.
+	startTime = time.Second
 )
 
 var (
@@ -107,6 +112,9 @@
 	config Config
 	// changed wakes the task that keeps the record of versions.
 	changed chan struct{}
+	// loaded is closed once the records and the registry have been read.
+	loaded  chan struct{}
+	started time.Time
 	stored  *storedOrigins
 
 	// publishMu orders the calls of OnTargets.
@@ -117,7 +125,9 @@
 	history *origin.History
 	targets []routing.Target
 	// records says what is known of the record of each service.
-	records map[string]*recordState
+	records       map[string]*recordState
+	recordsRead   bool
+	registryKnown bool
 	// incarnations holds the VMs that were alive, and vmLost says that one of them is not any more.
 	incarnations map[string]uint64
 	vmLost       bool
@@ -128,6 +138,8 @@
 	s := &Service{
 		config:       config,
 		changed:      make(chan struct{}, 1),
+		loaded:       make(chan struct{}),
+		started:      time.Now(),
 		ledger:       origin.NewLedger(),
 		history:      origin.NewHistory(time.Now()),
 		records:      map[string]*recordState{},
@@ -186,6 +198,7 @@
 // the client did not name the attempt, it is the only version at which streams of the service can have begun, if there is one.
 // onlyService means that the stream can't have begun at another service. It fails with ErrUnknown or ErrNotRead.
 func (s *Service) Resolve(ctx context.Context, attempt, service string, onlyService bool) (origin.Origin, error) {
+	s.awaitLoad(ctx)
 	s.mu.Lock()
 	now := time.Now()
 	local, known := s.ledger.Get(now, attempt)
@@ -225,6 +238,22 @@
 	return origin.Origin{}, err
 }
 
+// awaitLoad waits for a VM that has just started to learn which versions have served.
+func (s *Service) awaitLoad(ctx context.Context) {
+	select {
+	case <-s.loaded:
+		return
+	default:
+	}
+	timer := time.NewTimer(min(loadTimeout, time.Until(s.started.Add(startTime))))
+	defer timer.Stop()
+	select {
+	case <-s.loaded:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // checkVersion fails for a target without a version, unless all others have none either: any version could go on.
 func (s *Service) checkVersion(o origin.Origin, certain bool) (origin.Origin, error) {
 	if o.Version == "" && !certain {
--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -242,8 +242,6 @@
 				}
 				return store
 			}, 6, test.after...)
-			// A request can't arrive before the configuration and registry have been read.
-			time.Sleep(200 * time.Millisecond)
 			var answers, soleNow, refuseAll []resumption
 			for i, s := range streams {
 				o, err := vms[(i+1)%len(vms)].Resolve(t.Context(), s.attempt, service, !test.split)
--- a/internal/origins/versions.go
+++ b/internal/origins/versions.go
@@ -49,6 +49,8 @@
 	s.mu.Lock()
 	s.targets = targets
 	s.history.SetTargets(time.Now(), targets)
+	s.registryKnown = true
+	s.markLoaded()
 	for _, t := range targets {
 		if s.records[t.Service] == nil {
 			s.records[t.Service] = &recordState{live: map[string]bool{}}
@@ -70,6 +72,18 @@
 	}
 }
 
+// markLoaded closes loaded if all is known. s.mu must be held.
+func (s *Service) markLoaded() {
+	if !s.recordsRead || !s.registryKnown {
+		return
+	}
+	select {
+	case <-s.loaded:
+	default:
+		close(s.loaded)
+	}
+}
+
 // publishTargets passes on the targets that may begin streams: those whose version is in the record, so that a stream is never
 // older than the record of its version. A service none of whose targets are recorded and available uses all of them.
 func (s *Service) publishTargets() {
@@ -99,7 +113,7 @@
 func (s *Service) keepRecords(ctx context.Context) {
 	verify := time.NewTicker(verifyInterval)
 	defer verify.Stop()
-	for pause := time.Duration(0); ; {
+	for pause := s.reconcile(ctx, false); ; {
 		var retry <-chan time.Time
 		if pause > 0 {
 			retry = time.After(pause)
@@ -121,10 +135,13 @@
 // zero if nothing is left to do.
 func (s *Service) reconcile(ctx context.Context, verifying bool) time.Duration {
 	first := s.rankFor(versionsPrefix) == 0
-	if !s.recordsDiffer(time.Now()) && !verifying {
+	s.mu.Lock()
+	read := s.recordsRead
+	s.mu.Unlock()
+	if read && !verifying && !s.recordsDiffer(time.Now()) {
 		return s.nextGone(first)
 	}
-	if !first && !verifying {
+	if read && !first && !verifying {
 		// The first VM in rank has written by then, so that the others only read.
 		select {
 		case <-ctx.Done():
@@ -214,6 +231,8 @@
 			s.history.LoadAbsent(service)
 		}
 	}
+	s.recordsRead = true
+	s.markLoaded()
 }
 
 // adoptRecord adopts the record of a service. s.mu must be held.
