scheduler: a resumed stream waits as long as its client does

Cause: a stream that its client resumes was refused unless a slot of its version was expected within the objective (300 ms). After a loss of most VMs all slots of a version are taken at the same moment, so none is free for most of a slot time.

Change: its wait is bounded by its Expires and by what its client still waits, as for other clients who return. Streams that go on within a response are refused as before, since they ask again.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -51,7 +51,7 @@
 		return Refuse{Ticket: w.Ticket, RetryAfter: s.jitter(s.config.NoTargetRetry), Reason: NoTarget}, true
 	}
 	maxWait := w.StartBy.Sub(now)
-	if w.Retry && !w.Interrupted {
+	if w.Retry && !w.Resuming {
 		maxWait = w.Expires.Sub(now)
 	}
 	ahead := s.requestsAhead(now, p, w)
@@ -195,11 +195,18 @@
 // extendWait lets a request that has returned wait for as long as its client can still be answered, but not for so long that it
 // would have done better to go elsewhere.
 func (p *pool) extendWait(now time.Time, w *waiter) {
-	if w.AnswerBy.IsZero() || w.Interrupted {
+	if w.AnswerBy.IsZero() {
 		return
 	}
 	left := w.AnswerBy.Sub(now)
 	latest := now.Add(min(time.Duration(maxReturnedWaitShare*float64(left)), left-time.Duration(answerTimeFactor*float64(p.onlineSlotTime))))
+	if w.Interrupted {
+		// What is left of its response is shorter than a whole one.
+		if latest.After(w.Expires) {
+			w.Expires = latest
+		}
+		return
+	}
 	w.Expires = latest
 	if latest.Before(w.StartBy) {
 		w.StartBy = latest
--- a/scheduler/order_test.go
+++ b/scheduler/order_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
 // Everyone was refused first and answered when they returned, for as long as a backlog that fed itself stood.
@@ -37,3 +40,19 @@
 		})
 	}
 }
+
+// Streams that clients resumed after a loss of most VMs were refused, because all slots of their version had just been taken.
+func TestResumedStreamWaitsWhileItsClientDoes(t *testing.T) {
+	s := newScheduler(1, 4)
+	for n := range 4 {
+		granted(t, s.Submit(epoch, online(n+1, epoch)), n+1)
+	}
+	now := at(50 * time.Millisecond)
+	s.Submit(now, online(5, now))
+	r := online(6, now)
+	r.Retry, r.Interrupted, r.AnswerBy = true, true, now.Add(1500*time.Millisecond)
+	r.Expires = r.StartBy.Add(time.Second)
+	_, ok := refused(s.Submit(now, r), 6)
+	qt.Assert(t, ok, qt.IsFalse)
+	granted(t, s.Release(at(600*time.Millisecond), ticket(1), scheduler.Finished, time.Millisecond), 6)
+}
