origins: no targets are passed on before the registry has been read

Cause: when the record of versions was read before the registry, the service passed on an empty list of targets. The scheduling service took it for the registry: the VM offered to coordinate, acknowledged reports of runs and refused requests for lack of targets, where it should have answered that it has not read the registry, so that the next VM in rank is asked.

The new test fails without the change (one call with no targets).

--- a/internal/origins/origins_test.go
+++ b/internal/origins/origins_test.go
@@ -331,6 +331,25 @@
 	eventually(t, func() bool { return usedNow() == "[v1 v2]" })
 }
 
+func TestNoTargetsArePassedOnBeforeTheRegistryIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls []int
+		var mu sync.Mutex
+		list := []member.Member{{VM: "vm", State: member.Alive}}
+		s := origins.New(origins.Config{
+			Members: view{"vm", &mu, &list}, Node: schedulingtest.DiscardNode, Rows: memory.New(), Log: zerolog.Nop(),
+			OnTargets: func(targets []routing.Target) { calls = append(calls, len(targets)) },
+		})
+		go s.Run(t.Context())
+		time.Sleep(time.Second)
+		synctest.Wait()
+		qt.Assert(t, calls, qt.HasLen, 0)
+		s.SetTargets(registry("v1"))
+		synctest.Wait()
+		qt.Assert(t, calls[0], qt.Equals, 1)
+	})
+}
+
 // slowRows delays all calls while block is held.
 type slowRows struct {
 	platform.Rows
--- a/internal/origins/versions.go
+++ b/internal/origins/versions.go
@@ -85,7 +85,8 @@
 }
 
 // publishTargets passes on the targets that may begin streams: those whose version is in the record, so that a stream is never
-// older than the record of its version. A service none of whose targets are recorded and available uses all of them.
+// older than the record of its version. A service none of whose targets are recorded and available uses all of them. Before the
+// registry has been read there is nothing to pass on: an empty list would mean that no targets are registered.
 func (s *Service) publishTargets() {
 	if s.config.OnTargets == nil {
 		return
@@ -93,6 +94,10 @@
 	s.publishMu.Lock()
 	defer s.publishMu.Unlock()
 	s.mu.Lock()
+	if !s.registryKnown {
+		s.mu.Unlock()
+		return
+	}
 	served := map[string]bool{}
 	for _, t := range s.targets {
 		if s.records[t.Service].live[t.Version] && !t.Draining {
