ingress: a request that may not run again ends when its target is lost

Nobody looked whether the target was still there, because there is no other target to turn to.

Such a run is now watched from its first silence on: two connections in a row that neither this VM nor others can open end it, with the outcome that it may have run. A target that accepts connections is waited for as before, and so is one that only this VM can't reach.

The test fails without the change for the three cases that end: their clients wait for 4 s.

--- a/internal/ingress/failing_target_test.go
+++ b/internal/ingress/failing_target_test.go
@@ -1,13 +1,22 @@
 package ingress_test
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/ingress"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
+	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/quarantine"
+	"github.com/rosemarydyke/rosemarydyke/reach"
+	"github.com/rosemarydyke/rosemarydyke/routing"
 )
 
 // Guards against a target that fails all requests at once and attracts more of them, because it has the most free slots.
@@ -41,3 +50,46 @@
 	}
 	qt.Assert(t, failed <= 3, qt.IsTrue, qt.Commentf("%d of 6 requests failed", failed))
 }
+
+// Guards against clients who wait for their deadline although the target of their request, which may run only once, is gone.
+func TestRequestOfALostTargetEndsBeforeItsDeadline(t *testing.T) {
+	unreachable := errors.New("no route to host")
+	for name, test := range map[string]struct {
+		path    string
+		fault   streamtarget.Fault
+		dial    error
+		isEnded bool
+	}{
+		"a stream, before its first event": {"/once/", streamtarget.Hang, unreachable, true},
+		"a stream, midway":                 {"/once/", streamtarget.PauseMidStream, unreachable, true},
+		"a call":                           {"/unsafe/", streamtarget.Hang, unreachable, true},
+		"a stream whose target accepts connections":     {"/once/", streamtarget.PauseMidStream, nil, false},
+		"a stream whose VM has lost its own path":       {"/once/", streamtarget.PauseMidStream, &reach.PathError{Cause: unreachable}, false},
+		"a stream that may go on at a target like this": {"/resumable/", streamtarget.PauseMidStream, unreachable, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Bool
+			f := &fixture{}
+			f.addTarget(t, streamtarget.Config{ID: "i-0", Version: "v1", Pause: 2 * time.Second})
+			f.adjust = func(c *ingress.Config, _ *routing.Table) {
+				c.Targets = platform.NewTargetClient(&streamtarget.Observer{}, platform.DialFunc(func(ctx context.Context, address string) (net.Conn, error) {
+					if sent.Swap(true) && test.dial != nil {
+						return nil, &net.OpError{Op: "dial", Net: "tcp", Err: test.dial}
+					}
+					return platform.DialTarget(ctx, address)
+				}))
+			}
+			f.serve(t, 4, 4*time.Second, quarantine.Config{})
+			f.inject(test.fault)
+			got, id := f.send(t, test.path)
+			qt.Check(t, f.runs(id), qt.Equals, 1)
+			if !test.isEnded {
+				qt.Check(t, got.body, qt.Equals, wholeStream(id))
+				return
+			}
+			qt.Check(t, got.took < 2*time.Second, qt.IsTrue, qt.Commentf("ended after %s", got.took))
+			qt.Check(t, got.err != nil || got.status == http.StatusBadGateway, qt.IsTrue, qt.Commentf("status %d", got.status))
+			qt.Check(t, f.log.String(), qt.Contains, "can't be reached any more")
+		})
+	}
+}
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/reach"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
@@ -17,6 +19,10 @@
 	handoverOverlap = 250 * time.Millisecond
 	// searchInterval is the time after which a slot is requested again that was refused.
 	searchInterval = 100 * time.Millisecond
+	// lossCheckInterval is the time between two checks whether a silent target can still be reached, and lossChecks the number of
+	// successive failed ones after which its run is lost. A target that is suspended still accepts connections.
+	lossCheckInterval = 250 * time.Millisecond
+	lossChecks        = 2
 )
 
 // handover follows the run of a request and, while its target is silent, looks for another one. The silent run is left
@@ -30,6 +36,8 @@
 	// search looks for a slot of another target, and replacement is the run there. At most one of them is set.
 	search      *search
 	replacement *run
+	// loss watches a silent target whose request may not be sent to another one.
+	loss *lossWatch
 	// notRun counts the replacements that did not run.
 	notRun int
 }
@@ -67,6 +75,8 @@
 		return h.onReplacementArrival(ctx, a)
 	case <-h.overlap.C:
 		return errReplaced
+	case err := <-h.loss.results():
+		return err
 	}
 	return nil
 }
@@ -77,6 +87,8 @@
 		return err
 	}
 	h.current.silentFor = 0
+	h.loss.stop()
+	h.loss = nil
 	h.dropReplacement(ctx, errNotNeeded)
 	if err := h.exchange.forward(h.current, a); err != nil {
 		return err
@@ -85,18 +97,27 @@
 	return nil
 }
 
-// awaitNext restarts the silence timer.
+// awaitNext restarts the silence timer. A response that is not a stream may take as long as it does.
 func (h *handover) awaitNext(timeout time.Duration) {
 	h.silence.Stop()
 	if h.exchange.isStream() {
 		h.current.silentFor = 0
 		h.silence.Reset(timeout)
+		return
 	}
+	h.silence.Reset(max(h.exchange.route.LatencyObjective, timeout))
 }
 
-// onSilence looks for another target if the request may run again. The silence counts against the target in any case.
+// onSilence looks for another target if the request may run again, and otherwise watches whether the target is lost. The silence
+// of a stream counts against the target in any case.
 func (h *handover) onSilence(ctx context.Context) {
 	r := h.current
+	if !h.exchange.mayStartAnother() {
+		h.loss = h.exchange.watchLoss(ctx, r)
+	}
+	if !h.exchange.isStream() {
+		return
+	}
 	r.silentFor = firstEventTimeout
 	if r.record.firstEvent != 0 {
 		r.silentFor = h.exchange.gapTimeout()
@@ -189,6 +210,7 @@
 
 func (h *handover) stop() {
 	h.silence.Stop()
+	h.loss.stop()
 	h.dropReplacement(context.Background(), errNotNeeded)
 }
 
@@ -220,6 +242,63 @@
 	return s.found
 }
 
+// lossWatch checks whether the target of a run can still be reached, until it can't.
+type lossWatch struct {
+	lost   chan error
+	cancel context.CancelFunc
+}
+
+// results returns the channel on which a loss is reported, and nil for no watch.
+func (w *lossWatch) results() <-chan error {
+	if w == nil {
+		return nil
+	}
+	return w.lost
+}
+
+func (w *lossWatch) stop() {
+	if w != nil {
+		w.cancel()
+	}
+}
+
+// lostError means that neither this VM nor others can connect to the silent target of a run.
+type lostError struct {
+	target string
+	cause  error
+}
+
+func (e *lostError) Error() string {
+	return fmt.Sprintf("target %q is silent and can't be reached any more: %v", e.target, e.cause)
+}
+
+func (e *lostError) Unwrap() error { return e.cause }
+
+// watchLoss begins to check whether the silent target of a run is lost, so that the client need not wait for its deadline to learn
+// that the request has failed.
+func (e *exchange) watchLoss(ctx context.Context, r *run) *lossWatch {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &lossWatch{lost: make(chan error, 1), cancel: cancel}
+	go func() {
+		for failed := 0; failed < lossChecks; {
+			if !sleep(ctx, lossCheckInterval) {
+				return
+			}
+			err := e.server.config.Targets.CheckConnection(ctx, r.address)
+			var path *reach.PathError
+			if err == nil || errors.As(err, &path) {
+				failed = 0
+				continue
+			}
+			if failed++; failed == lossChecks && ctx.Err() == nil {
+				lostRunsTotal.Inc()
+				w.lost <- &lostError{target: r.slot.Target, cause: err}
+			}
+		}
+	}()
+	return w
+}
+
 // startSearch requests a slot after a delay, on another target than that of a silent run.
 func (e *exchange) startSearch(ctx context.Context, delay time.Duration, silent *run) *search {
 	tried, version := append(slices.Clone(e.tried), silent.slot.Target), e.version
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -43,10 +43,12 @@
 	failedTotal      = metrics.NewCounter(`rosemarydyke_requests_failed_total`)
 	resumedTotal     = metrics.NewCounter(`rosemarydyke_streams_resumed_total`)
 	silencesTotal    = metrics.NewCounter(`rosemarydyke_target_silences_total`)
-	clientGoneTotal  = metrics.NewCounter(`rosemarydyke_requests_client_gone_total`)
-	slotWait         = metrics.NewHistogram(`rosemarydyke_slot_wait_seconds`)
-	firstEventTime   = metrics.NewHistogram(`rosemarydyke_first_event_seconds`)
-	responseTime     = metrics.NewHistogram(`rosemarydyke_response_seconds`)
+	// lostRunsTotal counts the runs that ended because their silent target could not be reached any more.
+	lostRunsTotal   = metrics.NewCounter(`rosemarydyke_target_runs_lost_total`)
+	clientGoneTotal = metrics.NewCounter(`rosemarydyke_requests_client_gone_total`)
+	slotWait        = metrics.NewHistogram(`rosemarydyke_slot_wait_seconds`)
+	firstEventTime  = metrics.NewHistogram(`rosemarydyke_first_event_seconds`)
+	responseTime    = metrics.NewHistogram(`rosemarydyke_response_seconds`)
 )
 
 // Configuration provides the configuration in force, and how old it may be.
