settings check: a configuration is checked before it is sent

rosemary settings check FILE decodes a configuration with the loader of the VMs, and lists with line and path what that would accept although it has no effect or contradicts itself: routes that can never match, services that get no requests, times shorter than the objectives they serve, accounts without keys or with half a limit. With --in-force FILE it also states what changes for clients. The exit status is 0, 1 for findings and 2 for a file that can't be read; -o json is for scripts.

configcheck is pure and sees the decoded table only, so that a check and a VM can't read a configuration differently; platform locates the places in the text.

--- a/account/account.go
+++ b/account/account.go
@@ -40,11 +40,13 @@
 type Directory struct {
 	keys   KeyIndex[Account]
 	byName map[string]*Account
+	// entries are those that the directory was made of.
+	entries []Entry
 }
 
 // NewDirectory returns a directory, or an error if the entries are not consistent.
 func NewDirectory(entries []Entry) (*Directory, error) {
-	d := &Directory{keys: NewKeyIndex[Account](), byName: make(map[string]*Account, len(entries))}
+	d := &Directory{keys: NewKeyIndex[Account](), byName: make(map[string]*Account, len(entries)), entries: entries}
 	for _, e := range entries {
 		a := e.Account
 		if err := a.validate(); err != nil {
@@ -89,3 +91,11 @@
 	a, ok := d.byName[name]
 	return a, ok
 }
+
+// Entries returns the accounts with the digests of their keys, in the order of the configuration.
+func (d *Directory) Entries() []Entry {
+	if d == nil {
+		return nil
+	}
+	return d.entries
+}
--- a/cmd/rosemary/main.go
+++ b/cmd/rosemary/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -45,7 +46,14 @@
 		printer:  printer{out: os.Stdout, json: c.Output == "json"},
 	}
 	if err := ctx.Run(session); err != nil {
+		var status *statusError
+		if errors.As(err, &status) && status.text == "" {
+			os.Exit(status.status)
+		}
 		fmt.Fprintf(os.Stderr, "rosemary: %v\n", err)
+		if status != nil {
+			os.Exit(status.status)
+		}
 		os.Exit(exitFailure)
 	}
 }
--- a/cmd/rosemary/settings.go
+++ b/cmd/rosemary/settings.go
@@ -10,6 +10,7 @@
 )
 
 type settingsCommands struct {
+	Check    settingsCheck    `cmd:"" help:"Check a configuration of the VMs before it is sent to the store."`
 	Apply    settingsApply    `cmd:"" help:"Replace a subtree with the content of a file, as one change."`
 	Get      settingsGet      `cmd:"" help:"Print a subtree."`
 	History  settingsHistory  `cmd:"" help:"List the revisions that changed a subtree, newest first."`
