usage: an account may send the requests of a window at once

A limit allows 5 x rate + burst requests in any 5 s, a token bucket only to an account that asks steadily.

The counting VM keeps the requests of the last 5 s and lets an account overdraw its bucket within them, as far as an overdraft is recorded in the store; the next counting VM takes it from its start value.

The oracle over sliding windows now has a store that is slow and away, and rejects VMs that don't learn of overdrafts. TestLimitOfTheNewestVersionIsApplied runs without a store, since its burst binds only then.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,6 +182,8 @@
 		Members:  n.members,
 		Accounts: n.accounts,
 		Expected: len(s.Seeds),
+		Store:    n.rows,
+		Clock:    boottime.Now,
 		Log:      n.log,
 	})
 	n.members.OnChange(func(members []member.Member) {
--- a/internal/usage/count.go
+++ b/internal/usage/count.go
@@ -88,7 +88,11 @@
 	case !limit.Limited():
 		return answer
 	}
-	d := s.buckets.Count(now, m.ID, m.Account, limit, version, s.term(now, m.Account, limit, alone))
+	term := s.term(now, m.Account, limit, alone)
+	d := s.buckets.Count(now, m.ID, m.Account, limit, version, term)
+	if o := s.order(m.Account); !alone && o.VMs[0].VM == s.vm && !o.Deputy {
+		s.requestOverdraft(now, m.Account, term)
+	}
 	answer.PerSecond, answer.Burst, answer.Tokens, answer.RetryAfter = d.Limit.PerSecond, d.Limit.Burst, d.Tokens, d.RetryAfter
 	if !d.Allowed {
 		answer.Outcome = refused
@@ -125,10 +129,12 @@
 		term.Share = usage.DeputyShare(limit.PerSecond, len(s.askers)+1, s.fleet.reached())
 	default:
 		term.Share = usage.Share(s.fleet.reached(), s.fleet.known(now.Sub(s.started), s.config.Expected))
+		term.Overdraft = s.usableOverdraft(name)
 	}
 	if s.fleet.reach.isCutOff(now) {
 		term.Share = min(term.Share, usage.Share(1, s.fleet.known(now.Sub(s.started), s.config.Expected)))
 	}
+	s.applyOverdraft(now, name, limit, &term)
 	return term
 }
 
--- a/internal/usage/fleet.go
+++ b/internal/usage/fleet.go
@@ -278,6 +278,23 @@
 	}
 }
 
+// lastAnswered reports whether the latest question that had time for an answer got one. There is none without other VMs.
+func (r *reach) lastAnswered(now time.Time) bool {
+	for i := range r.questions {
+		q := r.questions[(r.next+reachQuestions-1-i)%reachQuestions]
+		if q.at.IsZero() || now.Sub(q.at) > reachMaxAge {
+			break
+		}
+		if q.answered {
+			return true
+		}
+		if now.Sub(q.at) > reachTimeout {
+			return false
+		}
+	}
+	return true
+}
+
 // isCutOff reports whether hardly any VM answers.
 func (r *reach) isCutOff(now time.Time) bool {
 	unanswered := 0
--- a/internal/usage/service.go
+++ b/internal/usage/service.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/account"
+	"github.com/rosemarydyke/rosemarydyke/internal/boottime"
 	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/member"
@@ -45,10 +46,12 @@
 )
 
 var (
-	allowedTotal    = metrics.NewCounter(`rosemarydyke_usage_requests_total{result="allowed"}`)
-	refusedTotal    = metrics.NewCounter(`rosemarydyke_usage_requests_total{result="refused"}`)
-	fallbackTotal   = metrics.NewCounter(`rosemarydyke_usage_fallbacks_total`)
-	unansweredTotal = metrics.NewCounter(`rosemarydyke_usage_questions_unanswered_total`)
+	allowedTotal       = metrics.NewCounter(`rosemarydyke_usage_requests_total{result="allowed"}`)
+	refusedTotal       = metrics.NewCounter(`rosemarydyke_usage_requests_total{result="refused"}`)
+	fallbackTotal      = metrics.NewCounter(`rosemarydyke_usage_fallbacks_total`)
+	overdraftsRecorded = metrics.NewCounter(`rosemarydyke_usage_overdrafts_recorded_total`)
+	overdraftErrors    = metrics.NewCounter(`rosemarydyke_usage_overdraft_errors_total`)
+	unansweredTotal    = metrics.NewCounter(`rosemarydyke_usage_questions_unanswered_total`)
 )
 
 // Node is the transport that the service uses.
@@ -66,7 +69,11 @@
 	// Expected is the number of VMs that the VM's settings name, itself included, or zero. A VM that has just started and
 	// knows fewer allows a part of each limit only, because after a loss of all VMs each of them starts to count.
 	Expected int
-	Log      zerolog.Logger
+	// Store keeps overdrafts. Without it, accounts are held to token buckets.
+	Store Store
+	// Clock is the clock by which the use of an overdraft ends. Default: the monotonic clock.
+	Clock boottime.Clock
+	Log   zerolog.Logger
 }
 
 // Service counts requests, or asks the VM that does.
@@ -87,6 +94,11 @@
 	// orders caches the choice of the counting VM by account until the members or their answers change.
 	orders   map[string]*order
 	episodes map[string]*episode
+	// overdrafts are those of the accounts that this VM has counted lately.
+	overdrafts map[string]*overdraft
+	// records are those that were in the store at recordsAsked, after the start of this VM.
+	records      map[string]overdraftRow
+	recordsAsked time.Time
 }
 
 // order is the choice of the VMs that are asked about an account.
@@ -125,6 +137,9 @@
 
 // New returns a service, and registers its handlers at the node.
 func New(config Config) *Service {
+	if config.Clock == nil {
+		config.Clock = boottime.Monotonic()
+	}
 	now := time.Now()
 	s := &Service{
 		config:   config,
@@ -138,6 +153,8 @@
 		fleet:    newFleet(),
 		orders:   map[string]*order{},
 		episodes: map[string]*episode{},
+
+		overdrafts: map[string]*overdraft{},
 	}
 	s.MembersChanged()
 	handle(s, methodAsk, s.onAsk)
@@ -163,6 +180,9 @@
 
 // Run fills buckets and probes VMs that do not answer until ctx ends.
 func (s *Service) Run(ctx context.Context) {
+	if s.config.Store != nil {
+		go s.readOverdrafts(ctx)
+	}
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -186,6 +206,7 @@
 		}
 	}
 	s.endEpisodes(now)
+	s.forgetOverdrafts(now)
 	s.probe(now)
 	if s.fleet.expire(now) {
 		clear(s.orders)
--- a/internal/usage/service_test.go
+++ b/internal/usage/service_test.go
@@ -21,6 +21,8 @@
 	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
 	"github.com/rosemarydyke/rosemarydyke/internal/rapidtest"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/usage"
@@ -43,6 +45,50 @@
 	accounts *account.Directory
 	version  uint64
 	ended    bool
+	store    Store
+}
+
+// slowStore takes some ms for each call, and fails during an outage.
+type slowStore struct {
+	Store
+	network *network
+	away    bool
+	// forgets means that reads find nothing, so that no VM learns of an overdraft.
+	forgets bool
+}
+
+func (s *slowStore) wait() (forgets bool, err error) {
+	s.network.mu.Lock()
+	delay, away, forgets := time.Duration(s.network.random.IntN(30))*time.Millisecond, s.away, s.forgets
+	s.network.mu.Unlock()
+	time.Sleep(delay)
+	if away {
+		return forgets, platform.ErrUnavailable
+	}
+	return forgets, nil
+}
+
+func (s *slowStore) Read(ctx context.Context, table, part string, keys platform.KeyRange) (platform.Page, error) {
+	forgets, err := s.wait()
+	if err != nil {
+		return platform.Page{}, err
+	}
+	page, err := s.Store.Read(ctx, table, part, keys)
+	if forgets {
+		page.Rows = nil
+	}
+	return page, err
+}
+
+func (s *slowStore) Apply(ctx context.Context, txn platform.RowTxn) (uint64, error) {
+	forgets, err := s.wait()
+	if err != nil {
+		return 0, err
+	}
+	if forgets {
+		txn.Conditions = nil
+	}
+	return s.Store.Apply(ctx, txn)
 }
 
 // testVM is one VM. Its service is replaced when it restarts.
@@ -83,6 +129,7 @@
 
 func newNetwork(vms int, seed uint64, limit account.Limit) *network {
 	n := &network{random: rand.New(rand.NewPCG(seed, seed)), cut: map[[2]int]bool{}, sent: map[peer.Method]int{}}
+	n.store = &slowStore{Store: memory.New(), network: n}
 	n.setLimit(limit)
 	var members []member.Member
 	for i := range vms {
@@ -115,7 +162,7 @@
 // start starts the process of a VM.
 func (v *testVM) start() {
 	handlers := map[peer.Method]datagram.MessageHandler{}
-	s := New(Config{Node: registrar{v, handlers}, Members: v, Expected: len(v.members), Log: zerolog.New(&v.log), Accounts: func() (*account.Directory, uint64) {
+	s := New(Config{Node: registrar{v, handlers}, Members: v, Expected: len(v.members), Store: v.net.store, Log: zerolog.New(&v.log), Accounts: func() (*account.Directory, uint64) {
 		v.net.mu.Lock()
 		defer v.net.mu.Unlock()
 		return v.net.accounts, v.net.version
@@ -123,6 +170,7 @@
 	v.net.mu.Lock()
 	defer v.net.mu.Unlock()
 	v.handlers, v.service, v.dead = handlers, s, false
+	go s.readOverdrafts(context.Background())
 }
 
 type registrar struct {
@@ -337,7 +385,9 @@
 }
 
 // limitHolds checks the limit over sliding windows under any load and faults.
-func limitHolds(t *rapid.T) {
+func limitHolds(t *rapid.T) { limitHoldsWith(t, false) }
+
+func limitHoldsWith(t *rapid.T, forgets bool) {
 	const vms, half = 12, 500 * time.Millisecond
 	limit := account.Limit{PerSecond: float64(rapid.IntRange(1, 30).Draw(t, "per second")), Burst: float64(rapid.IntRange(0, 40).Draw(t, "burst"))}
 	demand := rapid.SliceOfN(rapid.SampledFrom([]int{0, 5, 30, 120}), 20, 20).Draw(t, "requests per second, by half second")
@@ -351,7 +401,13 @@
 	n := newNetwork(vms, rapid.Uint64().Draw(t, "seed"), limit)
 	defer n.end()
 	loss := float64(rapid.IntRange(0, 3).Draw(t, "percent lost")) / 100
-	n.set(func() { n.loss = loss })
+	store := n.store.(*slowStore)
+	n.set(func() { n.loss, store.forgets = loss, forgets })
+	// Accounts are not let overdraw their buckets by VMs that have just started.
+	time.Sleep(time.Duration(rapid.IntRange(0, 6000).Draw(t, "age of the fleet in ms")) * time.Millisecond)
+	awayAt := time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms until the store is away")) * time.Millisecond
+	time.AfterFunc(awayAt, func() { n.set(func() { store.away = true }) })
+	time.AfterFunc(awayAt+2*time.Second, func() { n.set(func() { store.away = false }) })
 	ranked := n.ranked()
 	for range rapid.IntRange(0, 2).Draw(t, "faults") {
 		e := event{rapid.SampledFrom([]string{"restart", "restart all", "freeze", "cut links", "partition"}).Draw(t, "kind"), rapid.IntRange(0, 6000).Draw(t, "at ms"),
@@ -413,6 +469,11 @@
 
 func TestLimitHoldsUnderFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) { rapid.Check(withoutDeadline{t}, limitHolds) })
+	t.Run("which VMs that don't learn of overdrafts break", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			rapidtest.MustFail(t, func(t *rapid.T) { limitHoldsWith(t, true) })
+		})
+	})
 }
 
 // withoutDeadline hides the deadline of a test, which may not be read in a synctest bubble.
@@ -496,6 +557,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(3, 1, account.Limit{PerSecond: 1, Burst: 50})
 		defer n.end()
+		// Without overdrafts the burst binds exactly.
+		n.set(func() { n.store.(*slowStore).away = true })
 		ranked := n.ranked()
 		time.Sleep(10 * time.Second)
 		asker := n.vms[ranked[1]].service
@@ -517,7 +580,7 @@
 		for range 100 {
 			_ = asker.Acquire(t.Context(), old)
 		}
-		time.Sleep(usage.Window + time.Second)
+		time.Sleep(usage.Window + 3*time.Second)
 		log := &n.vms[ranked[1]].log
 		qt.Assert(t, log.count("beyond its usage limit"), qt.Equals, 1)
 		qt.Assert(t, log.count("no longer refused"), qt.Equals, 1)
@@ -627,3 +690,31 @@
 	}
 	return nil
 }
+
+// A limit of 20 per second and a burst of 10 allows 110 requests in 5 s, also if they come within a second.
+func TestRequestsOfAWindowMayComeTogether(t *testing.T) {
+	for name, test := range map[string]struct {
+		away          bool
+		least, beyond int
+	}{
+		"the store answers": {false, 100, 110},
+		"the store is away": {true, 28, 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork(12, 1, account.Limit{PerSecond: 20, Burst: 10})
+				defer n.end()
+				n.set(func() { n.store.(*slowStore).away = test.away })
+				time.Sleep(usage.Window + 3*time.Second)
+				allowed := 0
+				for i := range 200 {
+					if n.acquire(i%12) == nil {
+						allowed++
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+				qt.Assert(t, allowed >= test.least && allowed <= test.beyond, qt.IsTrue, qt.Commentf("%d requests allowed", allowed))
+			})
+		})
+	}
+}
--- a/usage/bucket.go
+++ b/usage/bucket.go
@@ -5,6 +5,10 @@
 // of burst b and rate r allows at most 5r + b requests in any 5 s. What a change of the counting VM adds is bounded by
 // the start value of the new bucket.
 //
+// The limit allows the 5r + b requests of a Window to come at once, which a bucket does not. A VM that has counted all requests of
+// a Window lets an account overdraw its bucket, within the Window and within an overdraft that the next counting VM learns of:
+// it takes the overdraft from the start value.
+//
 // The package does no I/O. Its types are not safe for concurrent use.
 package usage
 
@@ -29,6 +33,8 @@
 	// several times the 120 ms within which a request is repeated.
 	maxDecisions = 8_192
 	decisionTime = 500 * time.Millisecond
+	// overdraftReserve is the part of a bucket that is left when an overdraft is wanted, so that there is time to record it.
+	overdraftReserve = 0.5
 	// maxRetryAfter bounds the delay that a client is told, because limits change.
 	maxRetryAfter = time.Minute
 )
@@ -49,6 +55,12 @@
 	Takeovers int
 	// Share is the part of the limit that this VM may allow, in (0, 1].
 	Share float64
+	// Overdraft is the number of requests by which this VM may overdraw the bucket now.
+	Overdraft float64
+	// Inherited is the number of requests by which VMs that counted before Since may have overdrawn their buckets by then. While it
+	// is unknown, the bucket is not filled.
+	Inherited        float64
+	InheritedUnknown bool
 }
 
 // Decision is the result of counting a request.
@@ -80,15 +92,26 @@
 	tokens  float64
 	// filled is the time up to which the bucket is filled, in the time of Buckets.
 	filled time.Duration
+	// unfilled is what the bucket was not filled with while it was unknown what it inherits.
+	unfilled float64
 	// raised is when a higher burst was last added to the tokens.
 	raised time.Duration
+	// history holds the requests that were allowed here.
+	history history
 }
 
+// maxOverdraft is the largest useful overdraft: the Window allows no more.
+func maxOverdraft(limit account.Limit) float64 { return limit.PerSecond * Window.Seconds() }
+
 func (b *bucket) rate() float64     { return b.limit.PerSecond * b.term.Share }
 func (b *bucket) capacity() float64 { return capacity(b.limit, b.term.Share) }
 
 func (b *bucket) fill(at time.Duration) {
-	b.tokens = min(b.tokens+b.rate()*(at-b.filled).Seconds(), b.capacity())
+	if b.term.InheritedUnknown {
+		b.unfilled += b.rate() * (at - b.filled).Seconds()
+	} else {
+		b.tokens = min(b.tokens+b.rate()*(at-b.filled).Seconds(), b.capacity())
+	}
 	b.filled = at
 }
 
@@ -109,11 +132,16 @@
 // setTerm applies a term. When the term is a new one, another VM may have counted since the last request, so the bucket
 // is not filled for that time, and holds no more than a new one would.
 func (b *bucket) setTerm(at time.Duration, term Term, now time.Time) {
-	if term.Since.After(b.term.Since) {
+	switch {
+	case term.Since.After(b.term.Since):
 		b.filled = max(b.filled, at-now.Sub(term.Since))
 		b.fill(at)
-		b.tokens = min(b.tokens, startTokens(b.limit, term, now))
-	} else {
+		b.tokens, b.unfilled = min(b.tokens, startTokens(b.limit, term, now)), 0
+	case b.term.InheritedUnknown && !term.InheritedUnknown:
+		b.fill(at)
+		b.tokens += b.unfilled - term.Inherited*term.Share
+		b.unfilled = 0
+	default:
 		b.fill(at)
 	}
 	b.term = term
@@ -123,16 +151,26 @@
 // startTokens is the content of a bucket that is created during a term: buckets that are full are not kept, so the
 // bucket may have filled since the term began.
 func startTokens(limit account.Limit, term Term, now time.Time) float64 {
-	start := StartTokens(limit, term.Takeovers) + limit.PerSecond*max(now.Sub(term.Since), 0).Seconds()
+	start := StartTokens(limit, term.Takeovers)
+	if !term.InheritedUnknown {
+		start += limit.PerSecond*max(now.Sub(term.Since), 0).Seconds() - term.Inherited
+	}
 	return min(start*term.Share, capacity(limit, term.Share))
 }
 
+// mayOverdraw reports whether one more request may be allowed although the bucket is empty.
+func (b *bucket) mayOverdraw() bool {
+	return b.tokens-1 >= -b.term.Overdraft && float64(b.history.total) < b.limit.PerSecond*Window.Seconds()+b.limit.Burst
+}
+
 // Buckets holds the buckets of the accounts that a VM counts, and its recent decisions.
 type Buckets struct {
 	accounts map[string]*bucket
 	// last is the time of the last call, and elapsed the time that counts for filling: without pauses of the process.
 	last    time.Time
 	elapsed time.Duration
+	// incomplete is when requests may last have been counted elsewhere, or when a history was dropped.
+	incomplete time.Time
 
 	recent, older map[ID]Decision
 	rotated       time.Time
@@ -147,7 +185,11 @@
 func (s *Buckets) Len() int { return len(s.accounts) }
 
 func (s *Buckets) advance(now time.Time) {
-	s.elapsed += min(max(now.Sub(s.last), 0), maxGap)
+	gap := max(now.Sub(s.last), 0)
+	if gap > maxGap {
+		s.incomplete = now
+	}
+	s.elapsed += min(gap, maxGap)
 	s.last = now
 	if now.Sub(s.rotated) > decisionTime || len(s.recent) >= maxDecisions {
 		s.older, s.recent, s.rotated = s.recent, make(map[ID]Decision, len(s.recent)), now
@@ -158,12 +200,13 @@
 func (s *Buckets) Tick(now time.Time) {
 	s.advance(now)
 	for name, stored := range s.accounts {
+		stored.history.advance(s.elapsed)
 		// A copy is filled: whether this VM counted all the time is known at the next request only.
 		b := *stored
 		b.fill(s.elapsed)
 		// A bucket that holds a part of the limit, or more than a new one would, is kept, and so is one whose burst was
 		// raised lately.
-		if b.tokens >= b.capacity() && b.term.Share == 1 && (b.raised < 0 || s.elapsed-b.raised > Window) &&
+		if b.tokens >= b.capacity() && b.history.total == 0 && b.term.Share == 1 && (b.raised < 0 || s.elapsed-b.raised > Window) &&
 			startTokens(b.limit, b.term, now) >= b.tokens {
 			delete(s.accounts, name)
 		}
@@ -178,11 +221,16 @@
 		return d
 	}
 	b := s.bucket(now, name, limit, version, term)
-	d := Decision{Allowed: b.tokens >= 1, Limit: b.limit}
+	b.history.advance(s.elapsed)
+	d := Decision{Allowed: b.tokens >= 1 || s.isComplete(now, b) && b.mayOverdraw(), Limit: b.limit}
 	if d.Allowed {
 		b.tokens--
+		b.history.add()
 	} else {
 		wait := (1 - b.tokens) / b.rate()
+		if b.tokens-1 >= -b.term.Overdraft && s.isComplete(now, b) {
+			wait = min(wait, b.history.nextDrop(s.elapsed).Seconds())
+		}
 		d.RetryAfter = time.Duration(min(wait, maxRetryAfter.Seconds())*float64(time.Second)).Truncate(time.Millisecond) + time.Millisecond
 	}
 	d.Tokens = b.tokens
@@ -190,6 +238,22 @@
 	return d
 }
 
+// isComplete reports whether the history of a bucket holds all requests of the last Window.
+func (s *Buckets) isComplete(now time.Time, b *bucket) bool {
+	return b.term.Share == 1 && now.Sub(b.term.Since) > Window && now.Sub(s.incomplete) > Window
+}
+
+// OverdraftWanted returns the overdraft that an account needs soon, zero if none. It grows in steps of one second of the rate, so that
+// the next counting VM has to take little more from the account than what it has used.
+func (s *Buckets) OverdraftWanted(now time.Time, name string) float64 {
+	b := s.accounts[name]
+	if b == nil || b.tokens > overdraftReserve*b.capacity() || !s.isComplete(now, b) {
+		return 0
+	}
+	step := max(b.limit.PerSecond, 1)
+	return min(math.Ceil((max(-b.tokens, 0)+step/2)/step)*step, maxOverdraft(b.limit))
+}
+
 // Decided reports whether a request was counted or cancelled recently.
 func (s *Buckets) Decided(id ID) bool {
 	_, known := s.decision(id)
@@ -236,6 +300,7 @@
 		}
 	}
 	delete(s.accounts, name)
+	s.incomplete = s.last
 }
 
 // Return gives back one counted request that has not run. A repeated message has no effect: id identifies the return.
@@ -252,6 +317,7 @@
 func (s *Buckets) giveBack(name string) {
 	if b := s.accounts[name]; b != nil {
 		b.tokens = min(b.tokens+1, b.capacity())
+		b.history.remove()
 	}
 }
 
