usage: no overdrafts for a window after a VM was cut off from others

While a VM may reach a part of the others only, they may count in its place, and its history lacks their requests. An account that asked in the meantime was not let overdraw its bucket; one that did not ask could do so as soon as the partition had ended.

--- a/internal/usage/count.go
+++ b/internal/usage/count.go
@@ -128,16 +128,25 @@
 	case o.Deputy:
 		term.Share = usage.DeputyShare(limit.PerSecond, len(s.askers)+1, s.fleet.reached())
 	default:
-		term.Share = usage.Share(s.fleet.reached(), s.fleet.known(now.Sub(s.started), s.config.Expected))
+		term.Share = s.share(now)
 		term.Overdraft = s.usableOverdraft(name)
 	}
 	if s.fleet.reach.isCutOff(now) {
-		term.Share = min(term.Share, usage.Share(1, s.fleet.known(now.Sub(s.started), s.config.Expected)))
+		term.Share = min(term.Share, s.share(now))
 	}
 	s.applyOverdraft(now, name, limit, &term)
 	return term
 }
 
+// share is the part of each limit that this VM may allow at most, since others may count where it can't reach them.
+func (s *Service) share(now time.Time) float64 {
+	reached, known := s.fleet.reached(), s.fleet.known(now.Sub(s.started), s.config.Expected)
+	if s.fleet.reach.isCutOff(now) {
+		reached = 1
+	}
+	return usage.Share(reached, known)
+}
+
 // otherwiseSince returns when this VM first counted although it is not the first of the order.
 func (o *order) otherwiseSince(now time.Time) time.Time {
 	if o.otherwise.IsZero() {
--- a/internal/usage/service.go
+++ b/internal/usage/service.go
@@ -200,6 +200,9 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.buckets.Tick(now)
+	if s.share(now) < 1 {
+		s.buckets.Interrupt(now)
+	}
 	for vm, at := range s.askers {
 		if now.Sub(at) > askerTime {
 			delete(s.askers, vm)
--- a/usage/bucket.go
+++ b/usage/bucket.go
@@ -196,6 +196,9 @@
 	}
 }
 
+// Interrupt records that other VMs may count now too, so that the histories lack requests.
+func (s *Buckets) Interrupt(now time.Time) { s.incomplete = now }
+
 // Tick drops buckets that are full. It must be called several times within maxGap, or buckets fill too slowly.
 func (s *Buckets) Tick(now time.Time) {
 	s.advance(now)
