ingress, batchjobs: log whether a response ended with its connection

The log could not tell the hypotheses of the incident apart: an attempt or an item is completed, and nothing says how the end of its response was known. A response without a length or chunks ends with its connection, which the kernel also ends for a killed process.

--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -48,6 +48,8 @@
 	tried []string
 	// connReused is set when the item is sent on a connection that served an earlier request.
 	connReused atomic.Bool
+	// endsWithConnection means that the end of the last response was that of its connection.
+	endsWithConnection bool
 	// held means that the item waits because targets crash under what it holds.
 	held bool
 	// consecutiveInterruptions counts the attempts in a row that were interrupted before the target sent an
@@ -165,7 +167,8 @@
 		if ended {
 			run.finish(index)
 			s.config.Log.Info().EmbedObject(jobName(run.job)).Str("item", run.items[index].ID).Bool("given_up", result.givenUp).
-				Int("events", state.Events).Int("failures", state.Failures).Dur("took_ms", time.Since(began)).Msg("item ended")
+				Int("events", state.Events).Int("failures", state.Failures).Bool("ends_with_connection", state.endsWithConnection).
+				Dur("took_ms", time.Since(began)).Msg("item ended")
 			itemTime.UpdateDuration(began)
 			return result, true
 		}
@@ -398,6 +401,7 @@
 		return 0, err
 	}
 	defer response.Close()
+	state.endsWithConnection = response.EndsWithConnection
 	if response.Status/100 != 2 {
 		_, err := response.ReadAll()
 		return response.Status, err
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -94,6 +94,8 @@
 	via string
 	// connReused means that the request was sent on a connection that served an earlier one.
 	connReused bool
+	// endsWithConnection means that the end of the response was that of its connection.
+	endsWithConnection bool
 }
 
 // MarshalZerologObject implements zerolog.LogObjectMarshaler.
@@ -105,6 +107,9 @@
 	if a.connReused {
 		e.Bool("conn_reused", true)
 	}
+	if a.endsWithConnection {
+		e.Bool("ends_with_connection", true)
+	}
 }
 
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -160,7 +160,7 @@
 
 // forward forwards a part of a response that was checked. It returns errDone when the response is complete.
 func (e *exchange) forward(r *run, a arrival) error {
-	r.record.via = a.response.Via
+	r.record.via, r.record.endsWithConnection = a.response.Via, a.response.EndsWithConnection
 	if !r.begun {
 		r.begun = true
 		e.server.config.Quarantine.RecordBegun(e.content)
