ingress: a test whose targets are killed, which fails

The stand-in of targets runs as a process of its own, and its responses can end with their connections.

--- a/cmd/rosemary-ingress/process_test.go
+++ b/cmd/rosemary-ingress/process_test.go
@@ -36,7 +36,7 @@
 	waitTimeout = 20 * time.Second
 )
 
-var binary string
+var binary, standinBinary string
 
 func TestMain(m *testing.M) {
 	os.Exit(func() int {
@@ -45,10 +45,14 @@
 			panic(err)
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
-		binary = filepath.Join(dir, "rosemary-ingress")
-		if output, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		binary, standinBinary = filepath.Join(dir, "rosemary-ingress"), filepath.Join(dir, "rosemary-standin")
+		if output, err := exec.Command("go", "build", "-o", dir, ".", "../rosemary-standin").CombinedOutput(); err != nil {
 			panic(fmt.Sprintf("%v: %s", err, output))
 		}
+		if earlier := os.Getenv("ROSEMARYDYKE_INGRESS"); earlier != "" {
+			// Plays a test against another build.
+			binary = earlier
+		}
 		return m.Run()
 	}())
 }
@@ -262,6 +266,27 @@
 	}
 }
 
+// results reads the results of a job at a VM until there are n, and returns their texts by item.
+func (f *fleet) results(job string, vm *process, n int) map[string]string {
+	results := map[string]string{}
+	f.eventually("all results of job "+job, func() bool {
+		status, content, err := f.do(http.MethodGet, vm.clients, platform.ResultsURI(job, len(results)), "read", "")
+		var body struct {
+			Results []struct{ ID, State, Text string }
+		}
+		if err != nil || status != http.StatusOK || json.Unmarshal([]byte(content), &body) != nil {
+			return false
+		}
+		for _, r := range body.Results {
+			qt.Assert(f.t, results[r.ID], qt.Equals, "", qt.Commentf("%s is listed twice", r.ID))
+			qt.Assert(f.t, r.State, qt.Equals, "completed")
+			results[r.ID] = r.Text
+		}
+		return len(results) == n
+	})
+	return results
+}
+
 func TestJobSurvivesLossOfItsVM(t *testing.T) {
 	f := startFleet(t)
 	const items = 60
@@ -274,22 +299,7 @@
 	qt.Assert(t, status, qt.Equals, http.StatusAccepted)
 	time.Sleep(300 * time.Millisecond)
 	qt.Assert(t, f.vms[0].command.Process.Kill(), qt.IsNil)
-	results := map[string]string{}
-	f.eventually("all results at another VM", func() bool {
-		status, content, err := f.do(http.MethodGet, f.vms[1].clients, platform.ResultsURI("j", len(results)), "read", "")
-		var body struct {
-			Results []struct{ ID, State, Text string }
-		}
-		if err != nil || status != http.StatusOK || json.Unmarshal([]byte(content), &body) != nil {
-			return false
-		}
-		for _, r := range body.Results {
-			qt.Assert(t, results[r.ID], qt.Equals, "", qt.Commentf("%s is listed twice", r.ID))
-			qt.Assert(t, r.State, qt.Equals, "completed")
-			results[r.ID] = r.Text
-		}
-		return len(results) == items
-	})
+	results := f.results("j", f.vms[1], items)
 	for id, text := range results {
 		qt.Assert(t, text, qt.Equals, streamtarget.Text(id, streamEvents))
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -13,6 +13,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/host"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/platformserver"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/service"
+	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
 )
 
 // Config lists the stand-ins of one process.
@@ -33,6 +34,8 @@
 	Engines []engine.Config `yaml:"engines" validate:"dive"`
 	// Services are the plain services.
 	Services []service.Config `yaml:"services" validate:"dive"`
+	// StreamTargets are targets of rosemary-ingress.
+	StreamTargets []streamtarget.Config `yaml:"stream_targets" validate:"dive"`
 }
 
 // EntryVM is an entry VM in the platform's list.
@@ -56,9 +59,10 @@
 	Engines  []*engine.Engine
 	Services []*service.Service
 
-	platform    *host.Host
-	control     *host.Host
-	targetNames []string
+	platform      *host.Host
+	control       *host.Host
+	streamTargets []*streamtarget.Target
+	targetNames   []string
 }
 
 // Start starts all stand-ins, which run until ctx ends or Stop is called.
@@ -90,6 +94,14 @@
 		s.Services = append(s.Services, v)
 		s.targetNames = append(s.targetNames, c.Name)
 	}
+	for _, c := range cfg.StreamTargets {
+		c.Address = orDefault(c.Address)
+		t, err := streamtarget.Listen(c)
+		if err != nil {
+			return fmt.Errorf("stream target %s: %w", c.ID, err)
+		}
+		s.streamTargets = append(s.streamTargets, t)
+	}
 	s.Memory.SetVMs(s.vmList(cfg))
 	server := platformserver.New(platformserver.Config{
 		Memory:         s.Memory,
@@ -128,6 +140,9 @@
 	for _, v := range s.Services {
 		v.Stop()
 	}
+	for _, t := range s.streamTargets {
+		t.Close()
+	}
 }
 
 func (s *Set) vmList(cfg Config) []platform.VM {
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -55,17 +55,21 @@
 // Config configures a Target.
 type Config struct {
 	// ID is the target's ID.
-	ID string
+	ID string `yaml:"id" validate:"required"`
+	// Address is the TCP address (IP:port) to listen on. Default 127.0.0.1:0.
+	Address string `yaml:"address" validate:"omitempty,hostname_port"`
 	// Version is the version of the target's software.
-	Version string
+	Version string `yaml:"version"`
 	// Events is the number of events of each stream.
-	Events int
+	Events int `yaml:"events" validate:"min=1"`
 	// Interval is the time between events.
-	Interval time.Duration
+	Interval time.Duration `yaml:"interval" validate:"min=0"`
+	// EndsWithConnection makes responses end with their connections, without chunks or a length.
+	EndsWithConnection bool `yaml:"ends_with_connection"`
 	// Pause is how long a target with one of the pause faults is silent before it continues.
-	Pause time.Duration
+	Pause time.Duration `yaml:"pause" validate:"min=0"`
 	// CrashPart is a part of prompts that crashes the target when it begins to answer: all connections are cut off.
-	CrashPart string
+	CrashPart string `yaml:"crash_part"`
 }
 
 // Target is a running target.
@@ -95,8 +99,27 @@
 
 // Start starts a target on a free port of 127.0.0.1. Close stops it.
 func Start(config Config) *Target {
+	t := newTarget(config)
+	t.server.Start()
+	return t
+}
+
+// Listen starts a target at Config.Address.
+func Listen(config Config) (*Target, error) {
+	listener, err := net.Listen("tcp4", config.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	t := newTarget(config)
+	_ = t.server.Listener.Close()
+	t.server.Listener = listener
+	t.server.Start()
+	return t, nil
+}
+
+func newTarget(config Config) *Target {
 	t := &Target{config: config, runs: map[string]int{}, lastEventIDs: map[string][]int64{}, calls: map[string]platform.TargetCall{}}
-	t.server = httptest.NewServer(http.HandlerFunc(t.serve))
+	t.server = httptest.NewUnstartedServer(http.HandlerFunc(t.serve))
 	return t
 }
 
@@ -311,7 +334,7 @@
 		platform.SetTargetHeaders(w, id, "")
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	if fault == Unframed {
+	if fault == Unframed || t.config.EndsWithConnection {
 		w.Header().Set("Transfer-Encoding", "identity")
 		w.Header().Set("Connection", "close")
 	}
