ingress, batchjobs: the end of a lost target's connection is not that of its response

Callers saw streams that ended as complete after a part of their events, and items listed as completed with a part of their text (ORDER, on real processes only).

Cause: a response without a length or chunks ends with its connection, and io.EOF was taken for its end. Class: the absence of an error is taken for a completion.

Change: such an end counts only if the target still accepts a connection that stays open for 10 ms. Otherwise the response is incomplete and may have run: resumable streams and items go on elsewhere, idempotent requests run again, others fail. Responses with a length or chunks are as before.

The cases "target lost" and TestResponseOfALostTargetThatMayNotRunAgainIsNotComplete cover routes that may not run again.

--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/completion"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
@@ -409,7 +410,7 @@
 	for {
 		event, err := response.Next()
 		if errors.Is(err, io.EOF) {
-			return response.Status, nil
+			return response.Status, completion.Confirm(ctx, s.config.Targets, slot.Address, response)
 		}
 		if err != nil {
 			return 0, err
--- a/internal/ingress/failing_target_test.go
+++ b/internal/ingress/failing_target_test.go
@@ -93,3 +93,33 @@
 		})
 	}
 }
+
+// A response that ended with its connection was taken for complete although its target was lost.
+func TestResponseOfALostTargetThatMayNotRunAgainIsNotComplete(t *testing.T) {
+	for path, isWhole := range map[string]bool{"/once/": false, "/unsafe/": false, "/plain/": true} {
+		f := start(t, 4)
+		f.targets[0].Inject(streamtarget.Die)
+		got, id := f.send(t, path)
+		if isWhole {
+			qt.Check(t, got.err, qt.IsNil)
+			qt.Check(t, got.body, qt.Equals, wholeStream(id))
+			continue
+		}
+		qt.Check(t, got.err != nil || got.status == http.StatusBadGateway, qt.IsTrue, qt.Commentf("%s: status %d, %q", path, got.status, got.body))
+		qt.Check(t, f.runs(id), qt.Equals, 1)
+		qt.Check(t, f.log.String(), qt.Contains, `"ends_with_connection":true`)
+	}
+}
+
+// A target that lives may end its responses with their connections.
+func TestResponseThatEndsWithTheConnectionOfALivingTargetIsComplete(t *testing.T) {
+	f := &fixture{}
+	f.addTarget(t, streamtarget.Config{ID: "i-0", Version: "v1", EndsWithConnection: true})
+	f.serve(t, 4, timeout, quarantine.Config{})
+	for _, path := range []string{"/once/", "/unsafe/", "/plain/", "/resumable/"} {
+		got, id := f.send(t, path)
+		qt.Check(t, got.err, qt.IsNil)
+		qt.Check(t, got.body, qt.Equals, wholeStream(id))
+		qt.Check(t, f.runs(id), qt.Equals, 1)
+	}
+}
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -83,6 +83,7 @@
 
 // onArrival forwards what the current target sent. A target that continues is not replaced.
 func (h *handover) onArrival(ctx context.Context, a arrival) error {
+	h.current.observe(a)
 	if err := h.exchange.check(a); err != nil {
 		return err
 	}
@@ -174,6 +175,7 @@
 
 // onReplacementArrival leaves the silent run for one that sends the stream.
 func (h *handover) onReplacementArrival(ctx context.Context, a arrival) error {
+	h.replacement.observe(a)
 	if err := h.exchange.check(a); err != nil {
 		var failure *platform.TargetError
 		if errors.As(err, &failure) && failure.NotRun() {
@@ -284,7 +286,7 @@
 			if !sleep(ctx, lossCheckInterval) {
 				return
 			}
-			err := e.server.config.Targets.CheckConnection(ctx, r.address)
+			err := e.server.config.Targets.CheckConnection(ctx, r.address, 0)
 			var path *reach.PathError
 			if err == nil || errors.As(err, &path) {
 				failed = 0
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -228,6 +228,7 @@
 		"unframed":        streamtarget.Unframed,
 		"skipped event":   streamtarget.SkipEvent,
 		"no events":       streamtarget.Hang,
+		"target lost":     streamtarget.Die,
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := start(t, 4)
@@ -254,6 +255,7 @@
 		"skipped event":   streamtarget.SkipEvent,
 		"failed":          streamtarget.Fail,
 		"no events":       streamtarget.Hang,
+		"target lost":     streamtarget.Die,
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := start(t, 4)
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/completion"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 )
@@ -110,11 +112,17 @@
 	defer response.Close()
 	if !streaming || response.Status/100 != 2 {
 		body, err := response.ReadAll()
+		if err == nil {
+			err = completion.Confirm(ctx, targets, request.Address, response)
+		}
 		r.deliver(ctx, arrival{response: response, body: body, err: err})
 		return
 	}
 	for {
 		event, err := response.Next()
+		if errors.Is(err, io.EOF) {
+			err = cmp.Or(completion.Confirm(ctx, targets, request.Address, response), err)
+		}
 		if !r.deliver(ctx, arrival{response: response, event: event, isStream: true, err: err}) || err != nil {
 			return
 		}
@@ -138,6 +146,13 @@
 	return &silenceError{target: r.slot.Target, timeout: r.silentFor, cause: err}
 }
 
+// observe records for the log how the response came.
+func (r *run) observe(a arrival) {
+	if a.response != nil {
+		r.record.via, r.record.endsWithConnection = a.response.Via, a.response.EndsWithConnection
+	}
+}
+
 // isEnd reports whether the stream is complete.
 func (a arrival) isEnd() bool { return a.isStream && errors.Is(a.err, io.EOF) }
 
@@ -160,7 +175,6 @@
 
 // forward forwards a part of a response that was checked. It returns errDone when the response is complete.
 func (e *exchange) forward(r *run, a arrival) error {
-	r.record.via, r.record.endsWithConnection = a.response.Via, a.response.EndsWithConnection
 	if !r.begun {
 		r.begun = true
 		e.server.config.Quarantine.RecordBegun(e.content)
