ingress, batchjobs: a stream that ends with its connection is asked for what follows

Callers saw a complete success for a stream that its target had truncated, if the response had neither a length nor chunks; items were listed with a part of their text.

Change: where the request may be sent again, a stream or item is sent once more with its last event, and is complete when nothing follows, or when the target answers this with a failure. If the route's attempts are used up, or it has only one, the end counts as before.

--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -49,8 +49,9 @@
 	tried []string
 	// connReused is set when the item is sent on a connection that served an earlier request.
 	connReused atomic.Bool
-	// endsWithConnection means that the end of the last response was that of its connection.
-	endsWithConnection bool
+	// endsWithConnection means that the end of the last response was that of its connection, and endUnconfirmed that it was
+	// taken for the end of the text, until the next run shows what follows.
+	endsWithConnection, endUnconfirmed bool
 	// held means that the item waits because targets crash under what it holds.
 	held bool
 	// consecutiveInterruptions counts the attempts in a row that were interrupted before the target sent an
@@ -83,6 +84,7 @@
 	s.Text = append(s.Text, data...)
 	s.Position = id
 	s.Events++
+	s.endUnconfirmed = false
 	return nil
 }
 
@@ -91,6 +93,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.itemProgress = itemProgress{Position: platform.NoEvent, Failures: s.Failures}
+	s.endUnconfirmed = false
 }
 
 func (s *itemState) addFailure() {
@@ -109,6 +112,9 @@
 	return min(itemRetryDelay<<min(s.consecutiveInterruptions, 10), maxItemRetryDelay)
 }
 
+// errEndUnconfirmed means that the response ended with its connection, so that another run has to show that nothing follows.
+var errEndUnconfirmed = errors.New("response ended with its connection; a target is asked for what follows")
+
 // errSlotPreempted means that the coordinator took the slot back.
 var errSlotPreempted = errors.New("slot was preempted")
 
@@ -237,8 +243,11 @@
 	tried := state.tried
 	state.tried = nil
 	switch {
-	case err == nil && status/100 == 2:
-		s.estimator.observe(state.Events, time.Since(began)*time.Duration(state.Events)/time.Duration(max(state.Events-eventsBefore, 1)))
+	// A target that can't go on after the last event has nothing that follows it.
+	case err == nil && (status/100 == 2 || state.endUnconfirmed):
+		if n := state.Events - eventsBefore; n > 0 {
+			s.estimator.observe(state.Events, time.Since(began)*time.Duration(state.Events)/time.Duration(n))
+		}
 		return itemResult{index: index, text: state.Text}, true
 	case err == nil && status == http.StatusUnprocessableEntity:
 		return itemResult{index: index, givenUp: true}, true
@@ -251,6 +260,8 @@
 		if state.Failures >= route.MaxAttempts {
 			return itemResult{index: index, givenUp: true}, true
 		}
+	case errors.Is(err, errEndUnconfirmed):
+		state.consecutiveInterruptions, state.consecutiveTimeouts = 0, 0
 	case errors.Is(err, errSlotPreempted):
 		itemsPreempted.Inc()
 		s.config.Log.Info().EmbedObject(jobName(run.job)).Str("item", run.items[index].ID).Str("target", slot.Target).Int("events", state.Events-eventsBefore).
@@ -327,7 +338,7 @@
 func outcomeOf(ctx context.Context, err error) scheduler.Outcome {
 	var failure *platform.TargetError
 	switch {
-	case err == nil:
+	case err == nil, errors.Is(err, errEndUnconfirmed):
 		return scheduler.Finished
 	case errors.Is(err, errSlotPreempted), ctx.Err() != nil:
 		return scheduler.Abandoned
@@ -407,10 +418,11 @@
 		_, err := response.ReadAll()
 		return response.Status, err
 	}
+	eventsBefore := state.Events
 	for {
 		event, err := response.Next()
 		if errors.Is(err, io.EOF) {
-			return response.Status, completion.Confirm(ctx, s.config.Targets, slot.Address, response)
+			return response.Status, s.confirmEnd(ctx, slot, response, state, state.Events == eventsBefore)
 		}
 		if err != nil {
 			return 0, err
@@ -424,3 +436,15 @@
 		}
 	}
 }
+
+// confirmEnd fails if nothing but its connection tells the end of an item's text, unless the run before ended there too.
+func (s *Service) confirmEnd(ctx context.Context, slot *scheduling.Slot, response *platform.TargetResponse, state *itemState, noEvents bool) error {
+	if err := completion.Confirm(ctx, s.config.Targets, slot.Address, response); err != nil || !response.EndsWithConnection {
+		return err
+	}
+	if state.endUnconfirmed && noEvents {
+		return nil
+	}
+	state.endUnconfirmed = true
+	return errEndUnconfirmed
+}
--- a/internal/batchjobs/item_test.go
+++ b/internal/batchjobs/item_test.go
@@ -55,6 +55,20 @@
 		c.submitUntilAccepted(a, "j", 1)
 		c.checkComplete("j", 1, c.waitForResults(a, "j", 1))
 	})
+	for name, faults := range map[string][]streamtarget.Fault{
+		"are resumed when responses end early with their connections": {streamtarget.Truncate, streamtarget.Truncate, streamtarget.Truncate},
+		"are resumed when a target is lost":                           {streamtarget.Die},
+		"are complete when targets fail after the last event":         {streamtarget.None, streamtarget.Reject, streamtarget.None, streamtarget.Fail},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newClusterWith(t, 0, streamtarget.Config{Interval: time.Millisecond, EndsWithConnection: true}, "v1", "v1")
+			c.targets[0].Inject(faults...)
+			c.targets[1].Inject(faults[:len(faults)-1]...)
+			a := c.start("a", c.state)
+			c.submitUntilAccepted(a, "j", 1)
+			c.checkComplete("j", 1, c.waitForResults(a, "j", 1))
+		})
+	}
 	for name, faults := range map[string][]streamtarget.Fault{
 		"are given up when a target rejects them for good": {streamtarget.Reject},
 		"are given up at the route's limit of failures":    {streamtarget.Fail, streamtarget.Fail, streamtarget.Fail},
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -75,6 +75,8 @@
 	// possibleRuns counts the targets that may have run the request.
 	possibleRuns int
 	tried        []string
+	// endUnconfirmed means that the stream has ended with a connection after the last event.
+	endUnconfirmed bool
 	// completed means that the client has received the complete response.
 	completed bool
 	// attempts are recorded for the log.
@@ -398,7 +400,7 @@
 	r.record.connReused = r.connReused.Load()
 	r.slot.Release(outcome, r.record.firstEvent)
 	e.recordCrash(r, outcome, err)
-	if !slices.Contains(e.tried, r.slot.Target) {
+	if !errors.Is(err, errEndUnconfirmed) && !slices.Contains(e.tried, r.slot.Target) {
 		e.tried = append(e.tried, r.slot.Target)
 	}
 	e.attempts = append(e.attempts, r.record)
@@ -440,6 +442,9 @@
 	}
 	e.mayHaveRun = true
 	e.possibleRuns++
+	if errors.Is(err, errEndUnconfirmed) {
+		return scheduler.Finished
+	}
 	if ctx.Err() != nil || isClientError(err) || errors.Is(err, errReplaced) || errors.Is(err, errNotNeeded) || failure != nil && failure.OfPath() {
 		return scheduler.Abandoned
 	}
--- a/internal/ingress/failing_target_test.go
+++ b/internal/ingress/failing_target_test.go
@@ -111,15 +111,39 @@
 	}
 }
 
-// A target that lives may end its responses with their connections.
+// A target that lives may end its responses with their connections. Where it can be asked, it says that nothing follows.
 func TestResponseThatEndsWithTheConnectionOfALivingTargetIsComplete(t *testing.T) {
 	f := &fixture{}
 	f.addTarget(t, streamtarget.Config{ID: "i-0", Version: "v1", EndsWithConnection: true})
-	f.serve(t, 4, timeout, quarantine.Config{})
-	for _, path := range []string{"/once/", "/unsafe/", "/plain/", "/resumable/"} {
+	f.serve(t, 1, timeout, quarantine.Config{})
+	for path, runs := range map[string]int{"/once/": 1, "/unsafe/": 1, "/plain/": 1, "/resumable/": 2, "/thrice/": 2} {
 		got, id := f.send(t, path)
 		qt.Check(t, got.err, qt.IsNil)
 		qt.Check(t, got.body, qt.Equals, wholeStream(id))
-		qt.Check(t, f.runs(id), qt.Equals, 1)
+		qt.Check(t, f.runs(id), qt.Equals, runs)
+	}
+}
+
+// A stream that a living target truncated reached its client as complete.
+func TestTruncatedStreamThatEndsWithItsConnectionGoesOn(t *testing.T) {
+	f := start(t, 4)
+	f.targets[0].Inject(streamtarget.Truncate)
+	got, id := f.send(t, "/resumable/")
+	qt.Assert(t, got.err, qt.IsNil)
+	qt.Assert(t, got.body, qt.Equals, wholeStream(id))
+	qt.Assert(t, f.runs(id), qt.Equals, 2)
+}
+
+// Guards against streams that are broken off because a target has no answer to what follows their last event.
+func TestStreamIsCompleteIfATargetFailsAfterItsLastEvent(t *testing.T) {
+	f := &fixture{}
+	f.addTarget(t, streamtarget.Config{ID: "i-0", Version: "v1", EndsWithConnection: true})
+	f.serve(t, 1, timeout, quarantine.Config{})
+	for _, fault := range []streamtarget.Fault{streamtarget.Fail, streamtarget.Reject} {
+		f.targets[0].Inject(streamtarget.None, fault)
+		got, id := f.send(t, "/resumable/")
+		qt.Check(t, got.err, qt.IsNil)
+		qt.Check(t, got.body, qt.Equals, wholeStream(id))
+		qt.Check(t, f.runs(id), qt.Equals, 2)
 	}
 }
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -84,7 +84,7 @@
 // onArrival forwards what the current target sent. A target that continues is not replaced.
 func (h *handover) onArrival(ctx context.Context, a arrival) error {
 	h.current.observe(a)
-	if err := h.exchange.check(a); err != nil {
+	if err := h.exchange.check(h.current, a); err != nil {
 		return err
 	}
 	h.current.silentFor = 0
@@ -176,7 +176,7 @@
 // onReplacementArrival leaves the silent run for one that sends the stream.
 func (h *handover) onReplacementArrival(ctx context.Context, a arrival) error {
 	h.replacement.observe(a)
-	if err := h.exchange.check(a); err != nil {
+	if err := h.exchange.check(h.replacement, a); err != nil {
 		var failure *platform.TargetError
 		if errors.As(err, &failure) && failure.NotRun() {
 			h.notRun++
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -66,6 +66,8 @@
 	errReplaced = errors.New("another target continues")
 	// errNotNeeded ends a run on another target, because the silent one continues.
 	errNotNeeded = errors.New("the silent target continues")
+	// errEndUnconfirmed ends a run whose stream ended with its connection, so that a target is asked for what follows.
+	errEndUnconfirmed = errors.New("stream ended with its connection; a target is asked for what follows")
 )
 
 // startRun sends the request to the target of a slot. A request that is not repeatable gets no connection that has been idle for
@@ -158,10 +160,10 @@
 
 // check returns an error for a part of a response that is not forwarded to the client: a failure, an event out of order, or
 // a response to which another target may do better.
-func (e *exchange) check(a arrival) error {
+func (e *exchange) check(r *run, a arrival) error {
 	switch {
 	case a.isEnd():
-		return nil
+		return e.checkEnd(r, a)
 	case a.err != nil:
 		return a.err
 	case a.isStream && e.lastEvent != platform.NoEvent && a.event.ID != e.lastEvent+1:
@@ -169,11 +171,25 @@
 	case a.isStream:
 		return nil
 	default:
-		return e.checkBuffered(a)
+		return e.checkBuffered(r, a)
+	}
+}
+
+// checkEnd returns an error for the end of a stream that nothing but its connection tells, if a target can be asked for what
+// follows. A living target may have truncated its response, too.
+func (e *exchange) checkEnd(r *run, a arrival) error {
+	if !a.response.EndsWithConnection || e.isAsked(r) || !e.mayStartAnother() {
+		return nil
 	}
+	e.endUnconfirmed = true
+	return errEndUnconfirmed
 }
 
-// forward forwards a part of a response that was checked. It returns errDone when the response is complete.
+// isAsked reports whether a run was to show what follows the end of the stream, and has sent nothing yet.
+func (e *exchange) isAsked(r *run) bool { return e.endUnconfirmed && r.record.events == 0 }
+
+// forward forwards a part of a response that was checked. It returns errDone when the response is complete. A stream that has begun
+// ends with any other response that passed the check.
 func (e *exchange) forward(r *run, a arrival) error {
 	if !r.begun {
 		r.begun = true
@@ -185,6 +201,8 @@
 		return errDone
 	case a.isStream:
 		return e.forwardEvent(r, a)
+	case e.started:
+		return errDone
 	default:
 		r.failed = a.response.Status >= http.StatusInternalServerError
 		return e.forwardBuffered(a)
@@ -204,9 +222,12 @@
 
 // checkBuffered returns an error for a response that is not forwarded, because the client has a part of a stream or
 // another target may do better.
-func (e *exchange) checkBuffered(a arrival) error {
+func (e *exchange) checkBuffered(r *run, a arrival) error {
 	status := a.response.Status
 	switch {
+	case e.started && e.isAsked(r):
+		// A target that can't go on after the last event has nothing that follows it.
+		return nil
 	case e.started:
 		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("target responded to a resumed stream with status %d", status)}
 	case status >= http.StatusInternalServerError && e.mayStartAnother():
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -50,6 +50,8 @@
 	SlowFail
 	// PauseMidStream sends nothing for Config.Pause before the third event.
 	PauseMidStream
+	// Truncate ends the connection in order after the third event of a response that ends with it.
+	Truncate
 	// Die ends the target after the third event of a response that ends with its connection, as a kernel ends a killed process:
 	// the listener is closed, and the connection ends in order.
 	Die
@@ -337,7 +339,7 @@
 		platform.SetTargetHeaders(w, id, "")
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	if fault == Unframed || fault == Die || t.config.EndsWithConnection {
+	if fault == Unframed || fault == Die || fault == Truncate || t.config.EndsWithConnection {
 		w.Header().Set("Transfer-Encoding", "identity")
 		w.Header().Set("Connection", "close")
 	}
@@ -368,8 +370,10 @@
 			resetConnection(w)
 			return
 		}
-		if fault == Die && event == int(call.LastEvent)+3 {
-			_ = t.server.Listener.Close()
+		if (fault == Die || fault == Truncate) && event == int(call.LastEvent)+3 {
+			if fault == Die {
+				_ = t.server.Listener.Close()
+			}
 			return
 		}
 	}
