ingress, batchjobs: the end of a connection counts if the target answers a health check

Callers saw streams that ended as complete after a part of their events when the target was killed and its listener stayed open.

Cause: a connection that stays open for 10 ms was taken for a proof that the target lives, but the kernel accepts it without any process: while a supervisor or a sibling process holds the listener, for a suspended process, and for one that is ending.

Change: the process with the target's ID has to answer a health check on a new connection, whatever the answer is. Without a health_path the connection is checked as before.

Evidence: Linux 6.18 closes the descriptors of a killed process from the last one to the first.

--- a/cmd/rosemary-ingress/killed_target_test.go
+++ b/cmd/rosemary-ingress/killed_target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,13 +19,24 @@
 	"github.com/rosemarydyke/rosemarydyke/platform"
 )
 
-// startTargetProcess starts a target in a process of its own, whose responses end with their connections, and registers it.
-func (f *fleet) startTargetProcess(id string) *exec.Cmd {
+// startTargetProcess starts a target in a process of its own, whose responses end with their connections, and registers it. If it is
+// supervised, its listener outlives it.
+func (f *fleet) startTargetProcess(id string, supervised bool) *exec.Cmd {
 	address := testports.Address(f.t, "127.0.0.1")
-	settings := fmt.Sprintf("stream_targets:\n- {id: %s, address: %q, version: v1, events: %d, interval: %s, ends_with_connection: true}\n", id, address, streamEvents, eventInterval)
 	path := filepath.Join(f.t.TempDir(), "target.yaml")
-	qt.Assert(f.t, os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
 	command := exec.Command(standinBinary, "--config", path)
+	descriptor := 0
+	if supervised {
+		listener, err := net.Listen("tcp4", address)
+		qt.Assert(f.t, err, qt.IsNil)
+		f.t.Cleanup(func() { _ = listener.Close() })
+		file, err := listener.(*net.TCPListener).File()
+		qt.Assert(f.t, err, qt.IsNil)
+		defer func() { _ = file.Close() }()
+		command.ExtraFiles, descriptor = []*os.File{file}, 3
+	}
+	settings := fmt.Sprintf("stream_targets:\n- {id: %s, address: %q, descriptor: %d, version: v1, events: %d, interval: %s, ends_with_connection: true}\n", id, address, descriptor, streamEvents, eventInterval)
+	qt.Assert(f.t, os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
 	qt.Assert(f.t, command.Start(), qt.IsNil)
 	f.t.Cleanup(func() {
 		// The process may have been killed already.
@@ -37,11 +49,17 @@
 
 // The stream of a killed target whose response ends with its connection reached clients as complete, and items were listed with a
 // part of their text.
-func TestKilledTargetEndsNoStreamAsComplete(t *testing.T) {
+func TestKilledTargetEndsNoStreamAsComplete(t *testing.T) { killTargets(t, false) }
+
+// The kernel accepts connections for a killed target while a supervisor or another process holds its listener, or until the process has
+// released what it opened after the listener.
+func TestKilledTargetWhoseListenerIsOpenEndsNoStreamAsComplete(t *testing.T) { killTargets(t, true) }
+
+func killTargets(t *testing.T, supervised bool) {
 	f := startFleetOfVersions(t)
 	var targets []*exec.Cmd
 	for i := range 4 {
-		targets = append(targets, f.startTargetProcess(fmt.Sprintf("i-%d", i)))
+		targets = append(targets, f.startTargetProcess(fmt.Sprintf("i-%d", i), supervised))
 	}
 	f.eventually("streams are served", func() bool { return f.stream(f.vms[0].clients) == nil })
 	const streams, items = 24, 24
--- a/cmd/rosemary-ingress/process_test.go
+++ b/cmd/rosemary-ingress/process_test.go
@@ -88,7 +88,7 @@
 	f.put(platform.OperatorTable, platform.ConfigKey, `{"version":1,"routes":[
 	 {"name":"r","host":"a.example","path_prefix":"/s/","route_kind":"streaming","timeout_ms":5000,"goal_ms":300,"service":"s","max_attempts":2,"resumable":true,"gap_target_ms":400},
 	 {"name":"b","host":"a.example","path_prefix":"/b/","route_kind":"batch","goal_ms":500,"service":"s","max_attempts":3,"run_target_ms":18000,"retention_s":60}],
-	 "services":[{"name":"s"}],"limits":{"max_body_bytes":100000}}`)
+	 "services":[{"name":"s","health_path":"/health"}],"limits":{"max_body_bytes":100000}}`)
 	f.startVMs()
 	return f
 }
--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -52,6 +52,8 @@
 	// endsWithConnection means that the end of the last response was that of its connection, and endUnconfirmed that it was
 	// taken for the end of the text, until the next run shows what follows.
 	endsWithConnection, endUnconfirmed bool
+	// healthPath is the path of the health check of the service that runs the item, or empty.
+	healthPath string
 	// held means that the item waits because targets crash under what it holds.
 	held bool
 	// consecutiveInterruptions counts the attempts in a row that were interrupted before the target sent an
@@ -196,6 +198,10 @@
 	}
 	name, weight, priority := s.itemAccount(run.job, head, route)
 	item := run.items[index]
+	service := route.Pick(rand.Float64())
+	if table := s.config.Configuration.Current(); table != nil {
+		state.healthPath = table.Services[service].HealthPath
+	}
 	slot, err := s.waitQueue.acquire(ctx, scheduler.Request{
 		Class:    scheduler.Item,
 		Account:  name,
@@ -205,7 +211,7 @@
 		// Jobs state only the sum of the prompt and the output, which is what the item may hold in the target's memory.
 		OutputTokens: int(item.Tokens),
 		Prefix:       quarantine.PrefixFingerprint(platform.PromptModel(item.Header), platform.SharedParts(item.Header)),
-		Service:      route.Pick(rand.Float64()),
+		Service:      service,
 		Tried:        state.tried,
 		Version:      state.Version,
 		StartBy:      s.dueAt(head, route),
@@ -439,7 +445,8 @@
 
 // confirmEnd fails if nothing but its connection tells the end of an item's text, unless the run before ended there too.
 func (s *Service) confirmEnd(ctx context.Context, slot *scheduling.Slot, response *platform.TargetResponse, state *itemState, noEvents bool) error {
-	if err := completion.Confirm(ctx, s.config.Targets, slot.Address, response); err != nil || !response.EndsWithConnection {
+	sender := completion.Sender{Address: slot.Address, Instance: slot.Target, HealthPath: state.healthPath}
+	if err := completion.Confirm(ctx, s.config.Targets, sender, response); err != nil || !response.EndsWithConnection {
 		return err
 	}
 	if state.endUnconfirmed && noEvents {
--- a/internal/completion/completion.go
+++ b/internal/completion/completion.go
@@ -1,8 +1,8 @@
 // Package completion tells whether a response is complete that ended with its connection.
 //
 // Such a response has neither a length nor chunks. The kernel ends the connections of a process that was killed in the same order
-// as a target ends its own (FIN), so that the end of the connection alone shows nothing. The end counts only if the target still
-// accepts connections: a process that is gone can't have meant it.
+// as a target ends its own (FIN), so that the end of the connection alone shows nothing. The end counts only if the same process
+// still answers: one that is gone can't have meant it.
 package completion
 
 import (
@@ -16,8 +16,7 @@
 )
 
 const (
-	// stay is how long a new connection has to stay open. The kernel closes the connections and the listener of a killed process
-	// one after the other.
+	// stay is how long a new connection has to stay open where the service has no health check.
 	stay = 10 * time.Millisecond
 	// timeout bounds the check, which may connect by way of other VMs.
 	timeout = 400 * time.Millisecond
@@ -28,20 +27,35 @@
 	unconfirmedTotal = metrics.NewCounter(`rosemarydyke_responses_ended_with_connection_total{target="lost"}`)
 )
 
-// Connector connects to targets.
-type Connector interface {
+// Targets checks targets on new connections.
+type Targets interface {
+	// CheckInstance fails unless the process of a target responds to a health check.
+	CheckInstance(ctx context.Context, address, instance, healthPath string) error
 	// CheckConnection opens a connection to the address of a target, which has to stay open for a while.
 	CheckConnection(ctx context.Context, address string, stay time.Duration) error
 }
 
+// Sender is the target that sent a response.
+type Sender struct {
+	Address, Instance string
+	// HealthPath is the path of its service's health check. Without one, the target only has to accept a connection, which the
+	// kernel also does for a process that is ending: its listener may be closed long after its connections.
+	HealthPath string
+}
+
 // Confirm fails with *platform.TargetError if a response that was read to its end is not known to be complete.
-func Confirm(ctx context.Context, targets Connector, address string, response *platform.TargetResponse) error {
+func Confirm(ctx context.Context, targets Targets, sender Sender, response *platform.TargetResponse) error {
 	if !response.EndsWithConnection {
 		return nil
 	}
 	checkCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	err := targets.CheckConnection(checkCtx, address, stay)
+	var err error
+	if sender.HealthPath != "" {
+		err = targets.CheckInstance(checkCtx, sender.Address, sender.Instance, sender.HealthPath)
+	} else {
+		err = targets.CheckConnection(checkCtx, sender.Address, stay)
+	}
 	if err == nil {
 		confirmedTotal.Inc()
 		return nil
@@ -50,10 +64,10 @@
 		return ctx.Err()
 	}
 	unconfirmedTotal.Inc()
-	return &platform.TargetError{Failure: platform.IncompleteResponse, Cause: &lostError{address: address, cause: err}}
+	return &platform.TargetError{Failure: platform.IncompleteResponse, Cause: &lostError{address: sender.Address, cause: err}}
 }
 
-// lostError means that the target of a response that ended with its connection accepts no connections any more.
+// lostError means that the target of a response that ended with its connection can't be shown to live.
 type lostError struct {
 	address string
 	cause   error
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -62,6 +62,8 @@
 	// content is what the request may share with others that crash targets.
 	content quarantine.Content
 
+	// healthPath is the path of the service's health check, or empty.
+	healthPath string
 	// send is the authorization of the last send.
 	send authorization
 	// lastEvent is the ID of the last event that the client has received.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -231,6 +231,7 @@
 			return
 		}
 	}
+	e.healthPath = table.Services[e.service].HealthPath
 	if !e.countUsage(ctx) {
 		return
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -65,7 +65,8 @@
 			route("/plain/", routing.Idempotent, false, 3),
 			route("/unsafe/", routing.NonIdempotent, false, 3),
 		},
-		Limits: routing.Limits{BodyBytes: 1000},
+		Services: map[string]routing.Service{service: {Name: service, HealthPath: streamtarget.HealthPath}},
+		Limits:   routing.Limits{BodyBytes: 1000},
 	}
 }
 
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -100,12 +100,13 @@
 		ConnReused: &r.connReused,
 	}
 	request.HasAccounts, request.Account = e.targetAccount()
-	go r.receive(ctx, e.server.config.Targets, request, e.isStream())
+	sender := completion.Sender{Address: slot.Address, Instance: slot.Target, HealthPath: e.healthPath}
+	go r.receive(ctx, e.server.config.Targets, request, sender, e.isStream())
 	return r
 }
 
 // receive delivers the response until it ends or ctx is cancelled.
-func (r *run) receive(ctx context.Context, targets *platform.TargetClient, request *platform.TargetRequest, streaming bool) {
+func (r *run) receive(ctx context.Context, targets *platform.TargetClient, request *platform.TargetRequest, sender completion.Sender, streaming bool) {
 	response, err := targets.Send(ctx, request)
 	if err != nil {
 		r.deliver(ctx, arrival{err: err})
@@ -115,7 +116,7 @@
 	if !streaming || response.Status/100 != 2 {
 		body, err := response.ReadAll()
 		if err == nil {
-			err = completion.Confirm(ctx, targets, request.Address, response)
+			err = completion.Confirm(ctx, targets, sender, response)
 		}
 		r.deliver(ctx, arrival{response: response, body: body, err: err})
 		return
@@ -123,7 +124,7 @@
 	for {
 		event, err := response.Next()
 		if errors.Is(err, io.EOF) {
-			err = cmp.Or(completion.Confirm(ctx, targets, request.Address, response), err)
+			err = cmp.Or(completion.Confirm(ctx, targets, sender, response), err)
 		}
 		if !r.deliver(ctx, arrival{response: response, event: event, isStream: true, err: err}) || err != nil {
 			return
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -57,12 +58,18 @@
 	Die
 )
 
+// HealthPath is the path of health checks.
+const HealthPath = "/health"
+
 // Config configures a Target.
 type Config struct {
 	// ID is the target's ID.
 	ID string `yaml:"id" validate:"required"`
 	// Address is the TCP address (IP:port) to listen on. Default 127.0.0.1:0.
 	Address string `yaml:"address" validate:"omitempty,hostname_port"`
+	// Descriptor, unless it is zero, is a listening socket that the process has inherited, which replaces Address. Whoever passed it
+	// may hold it longer than the process lives.
+	Descriptor int `yaml:"descriptor" validate:"min=0"`
 	// Version is the version of the target's software.
 	Version string `yaml:"version"`
 	// Events is the number of events of each stream.
@@ -109,9 +116,15 @@
 	return t
 }
 
-// Listen starts a target at Config.Address.
+// Listen starts a target at Config.Address or Config.Descriptor.
 func Listen(config Config) (*Target, error) {
-	listener, err := net.Listen("tcp4", config.Address)
+	var listener net.Listener
+	var err error
+	if config.Descriptor != 0 {
+		listener, err = net.FileListener(os.NewFile(uintptr(config.Descriptor), "listener"))
+	} else {
+		listener, err = net.Listen("tcp4", config.Address)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -283,6 +296,10 @@
 		platform.WriteReplaced(w, t.config.ID)
 		return
 	}
+	if r.Method == http.MethodGet && r.URL.Path == HealthPath {
+		platform.WriteHealth(w, t.config.ID)
+		return
+	}
 	fault := t.startRequest(call)
 	defer t.endRequest(r)
 	switch fault {
