quarantine: a crash that another VM reported first counts once

Clients saw streams that were broken off with "requests like this one break the targets that run them" after two targets had been killed, where three have to crash under a request before it is quarantined.

Cause: a VM that learned of a crash from another one and observed it some milliseconds later itself counted it twice. The other order was covered.

Change: a crash that is learned of counts as observed at that time, so that the same target within the window is the same crash.

Evidence: found by TestKilledTargetEndsNoStreamAsComplete, whose 24 streams have the same content: in 5 of 31 runs 18 to 20 of them were broken off, with the crashes of one target 11 to 29 ms apart at three VMs; 16 of 16 runs with the change have 22 or 23 complete streams. TestCrashThatAnotherVMReportedFirstCountsOnce fails without it.

--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -120,7 +120,7 @@
 	// targets names the target of each crash.
 	targets   []string
 	createdAt time.Time
-	// lastCrash is the time at which this VM last observed a crash.
+	// lastCrash is the time at which this VM last observed a crash or learned of one.
 	lastCrash time.Time
 }
 
@@ -345,6 +345,8 @@
 	for _, target := range evidence.Targets {
 		// A crash that two VMs observed and a message that was received twice count once.
 		if r.count(target) < received.count(target) {
+			// This VM may observe the same crash a moment later.
+			r.lastCrash = now
 			t.addCrash(now, evidence.Fingerprint, r, target)
 		}
 	}
--- a/quarantine/tracker_test.go
+++ b/quarantine/tracker_test.go
@@ -49,6 +49,17 @@
 	qt.Assert(t, tracker.Merge(start, Evidence{Fingerprint: 7, Targets: []string{"b"}}), qt.Equals, Quarantined)
 }
 
+// A crash counted twice at a VM that learned of it from another one before it observed it, so that two targets sufficed to quarantine a
+// request where three have to crash.
+func TestCrashThatAnotherVMReportedFirstCountsOnce(t *testing.T) {
+	tracker := NewTracker(Config{CrashThreshold: 3})
+	tracker.Merge(start, Evidence{Fingerprint: 7, Targets: []string{"a"}})
+	tracker.RecordCrash(start.Add(15*time.Millisecond), 7, "a")
+	qt.Assert(t, tracker.Targets(7), qt.DeepEquals, []string{"a"})
+	qt.Assert(t, tracker.RecordCrash(start.Add(100*time.Millisecond), 7, "b"), qt.Equals, Suspect)
+	qt.Assert(t, tracker.RecordCrash(start.Add(time.Minute), 7, "a"), qt.Equals, Quarantined)
+}
+
 func TestMassFailureCreatesNoSuspects(t *testing.T) {
 	tracker := NewTracker(Config{})
 	for i, target := range []string{"a", "b", "c", "d"} {
