ingress, batchjobs: a failure isn't an answer to what follows a stream

Callers saw truncated streams as complete, and items were listed with a part of their text, if the response ended with its connection and the target that was asked for the rest failed with a 5xx status.

Cause: any failure was taken to mean that nothing follows the last event. The flag that the end is in doubt also outlived the events that came afterwards.

Change: only a rejection (4xx) says that the target has nothing that follows. A 5xx counts as a failed attempt: the stream or item goes on with another one, and is broken off or given up if there is none. An event clears the flag in streams, as it did in items.

Evidence: TestFailureOfATargetThatIsAskedForTheRestDoesNotCompleteTheStream and the case "are resumed when the target that is asked for the rest fails" of TestItemFailures fail without the change (3 of 6 events, status 200). TestStreamIsCompleteIfATargetFailsAfterItsLastEvent asked for the fault after a 500; its case of a 422 stays under the name ...RejectsItsLastEvent, and the case of a 500 now has to be broken off.

--- a/internal/batchjobs/item_test.go
+++ b/internal/batchjobs/item_test.go
@@ -56,9 +56,10 @@
 		c.checkComplete("j", 1, c.waitForResults(a, "j", 1))
 	})
 	for name, faults := range map[string][]streamtarget.Fault{
-		"are resumed when responses end early with their connections": {streamtarget.Truncate, streamtarget.Truncate, streamtarget.Truncate},
-		"are resumed when a target is lost":                           {streamtarget.Die},
-		"are complete when targets fail after the last event":         {streamtarget.None, streamtarget.Reject, streamtarget.None, streamtarget.Fail},
+		"are resumed when responses end early with their connections":  {streamtarget.Truncate, streamtarget.Truncate, streamtarget.Truncate},
+		"are resumed when a target is lost":                            {streamtarget.Die},
+		"are complete when targets reject the last event":              {streamtarget.None, streamtarget.Reject, streamtarget.Reject},
+		"are resumed when the target that is asked for the rest fails": {streamtarget.Truncate, streamtarget.Fail, streamtarget.None},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newClusterWith(t, 0, streamtarget.Config{Interval: time.Millisecond, EndsWithConnection: true}, "v1", "v1")
--- a/internal/ingress/failing_target_test.go
+++ b/internal/ingress/failing_target_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -134,16 +135,27 @@
 	qt.Assert(t, f.runs(id), qt.Equals, 2)
 }
 
-// Guards against streams that are broken off because a target has no answer to what follows their last event.
-func TestStreamIsCompleteIfATargetFailsAfterItsLastEvent(t *testing.T) {
+// Guards against streams that are broken off because a target rejects the last event.
+func TestStreamIsCompleteIfATargetRejectsItsLastEvent(t *testing.T) {
 	f := &fixture{}
 	f.addTarget(t, streamtarget.Config{ID: "i-0", Version: "v1", EndsWithConnection: true})
 	f.serve(t, 1, timeout, quarantine.Config{})
-	for _, fault := range []streamtarget.Fault{streamtarget.Fail, streamtarget.Reject} {
-		f.targets[0].Inject(streamtarget.None, fault)
-		got, id := f.send(t, "/resumable/")
-		qt.Check(t, got.err, qt.IsNil)
-		qt.Check(t, got.body, qt.Equals, wholeStream(id))
-		qt.Check(t, f.runs(id), qt.Equals, 2)
+	f.targets[0].Inject(streamtarget.None, streamtarget.Reject)
+	got, id := f.send(t, "/resumable/")
+	qt.Check(t, got.err, qt.IsNil)
+	qt.Check(t, got.body, qt.Equals, wholeStream(id))
+	qt.Check(t, f.runs(id), qt.Equals, 2)
+}
+
+// A truncated stream reached its client as complete because the target that was asked for the rest failed.
+func TestFailureOfATargetThatIsAskedForTheRestDoesNotCompleteTheStream(t *testing.T) {
+	for path, runs := range map[string]int{"/resumable/": 2, "/thrice/": 3} {
+		f := start(t, 4)
+		f.targets[0].Inject(streamtarget.Truncate, streamtarget.Fail)
+		f.targets[1].Inject(streamtarget.Fail)
+		got, id := f.send(t, path)
+		qt.Check(t, got.err, qt.IsNotNil, qt.Commentf("%s: complete after %q", path, got.body))
+		qt.Check(t, strings.HasPrefix(wholeStream(id), got.body), qt.IsTrue)
+		qt.Check(t, f.runs(id), qt.Equals, runs)
 	}
 }
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -226,8 +226,8 @@
 func (e *exchange) checkBuffered(r *run, a arrival) error {
 	status := a.response.Status
 	switch {
-	case e.started && e.isAsked(r):
-		// A target that can't go on after the last event has nothing that follows it.
+	case e.started && e.isAsked(r) && status/100 == 4:
+		// A target that rejects the last event has nothing that follows it. A failure of the target says nothing.
 		return nil
 	case e.started:
 		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("target responded to a resumed stream with status %d", status)}
@@ -254,6 +254,7 @@
 		return &clientError{err}
 	}
 	e.lastEvent = a.event.ID
+	e.endUnconfirmed = false
 	r.record.events++
 	return nil
 }
