standin: targets that state lengths, label their runs and log them

A history of a fleet can tell whether a stream joins two runs only if the events name the run that sent them, and whether a request ran only if the runs outlast a target that is killed. Stream targets therefore take four more settings: states_length (responses with a length), labels_runs (the data of an event names the version, the target and the run), padding, and run_log (a file to which each run is appended before its first event). Without them targets send what they sent before.

--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -78,6 +79,14 @@
 	Interval time.Duration `yaml:"interval" validate:"min=0"`
 	// EndsWithConnection makes responses end with their connections, without chunks or a length.
 	EndsWithConnection bool `yaml:"ends_with_connection"`
+	// StatesLength makes responses state their length, without chunks.
+	StatesLength bool `yaml:"states_length"`
+	// LabelsRuns makes the data of each event name the version, the target and the run.
+	LabelsRuns bool `yaml:"labels_runs"`
+	// Padding is the number of bytes that the data of each event has in addition.
+	Padding int `yaml:"padding" validate:"min=0"`
+	// RunLog is the file to which a line for each run is appended, so that runs outlast a process that is killed. Default none.
+	RunLog string `yaml:"run_log"`
 	// Pause is how long a target with one of the pause faults is silent before it continues.
 	Pause time.Duration `yaml:"pause" validate:"min=0"`
 	// CrashPart is a part of prompts that crashes the target when it begins to answer: all connections are cut off.
@@ -88,10 +97,13 @@
 type Target struct {
 	config Config
 	server *httptest.Server
+	runLog *os.File
 
 	mu     sync.Mutex
 	faults []Fault
 	runs   map[string]int
+	// runCount is the number of all runs.
+	runCount int
 	// lastEventIDs holds, by request, the last event ID that the sender of each run had already received.
 	lastEventIDs map[string][]int64
 	// calls holds, by request, the headers of its last run.
@@ -129,6 +141,12 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	t := newTarget(config)
+	if config.RunLog != "" {
+		if t.runLog, err = os.OpenFile(config.RunLog, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600); err != nil {
+			_ = listener.Close()
+			return nil, fmt.Errorf("open log of runs: %w", err)
+		}
+	}
 	_ = t.server.Listener.Close()
 	t.server.Listener = listener
 	t.server.Start()
@@ -258,7 +276,20 @@
 	return strings.Join(lines, "\n")
 }
 
-func (t *Target) startRequest(call platform.TargetCall) Fault {
+// data returns the data of an event of a run.
+func (t *Target) data(id string, event, run int) string {
+	data := Data(id, event)
+	if t.config.LabelsRuns {
+		data += fmt.Sprintf(" %s %s %d", t.config.Version, t.config.ID, run)
+	}
+	if t.config.Padding > 0 {
+		data += " " + strings.Repeat("x", t.config.Padding)
+	}
+	return data
+}
+
+// startRequest counts a request. It returns how it is handled and the number of its run.
+func (t *Target) startRequest(call platform.TargetCall) (Fault, int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	fault := None
@@ -269,11 +300,16 @@
 		t.runs[call.ID]++
 		t.calls[call.ID] = call
 		t.lastEventIDs[call.ID] = append(t.lastEventIDs[call.ID], call.LastEvent)
+		t.runCount++
+		if t.runLog != nil {
+			// A run that is missing from the log shows as events of an unknown run.
+			_, _ = fmt.Fprintf(t.runLog, "%s %d %s %d\n", t.config.ID, t.runCount, call.ID, call.LastEvent)
+		}
 	}
 	t.arrivals = append(t.arrivals, time.Now())
 	t.active++
 	t.peak = max(t.peak, t.active)
-	return fault
+	return fault, t.runCount
 }
 
 func (t *Target) endRequest(r *http.Request) {
@@ -300,7 +336,7 @@
 		platform.WriteHealth(w, t.config.ID)
 		return
 	}
-	fault := t.startRequest(call)
+	fault, run := t.startRequest(call)
 	defer t.endRequest(r)
 	switch fault {
 	case Shed:
@@ -323,7 +359,7 @@
 		platform.SetTargetHeaders(w, call.ID, "seal")
 		w.WriteHeader(status)
 	default:
-		t.stream(w, r, call, fault)
+		t.stream(w, r, call, fault, run)
 	}
 }
 
@@ -346,7 +382,7 @@
 	return 0
 }
 
-func (t *Target) stream(w http.ResponseWriter, r *http.Request, call platform.TargetCall, fault Fault) {
+func (t *Target) stream(w http.ResponseWriter, r *http.Request, call platform.TargetCall, fault Fault, run int) {
 	id := call.ID
 	if fault == WrongID {
 		id = "other"
@@ -360,6 +396,13 @@
 		w.Header().Set("Transfer-Encoding", "identity")
 		w.Header().Set("Connection", "close")
 	}
+	if t.config.StatesLength {
+		length := 0
+		for event := int(call.LastEvent) + 1; event < t.config.Events; event++ {
+			length += len(platform.FormatEvent(int64(event), t.data(call.ID, event, run)))
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+	}
 	controller := http.NewResponseController(w)
 	for event := int(call.LastEvent) + 1; event < t.config.Events; event++ {
 		select {
@@ -370,7 +413,7 @@
 		if fault == SkipEvent && event == 2 {
 			continue
 		}
-		content := platform.FormatEvent(int64(event), Data(call.ID, event))
+		content := platform.FormatEvent(int64(event), t.data(call.ID, event, run))
 		truncated := event == 2 && (fault == CutMidEvent || fault == Unframed)
 		if truncated {
 			content = content[:len(content)/2]
