--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BINARIES := rosemary rosemary-entry rosemary-batch rosemary-operator rosemary-standin rosemary-load
 
-.PHONY: build test lint unit up demo bench capacity fuzz
+.PHONY: build test lint unit up demo bench capacity fuzz soak
 
 build:
 	mkdir -p bin
@@ -43,3 +43,15 @@
 	ROSEMARYDYKE_FUZZ_SEED=$$seed ROSEMARYDYKE_FUZZ_CHECKS=$(FUZZ_CHECKS) $(GO) test -count=1 -timeout 60m \
 		./connreuse ./dispatch ./idempotency ./internal/callerapi ./internal/idempotency ./internal/jobstore ./internal/settingstore \
 		./job ./lease ./member ./quarantine ./ratelimit ./reach ./target
+
+# Plays fleets of real processes under random faults, one after another from SEED on. FRAMINGS is a list of chunked, length and
+# connection. Set ROSEMARYDYKE_INGRESS to play another build. The logs of a failed seed are kept.
+SEED ?= 1
+SEEDS ?= 10
+MINUTES ?= 0.5
+VMS ?= 3
+FRAMINGS ?= chunked,length,connection
+soak:
+	ROSEMARYDYKE_SOAK_SEED=$(SEED) ROSEMARYDYKE_SOAK_SEEDS=$(SEEDS) ROSEMARYDYKE_SOAK_MINUTES=$(MINUTES) \
+	ROSEMARYDYKE_SOAK_VMS=$(VMS) ROSEMARYDYKE_SOAK_FRAMINGS=$(FRAMINGS) \
+	$(GO) test -count=1 -v -timeout 4h -run TestSoak ./internal/soak
