origins: a resumption confirms that the only version is the only one

Callers who resumed a stream got the rest of it from another version, with status 200, while versions were replaced (ORDER).

Cause: recorded the versions, so that a VM knows those that served before it, but a VM still took the only version of its own copy for the only one. The copy is behind after a suspension, while the store doesn't serve the VM, and for some 5 to 40 ms after each new version. Clients of the first deployments name no attempt when they resume, so nothing else answers. Class: the absence of news is taken for the absence of a change.

Change: such a resumption reads the record, in one read for all that arrive meanwhile, and asks four VMs at the same time. If the store can't be read within 150 ms, these VMs must all be certain of the same version, so that streams go on through an outage. Messages gain the field Mixed, which earlier builds ignore and do not send.

--- a/internal/origins/behind_test.go
+++ b/internal/origins/behind_test.go
@@ -32,10 +32,8 @@
 				return err == nil
 			})
 			vms[0].SetTargets(registry("v1", "v2"))
-			eventually(t, func() bool {
-				_, err := vms[0].Resolve(t.Context(), "", service, true)
-				return err != nil
-			})
+			// No stream begins at a version before it is recorded.
+			eventually(t, func() bool { return recordedVersions(t, store) == 2 })
 			if test.lost {
 				qt.Assert(t, vms[0].node.Close(), qt.IsNil)
 			}
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -95,6 +95,8 @@
 	// VMs it has known since are alive.
 	SoleBefore    bool   `cbor:"6,keyasint,omitempty"`
 	VersionBefore string `cbor:"7,keyasint,omitempty"`
+	// Mixed means that the VM knows of several versions at which streams of the service can have begun.
+	Mixed bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Config configures a Service.
@@ -123,7 +125,9 @@
 	mu      sync.Mutex
 	ledger  *origin.Ledger
 	history *origin.History
-	targets []routing.Target
+	// confirmation is the last read of the records on behalf of resumptions.
+	confirmation confirmation
+	targets      []routing.Target
 	// records says what is known of the record of each service.
 	records       map[string]*recordState
 	recordsRead   bool
@@ -205,11 +209,14 @@
 	version, single, certain := s.history.Sole(now, service)
 	s.mu.Unlock()
 	certain = certain && onlyService
-	sole := origin.Origin{Service: service, Version: version}
-	switch {
-	case known:
+	if known {
 		originsFound.Inc()
 		return s.checkVersion(local, certain)
+	}
+	outdated := certain && !s.confirmSole(ctx, service, version)
+	certain = certain && !outdated
+	sole := origin.Origin{Service: service, Version: version}
+	switch {
 	case attempt == "" && certain:
 		return sole, nil
 	case attempt == "":
@@ -222,7 +229,7 @@
 		return s.checkVersion(answer.Origin, certain)
 	case certain:
 		return sole, nil
-	case onlyService && answer.Sole && answer.SoleVersion == version:
+	case onlyService && !outdated && answer.Sole && !answer.differ && answer.SoleVersion == version:
 		return sole, nil
 	}
 	if version, sole := s.soleBefore(service, answer); sole && onlyService && answer.all && answer.StoreRead {
@@ -293,6 +300,9 @@
 	findResponse
 	// all means that all of them responded.
 	all bool
+	// differ means that one of them knows of several versions, or of another one than another VM, and sole that all that responded
+	// are certain of a single version.
+	differ, sole bool
 }
 
 // ask asks other VMs for the origin of an attempt until one knows it. If the store is to be read, the collector of the
@@ -308,6 +318,8 @@
 	type reply struct {
 		findResponse
 		err error
+		// fromStore means that the reply says nothing but what the store holds of the attempt.
+		fromStore bool
 	}
 	replies := make(chan reply, len(peers)+1)
 	call := func(ctx context.Context, to netip.AddrPort, request findRequest) {
@@ -316,7 +328,7 @@
 		if err != nil {
 			s.config.Log.Debug().Err(err).Str("attempt", request.Attempt).Stringer("from", to).Msg("peer does not say where a stream began; others are asked too")
 		}
-		replies <- reply{response, err}
+		replies <- reply{findResponse: response, err: err}
 	}
 	expected := len(peers)
 	for _, to := range peers {
@@ -326,10 +338,10 @@
 		expected++
 		go func() {
 			response, err := s.askStore(ctx, request)
-			replies <- reply{response, err}
+			replies <- reply{findResponse: response, err: err, fromStore: true}
 		}()
 	}
-	result := answers{all: true}
+	result := answers{all: true, sole: true}
 	for range expected {
 		r := <-replies
 		if r.Known {
@@ -337,6 +349,10 @@
 		}
 		result.all = result.all && r.err == nil
 		result.StoreRead = result.StoreRead || r.StoreRead
+		if r.err == nil && !r.fromStore {
+			result.sole = result.sole && r.Sole
+			result.differ = result.differ || r.Mixed || r.Sole && result.Sole && r.SoleVersion != result.SoleVersion
+		}
 		if r.Sole {
 			result.Sole, result.SoleVersion = true, r.SoleVersion
 		}
@@ -411,6 +427,7 @@
 	response := findResponse{Known: known, Origin: o}
 	if m.Service != "" {
 		response.SoleVersion, _, response.Sole = s.history.Sole(now, m.Service)
+		response.Mixed = s.history.Mixed(now, m.Service)
 		response.VersionBefore, response.SoleBefore = s.soleAtStart(m.Service)
 	}
 	s.mu.Unlock()
