ingress, batchjobs: a success that is no stream doesn't end a stream

Reported by operators of similar systems: a stream had begun and broke off, the next target answered with an error, and the stream ended as if it were complete.

This happened here. Any 2xx of a target was read as a stream of events, and a body without events, such as that of a 204 or of an empty page, has ended at once: the client's stream, or the text of an item, was complete after the events that it had. The same answer replaced a target that was only silent, and ended a stream that its client resumed.

A response is a stream now only if it has status 200 and the media type text/event-stream, as the protocol says. Any other one is an invalid response to an item or to a stream that is resumed, by this VM or by its client, so that the request goes on at another target or ends as incomplete. To a new request it is passed on whole.

An empty stream of this type in answer to a resumption still ends the stream: it can't be told from one whose events have all arrived.

--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -424,6 +424,9 @@
 		_, err := response.ReadAll()
 		return response.Status, err
 	}
+	if !response.IsStream() {
+		return 0, &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("target responded to an item with status %d and no stream", response.Status)}
+	}
 	eventsBefore := state.Events
 	for {
 		event, err := response.Next()
--- a/internal/batchjobs/item_test.go
+++ b/internal/batchjobs/item_test.go
@@ -55,6 +55,15 @@
 		c.submitUntilAccepted(a, "j", 1)
 		c.checkComplete("j", 1, c.waitForResults(a, "j", 1))
 	})
+	t.Run("are not completed by a response that is no stream", func(t *testing.T) {
+		c := newCluster(t, 0)
+		for _, target := range c.targets {
+			target.Inject(streamtarget.CutMidEvent, streamtarget.Empty, streamtarget.Page)
+		}
+		a := c.start("a", c.state)
+		c.submitUntilAccepted(a, "j", 3)
+		c.checkComplete("j", 3, c.waitForResults(a, "j", 3))
+	})
 	for name, faults := range map[string][]streamtarget.Fault{
 		"are resumed when responses end early with their connections":  {streamtarget.Truncate, streamtarget.Truncate, streamtarget.Truncate},
 		"are resumed when a target is lost":                            {streamtarget.Die},
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -113,7 +113,7 @@
 		return
 	}
 	defer response.Close()
-	if !streaming || response.Status/100 != 2 {
+	if !streaming || !response.IsStream() {
 		body, err := response.ReadAll()
 		if err == nil {
 			err = completion.Confirm(ctx, targets, sender, response)
@@ -229,8 +229,8 @@
 	case e.started && e.isAsked(r) && status/100 == 4:
 		// A target that rejects the last event has nothing that follows it. A failure of the target says nothing.
 		return nil
-	case e.started:
-		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("target responded to a resumed stream with status %d", status)}
+	case e.started, e.client.LastEvent != platform.NoEvent && e.isStream() && status/100 == 2:
+		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("target responded to a resumed stream with status %d and no stream", status)}
 	case status >= http.StatusInternalServerError && e.mayStartAnother():
 		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("target responded with status %d", status)}
 	}
--- a/internal/standin/streamtarget/target.go
+++ b/internal/standin/streamtarget/target.go
@@ -44,6 +44,10 @@
 	Fail
 	// Reject responds with status 422.
 	Reject
+	// Empty responds with status 204.
+	Empty
+	// Page responds with a body that is no stream.
+	Page
 	// Hang runs the request and sends nothing.
 	Hang
 	// PauseFirst sends nothing for Config.Pause before the first event.
@@ -354,10 +358,13 @@
 		}
 		platform.SetTargetHeaders(w, call.ID, "seal")
 		w.WriteHeader(http.StatusInternalServerError)
-	case Fail, Reject:
-		status := map[Fault]int{Fail: http.StatusInternalServerError, Reject: http.StatusUnprocessableEntity}[fault]
+	case Fail, Reject, Empty, Page:
+		status := map[Fault]int{Fail: http.StatusInternalServerError, Reject: http.StatusUnprocessableEntity, Empty: http.StatusNoContent, Page: http.StatusOK}[fault]
 		platform.SetTargetHeaders(w, call.ID, "seal")
 		w.WriteHeader(status)
+		if fault == Page {
+			_, _ = io.WriteString(w, "failed")
+		}
 	default:
 		t.stream(w, r, call, fault, run)
 	}
