--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -140,3 +140,11 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+func TestLogNamesTheSilenceForWhichATargetWasLeft(t *testing.T) {
+	f := start(t, 4)
+	f.targets[0].Inject(streamtarget.Hang)
+	got, _ := f.send(t, "/resumable/")
+	qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+	qt.Assert(t, f.log.String(), qt.Contains, `"outcome":"target \"i-0\" sent nothing for 220ms`)
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -321,14 +321,6 @@
 	}
 }
 
-func TestLogNamesTheSilenceForWhichATargetWasLeft(t *testing.T) {
-	f := start(t, 4)
-	f.targets[0].Inject(streamtarget.Hang)
-	got, _ := f.send(t, "/resumable/")
-	qt.Assert(t, got.status, qt.Equals, http.StatusOK)
-	qt.Assert(t, f.log.String(), qt.Contains, `"outcome":"target \"i-0\" sent nothing for 220ms`)
-}
-
 // Guards against a reused connection that can't be told from the log, and against targets that are blamed for the silence of a
 // connection.
 func TestLogNamesReusedConnections(t *testing.T) {
