ingress: an incomplete stream to an HTTP/1.0 client ends with a reset

Looking at reports of other operators (a stream broke off and ended as if it were complete), each answer of the next target was tried with clients of HTTP/1.1 and HTTP/1.0, with and without Connection: close.

A stream has no length. An HTTP/1.1 client gets it in chunks and misses the last one if it breaks off. An HTTP/1.0 client gets no chunks, its stream ends with its connection, and net/http closes the connection of an aborted handler as that of a complete one: every broken stream looked complete. All 128 HTTP/1.0 cases of TestBrokenStreamAfterWhichTheNextTargetFails failed, and all four of TestBrokenStreamThatMayRunOnlyOnce; the 128 of HTTP/1.1 passed.

While such a stream is incomplete its connection is set to be reset when it is closed, and at its end this is taken back. Buffered responses have a length and are as before. The protocol is HTTP/1.1; the older version is what some proxies and tools use by default.

--- a/internal/ingress/broken_stream_test.go
+++ b/internal/ingress/broken_stream_test.go
@@ -108,16 +108,18 @@
 func TestBrokenStreamAfterWhichTheNextTargetFails(t *testing.T) {
 	for broken, first := range breaks {
 		for name, answer := range notTheRest {
-			t.Run(fmt.Sprintf("%s, %s", broken, name), func(t *testing.T) {
-				t.Parallel()
-				f, runs := startRaw(t, false, first, func(conn net.Conn, _ int, id string) bool {
-					write(conn, answer(id))
-					return false
+			for _, client := range []struct{ version, header string }{{"HTTP/1.1", ""}, {"HTTP/1.1", "Connection: close\r\n"}, {"HTTP/1.0", ""}, {"HTTP/1.0", "Connection: keep-alive\r\n"}} {
+				t.Run(strings.TrimSpace(fmt.Sprintf("%s, %s, %s %s", broken, name, client.version, client.header)), func(t *testing.T) {
+					t.Parallel()
+					f, runs := startRaw(t, false, first, func(conn net.Conn, _ int, id string) bool {
+						write(conn, answer(id))
+						return false
+					})
+					got, id := f.sendVersion(t, client.version, "/resumable/", client.header)
+					qt.Check(t, runs[1].Load() > 0, qt.IsTrue)
+					checkBroken(t, got, id)
 				})
-				got, id := f.sendVersion(t, "HTTP/1.1", "/resumable/", "")
-				qt.Check(t, runs[1].Load() > 0, qt.IsTrue)
-				checkBroken(t, got, id)
-			})
+			}
 		}
 	}
 }
@@ -130,15 +132,28 @@
 	qt.Check(t, got.err, qt.IsNotNil, qt.Commentf("the stream looks complete after %q", got.body))
 }
 
+// Guards against a complete stream whose end looks like a failure to a client of HTTP/1.0.
+func TestWholeStreamEndsInTheClientsFraming(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		f := start(t, 4)
+		f.targets[0].Inject(streamtarget.CutMidEvent)
+		got, id := f.sendVersion(t, version, "/resumable/", "Connection: close\r\n")
+		qt.Check(t, got.err, qt.IsNil)
+		qt.Check(t, got.body, qt.Equals, wholeStream(id))
+	}
+}
+
 // Guards against a target that breaks off a stream that may run only once, and a second one that gets it.
 func TestBrokenStreamThatMayRunOnlyOnce(t *testing.T) {
 	for broken, first := range breaks {
 		t.Run(broken, func(t *testing.T) {
 			t.Parallel()
-			f, _ := startRaw(t, false, first)
-			got, id := f.sendVersion(t, "HTTP/1.1", "/once/", "")
-			checkBroken(t, got, id)
-			qt.Check(t, f.targets[1].Runs(id), qt.Equals, 0)
+			for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+				f, _ := startRaw(t, false, first)
+				got, id := f.sendVersion(t, version, "/once/", "")
+				checkBroken(t, got, id)
+				qt.Check(t, f.targets[1].Runs(id), qt.Equals, 0)
+			}
 		})
 	}
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -359,6 +359,7 @@
 
 func (e *exchange) finish(outcome, status string) {
 	e.completed = true
+	setIncomplete(e.request, false)
 	completedTotal.Inc()
 	responseTime.UpdateDuration(e.arrived)
 	e.log(outcome, nil, status)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -137,6 +137,7 @@
 	}
 	resolver, _ := startOrigins(t, f.store, schedulingtest.Registered(service, slots, f.targets...))
 	server := httptest.NewUnstartedServer(nil)
+	server.Config.ConnContext = ingress.ConnContext
 	server.Start()
 	t.Cleanup(server.Close)
 	table := table(strings.TrimPrefix(server.URL, "http://"), timeout)
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -265,6 +265,7 @@
 		return
 	}
 	e.started = true
+	setIncomplete(e.request, true)
 	response.CopyHeader(e.writer)
 	e.writer.Header().Del("Content-Length")
 	e.writer.WriteHeader(response.Status)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -370,6 +370,7 @@
 		switch h.address {
 		case n.settings.Clients:
 			n.clientServer = server
+			server.ConnContext = ingress.ConnContext
 		case n.settings.Peers:
 			n.relayServer = server
 		}
