callerapi: a resumed stream needs a finish reason to end

An engine that answered the resumption with nothing but [DONE], or with the role and [DONE], ended the caller's stream with [DONE] and the verdict "completed" after a part of the text. Batch items need a finish reason (newResponseAssembler); streams to callers didn't.

A stream that was resumed now ends with [DONE] only after an event with a finish reason. Otherwise the attempt counts as interrupted: another engine gets the text, or the stream ends with an error event. Streams that one engine serves are as before.

--- a/internal/callerapi/resume.go
+++ b/internal/callerapi/resume.go
@@ -173,6 +173,10 @@
 	return r.resumable && !r.finished && end != admission.EndCancelled
 }
 
+// lacksEnd reports whether an engine that continued the text of another has ended the stream without a reason, as one does that
+// could not continue it.
+func (r *resumption) lacksEnd() bool { return r.resumed && r.resumable && !r.finished }
+
 // partialMessage is the last message of a resumed chat.
 type partialMessage struct {
 	Role    string `json:"role"`
