engine: a chunk that is an error by its object ends a stream as failed

It was passed on as an event, so that callers found the error's text in the middle of their stream, with [DONE] and the verdict "completed" after it.

Such a chunk now fails the attempt as any other error within a stream, and its text does not reach the caller.

--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -133,16 +133,18 @@
 	return nil
 }
 
-// hasError reports whether a chunk has an error field. The substring check avoids decoding most chunks.
+// hasError reports whether a chunk has an error field, or is an error by its object, as some engines send it. The substring check
+// avoids decoding most chunks.
 func hasError(data []byte) bool {
 	if !bytes.Contains(data, []byte(`"error"`)) {
 		return false
 	}
 	var chunk struct {
-		Error json.RawMessage `json:"error"`
+		Error  json.RawMessage `json:"error"`
+		Object json.RawMessage `json:"object"`
 	}
 	_ = json.Unmarshal(data, &chunk)
-	return len(chunk.Error) > 0 && string(chunk.Error) != "null"
+	return len(chunk.Error) > 0 && string(chunk.Error) != "null" || string(chunk.Object) == `"error"`
 }
 
 // countTokens updates Tokens from one chunk.
--- a/internal/engine/verdict_test.go
+++ b/internal/engine/verdict_test.go
@@ -159,6 +159,7 @@
 	{"a stream truncated within an event may have run", executeThenSend(sseHead + sseEvent + "data: {\"choi"), true, verdict.MayHaveRun, admission.EndInterrupted},
 	{"a stream with a malformed event may have run", executeThenSend(sseHead + "data: {\"choi\n\n" + "data: [DONE]\n\n"), true, verdict.MayHaveRun, admission.EndInterrupted},
 	{"a stream with an error event may have run", executeThenSend(sseHead + "data: {\"error\":{}}\n\n" + "data: [DONE]\n\n"), true, verdict.MayHaveRun, admission.EndInterrupted},
+	{"a stream with an error by its object may have run", executeThenSend(sseHead + "data: {\"object\":\"error\",\"message\":\"m\"}\n\n" + "data: [DONE]\n\n"), true, verdict.MayHaveRun, admission.EndInterrupted},
 	{"an empty stream may have run", executeThenSend(sseHead), true, verdict.MayHaveRun, admission.EndInterrupted},
 	{"a stream that hangs may have run", hangAfterReading, true, verdict.MayHaveRun, admission.EndTimeout},
 	{"a stream refused with 503 is not-run", sendWithoutExecuting(refused503), true, verdict.NotRun, admission.EndRefused},
