engine: a test of refusals that a target writes once more

On the product's own interface each request has a connection of its own, so that an earlier refusal can't be taken for the response to another request.

--- a/internal/engine/verdict_test.go
+++ b/internal/engine/verdict_test.go
@@ -315,6 +315,36 @@
 	qt.Assert(t, target.executions.Load(), qt.Equals, int64(10))
 }
 
+// Guards against a request that is reported as not run, because the target writes an earlier refusal once more.
+func TestEarlierRefusalNeverReachesAnotherRequest(t *testing.T) {
+	var refusals atomic.Int64
+	target := startRawTarget(t, func(target *rawTarget, conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for first := true; ; first = false {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if first && refusals.Add(1)%2 == 1 {
+				_, _ = io.WriteString(conn, refused503)
+				// The connection stays open, whatever the client asked for.
+				_, _ = reader.Peek(1)
+				_, _ = io.WriteString(conn, refused503)
+				continue
+			}
+			target.executions.Add(1)
+			_, _ = io.WriteString(conn, completeJSON)
+		}
+	})
+	send := clientSend(engine.New(engine.Config{}))
+	for range 5 {
+		qt.Assert(t, verdict.Of(send(target.address(), false)), qt.Equals, verdict.NotRun)
+		qt.Assert(t, verdict.Of(send(target.address(), false)), qt.Equals, verdict.Completed)
+	}
+	qt.Assert(t, target.executions.Load(), qt.Equals, int64(5))
+}
+
 func TestLateResponseReachesAnotherRequestOnReusedConnection(t *testing.T) {
 	target := startRawTarget(t, sendLateResponses)
 	client := &http.Client{Transport: &http.Transport{}, Timeout: time.Second}
