--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -249,8 +249,8 @@
 	tried := state.tried
 	state.tried = nil
 	switch {
-	// A target that rejects the last event has nothing that follows it. A failure of the target says nothing.
-	case err == nil && (status/100 == 2 || state.endUnconfirmed && status/100 == 4):
+	// A target that rejects the last event has nothing that follows it. Any other failure says nothing.
+	case err == nil && (status/100 == 2 || state.endUnconfirmed && platform.RejectsPosition(status)):
 		if n := state.Events - eventsBefore; n > 0 {
 			s.estimator.observe(state.Events, time.Since(began)*time.Duration(state.Events)/time.Duration(n))
 		}
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -226,8 +226,8 @@
 func (e *exchange) checkBuffered(r *run, a arrival) error {
 	status := a.response.Status
 	switch {
-	case e.started && e.isAsked(r) && status/100 == 4:
-		// A target that rejects the last event has nothing that follows it. A failure of the target says nothing.
+	case e.started && e.isAsked(r) && platform.RejectsPosition(status):
+		// Nothing follows the last event. Any other failure says nothing.
 		return nil
 	case e.started, e.client.LastEvent != platform.NoEvent && e.isStream() && status/100 == 2:
 		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("target responded to a resumed stream with status %d and no stream", status)}
