ingress: a request isn't blamed for a target that leaves

Callers got status 503 for requests whose content two or three targets had broken off during a rolling replacement: they were quarantined as crashing their targets.

Cause: a target that leaves may close its listener or its remaining connections by itself. Since the end of such a connection is checked, a whole response of a leaving target counts as broken off, too; so did truncated responses before.

Change: the break is no evidence if the target is draining, leaving or gone as far as the VM knows when it happens. A crash comes before the registry drops the target.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -410,10 +410,10 @@
 }
 
 // recordCrash reports to the quarantine that a target broke off the connection while it ran the request, because the
-// request may have crashed the target.
+// request may have crashed the target. One that leaves may close its listener or its connections by itself.
 func (e *exchange) recordCrash(r *run, outcome scheduler.Outcome, err error) {
 	var failure *platform.TargetError
-	if outcome != scheduler.Interrupted || !errors.As(err, &failure) || failure.Failure != platform.IncompleteResponse {
+	if outcome != scheduler.Interrupted || !errors.As(err, &failure) || failure.Failure != platform.IncompleteResponse || r.slot.TargetLeaves() {
 		return
 	}
 	status := e.server.config.Quarantine.RecordCrash(r.sent, e.content, r.slot.Target, r.begun)
--- a/internal/ingress/failing_target_test.go
+++ b/internal/ingress/failing_target_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -13,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/ingress"
+	"github.com/rosemarydyke/rosemarydyke/internal/scheduling/schedulingtest"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
@@ -159,3 +161,24 @@
 		qt.Check(t, f.runs(id), qt.Equals, runs)
 	}
 }
+
+// Requests were quarantined whose targets closed their listeners or connections as they left.
+func TestRequestIsNotBlamedForTargetsThatLeave(t *testing.T) {
+	f := &fixture{}
+	for i := range 3 {
+		f.addTarget(t, streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Version: "v1"})
+	}
+	f.adjust = func(c *ingress.Config, _ *routing.Table) {
+		// The first two targets begin to leave under their first requests.
+		usable := func(id string) bool { return id == "i-2" || len(f.targets[id[2]-'0'].Arrivals()) == 0 }
+		c.Slots = schedulingtest.StartUsable(t, usable, service, 1, f.targets...)
+	}
+	f.serve(t, 1, timeout, quarantine.Config{CrashThreshold: 1})
+	for i, fault := range []streamtarget.Fault{streamtarget.Die, streamtarget.CutMidEvent} {
+		f.targets[i].Inject(fault)
+		got, _ := f.send(t, "/once/")
+		qt.Assert(t, got.err, qt.IsNotNil)
+	}
+	got, id := f.send(t, "/once/")
+	qt.Assert(t, got.body, qt.Equals, wholeStream(id), qt.Commentf("status %d", got.status))
+}
--- a/internal/scheduling/schedulingtest/local.go
+++ b/internal/scheduling/schedulingtest/local.go
@@ -77,12 +77,17 @@
 
 // Start starts the scheduling service of one VM with targets of one service.
 func Start(t *testing.T, service string, slots int, targets ...*streamtarget.Target) *scheduling.Service {
+	return StartUsable(t, func(string) bool { return true }, service, slots, targets...)
+}
+
+// StartUsable is Start with targets that may leave: usable reports whether one hasn't.
+func StartUsable(t *testing.T, usable func(target string) bool, service string, slots int, targets ...*streamtarget.Target) *scheduling.Service {
 	s := scheduling.New(scheduling.Config{
 		Process:          "vm/1",
 		AvailabilityZone: "a",
 		Node:             DiscardNode,
 		Members:          NewMembers("vm"),
-		Usable:           func(string) bool { return true },
+		Usable:           usable,
 		Log:              zerolog.Nop(),
 	})
 	s.SetTargets(Registered(service, slots, targets...))
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -31,6 +31,9 @@
 	releaseOnce   sync.Once
 }
 
+// TargetLeaves reports whether the target of a slot is draining or gone by now, as far as this VM knows.
+func (s *Slot) TargetLeaves() bool { return !s.service.config.Usable(s.Target) }
+
 // RefusedError means that a request got no slot. It has not run.
 type RefusedError struct {
 	Reason scheduler.Reason
