jobstore: an upload that was cut off is no file

The store kept the beginning of an upload that was cut off as a whole file. Its client got an error and never its ID, so that nothing ran; the rows and objects stayed.

Cause: io.ReadFull reports a short last part as io.ErrUnexpectedEOF, which is also what a truncated form reports.

Evidence: TestUploadThatEndsEarlyStoresNoFile finds one row without the change and none with it.

--- a/internal/batchapi/upload_test.go
+++ b/internal/batchapi/upload_test.go
@@ -44,3 +44,14 @@
 	f.Assert(failure["message"], qt.Contains, "file \""+id+"\" is incomplete from byte 4194304 on")
 	f.Assert(f.log.String(), qt.Contains, id)
 }
+
+// An upload that ended early was stored as a whole file, and the client got an error.
+func TestUploadThatEndsEarlyStoresNoFile(t *testing.T) {
+	f := newFixtureWithLimit(t, 16<<20)
+	form := "--b\r\nContent-Disposition: form-data; name=\"file\"; filename=\"in.jsonl\"\r\n\r\n" + inputOf(3)
+	response, _ := f.send("a", "POST", "/v1/files", "multipart/form-data; boundary=b", form)
+	f.Assert(response.Code, qt.Equals, http.StatusBadRequest)
+	rows, err := f.table.Scan(t.Context(), "batch-file/", "", 100)
+	f.Assert(err, qt.IsNil)
+	f.Assert(rows, qt.HasLen, 0)
+}
--- a/internal/jobstore/files.go
+++ b/internal/jobstore/files.go
@@ -36,8 +36,8 @@
 	digest := sha256.New()
 	buffer := make([]byte, filePartBytes)
 	for part := 0; ; part++ {
-		n, err := io.ReadFull(content, buffer)
-		if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		n, err := fill(buffer, content)
+		if err != nil && !errors.Is(err, io.EOF) {
 			return nil, err
 		}
 		file.Bytes += int64(n)
@@ -65,6 +65,17 @@
 	return file, err
 }
 
+// fill reads until the buffer is full or content ends. Unlike io.ReadFull, it tells the end of the content (io.EOF) from content that
+// was cut off, which readers report as io.ErrUnexpectedEOF.
+func fill(buffer []byte, content io.Reader) (n int, err error) {
+	for n < len(buffer) && err == nil {
+		var read int
+		read, err = content.Read(buffer[n:])
+		n += read
+	}
+	return n, err
+}
+
 // File returns the row of a client's file.
 func (s *Store) File(ctx context.Context, client, id string) (*File, error) {
 	rows, err := s.table.Get(ctx, fileKey(id))
