storerelay: a relayed page of changes is not cut within a transaction

A VM that followed a table by way of another one missed rows of a transaction whose rows did not fit the rest of the message: no further call brings them until the VM reads the whole table.

Cause: the page was cut by size, and the next call starts after the version of its last row, which the rows of one transaction share. A job's head and the row of its account's quota are written in one transaction.

Change: the page is cut between two versions. A transaction that exceeds a message by itself is not relayed.

--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -146,3 +146,29 @@
 	_, err = relays[0].Apply(t.Context(), createRow("k"))
 	qt.Assert(t, err, qt.ErrorIs, platform.ErrUnavailable)
 }
+
+// A VM missed rows of a transaction that did not fit the rest of a relayed message.
+func TestFollowIsNotCutWithinATransaction(t *testing.T) {
+	state, stores, relays := newRelayPair(t)
+	stores[0].unavailable.Store(true)
+	row := func(key string, size int) platform.RowWrite {
+		return platform.RowWrite{RowKey: platform.RowKey{Table: "t", Key: key}, Value: make([]byte, size)}
+	}
+	for _, writes := range [][]platform.RowWrite{
+		{row("a", 45_000)}, {row("b", 45_000)}, {row("c", 45_000)}, {row("d", 45_000)}, {row("e", 15_000), row("f", 15_000)},
+	} {
+		_, err := state.Apply(t.Context(), platform.RowTxn{Writes: writes})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	var keys []string
+	for after := uint64(0); len(keys) < 6; {
+		page, err := relays[0].Follow(t.Context(), "t", after, 100*time.Millisecond)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, page.Rows, qt.Not(qt.HasLen), 0, qt.Commentf("nothing follows %v", keys))
+		for _, r := range page.Rows {
+			keys = append(keys, r.Key)
+		}
+		after = page.Version
+	}
+	qt.Assert(t, keys, qt.DeepEquals, []string{"a", "b", "c", "d", "e", "f"})
+}
--- a/internal/storerelay/serve.go
+++ b/internal/storerelay/serve.go
@@ -112,14 +112,24 @@
 	if err != nil {
 		return nil, encodeError(err)
 	}
-	truncated := truncatePage(page)
-	if len(truncated.Rows) < len(page.Rows) {
-		// The next call reads the dropped rows, starting after the last row sent.
-		truncated.Version = truncated.Rows[len(truncated.Rows)-1].Version
+	rows := truncatePage(page).Rows
+	if len(rows) == len(page.Rows) {
+		return page, nil
 	}
-	return truncated, nil
+	// The next call reads the dropped rows, starting after the version of the last row sent. The rows of one transaction share theirs.
+	dropped := page.Rows[len(rows)].Version
+	for len(rows) > 0 && rows[len(rows)-1].Version == dropped {
+		rows = rows[:len(rows)-1]
+	}
+	if len(rows) == 0 {
+		return nil, errTooManyChanges
+	}
+	page.Rows, page.More, page.Version = rows, true, rows[len(rows)-1].Version
+	return page, nil
 }
 
+var errTooManyChanges = &peer.RemoteError{Code: codeUnavailable, Message: "the changes of one transaction exceed a relayed message"}
+
 func (r *Relay) serveApply(ctx context.Context, _ peer.Identity, decode func(any) error) (any, error) {
 	var txn platform.RowTxn
 	if err := decode(&txn); err != nil {
