batchjobs: progress of an item is read from the rows of one checkpoint

What callers saw: nothing is reported that can be told from this. The text of a long item can hold the first 45,000 bytes of one checkpoint and the rest of another, with events missing or twice where they meet, or text of two versions of the software.

Cause: the progress of an item takes several rows if its text exceeds 45,000 bytes. A checkpoint is atomic, but a job's progress is read in pages: the store ends one after 1 MB, and a VM that relays the read after 200 kB. A former owner that was suspended or can't read the store goes on writing, so that the rows of one item may come from two checkpoints. The decoder accepts them: it takes the length of the text from the first row, reads the names of the remaining fields from the middle of the other text, skips them, and loses the version, so that the item goes on at any version. A read that loses its race was thought of only where a shorter checkpoint overwrites the first rows of a longer one, whose remaining rows it ignored.

Only the rows that have the version of the item's first row are decoded, and nothing may follow the progress in them. An item whose rows do not match runs from the start, as if its progress were unreadable.

The reported deployments don't reach this: their items have at most some 20 kB of text, one row.

TestParseProgressReturnsLastCheckpoint now gives its rows versions, which rows of the store always have; its oracle is the same.

--- a/internal/batchjobs/checkpoint.go
+++ b/internal/batchjobs/checkpoint.go
@@ -113,7 +113,7 @@
 // parseProgress decodes the progress of a job's items, and the number of rows of each, from rows that are
 // sorted by key. Items that cannot be decoded are omitted and named in the error.
 func parseProgress(job string, rows []rowstore.TableRow) (map[int]itemProgress, map[int]int, error) {
-	contents, counts := map[int][]byte{}, map[int]int{}
+	contents, versions, counts := map[int][]byte{}, map[int]uint64{}, map[int]int{}
 	var failures []error
 	for _, row := range rows {
 		name, _, _ := strings.Cut(strings.TrimPrefix(row.Key, job+"/"), "/")
@@ -122,15 +122,20 @@
 			failures = append(failures, fmt.Errorf("key %q names no item: %w", row.Key, err))
 			continue
 		}
-		contents[index] = append(contents[index], row.Value...)
+		if counts[index] == 0 {
+			versions[index] = row.Version
+		}
+		// Rows of another version belong to another checkpoint: a shorter one by a writer that does not know of a longer one
+		// overwrites only its first rows, and one may be written between the reads of two pages.
+		if row.Version == versions[index] {
+			contents[index] = append(contents[index], row.Value...)
+		}
 		counts[index]++
 	}
 	progress := make(map[int]itemProgress, len(contents))
 	for index, content := range contents {
 		var p itemProgress
-		// A short checkpoint by a writer that does not know of a longer one overwrites only its first rows:
-		// ignore the bytes that follow.
-		if _, err := cbor.UnmarshalFirst(content, &p); err != nil {
+		if err := cbor.Unmarshal(content, &p); err != nil {
 			failures = append(failures, fmt.Errorf("progress of item %d: %w", index, err))
 			continue
 		}
--- a/internal/batchjobs/checkpoint_test.go
+++ b/internal/batchjobs/checkpoint_test.go
@@ -19,9 +19,9 @@
 // is the last checkpoint of each item.
 func TestParseProgressReturnsLastCheckpoint(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		store := map[string][]byte{}
+		store := map[string]rowstore.TableRow{}
 		last := map[int]itemProgress{}
-		for range rapid.IntRange(1, 12).Draw(t, "checkpoints") {
+		for version := range rapid.IntRange(1, 12).Draw(t, "checkpoints") {
 			index := rapid.IntRange(0, 2).Draw(t, "item")
 			events := rapid.IntRange(1, 500).Draw(t, "events")
 			p := itemProgress{
@@ -34,13 +34,13 @@
 				t.Fatal(err)
 			}
 			for _, w := range writes {
-				store[w.Key] = w.Value
+				store[w.Key] = rowstore.TableRow{RowKey: w.RowKey, Value: w.Value, Version: uint64(version)}
 			}
 			last[index] = p
 		}
 		var rows []rowstore.TableRow
 		for _, key := range sortedKeys(store) {
-			rows = append(rows, rowstore.TableRow{RowKey: rowstore.RowKey{Key: key}, Value: store[key]})
+			rows = append(rows, store[key])
 		}
 		progress, counts, err := parseProgress("j", rows)
 		total := 0
@@ -53,7 +53,55 @@
 	})
 }
 
-func sortedKeys(rows map[string][]byte) []string {
+// The store was read in pages while a former owner still wrote: the rows of two checkpoints were joined to one text.
+func TestProgressReadInPagesJoinsNoCheckpoints(t *testing.T) {
+	whole := make([]byte, 3*maxRowBytes)
+	for i := range whole {
+		whole[i] = byte('a' + i%23)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		store := map[string]rowstore.TableRow{}
+		var written []itemProgress
+		write := func() {
+			n := rapid.IntRange(maxRowBytes, len(whole)).Draw(t, "bytes")
+			p := itemProgress{Position: int64(n/100) - 1, Events: n / 100, Text: whole[:n], Version: "v1"}
+			writes, err := progressWrites("j", 0, p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			written = append(written, p)
+			for _, w := range writes {
+				store[w.Key] = rowstore.TableRow{RowKey: w.RowKey, Value: w.Value, Version: uint64(len(written))}
+			}
+		}
+		write()
+		var rows []rowstore.TableRow
+		for last := ""; ; {
+			keys := sortedKeys(store)
+			next := slices.IndexFunc(keys, func(key string) bool { return key > last })
+			if next < 0 {
+				break
+			}
+			last = keys[next]
+			rows = append(rows, store[last])
+			if rapid.Bool().Draw(t, "written between two pages") {
+				write()
+			}
+		}
+		progress, counts, _ := parseProgress("j", rows)
+		if counts[0] != len(rows) {
+			t.Fatalf("%d rows counted of %d", counts[0], len(rows))
+		}
+		p, ok := progress[0]
+		if ok && !slices.ContainsFunc(written, func(w itemProgress) bool {
+			return w.Events == p.Events && w.Version == p.Version && bytes.Equal(w.Text, p.Text)
+		}) {
+			t.Fatalf("progress of %d events, %d bytes and version %q is none of the %d that were written", p.Events, len(p.Text), p.Version, len(written))
+		}
+	})
+}
+
+func sortedKeys(rows map[string]rowstore.TableRow) []string {
 	keys := slices.Collect(maps.Keys(rows))
 	slices.Sort(keys)
 	return keys
