batchjobs: an item goes on at the service that began it

What callers saw: on a route with several services, an item that was interrupted or preempted could go on at another service than the one that wrote its first events, if a version of that service has the same name; its text then joined two services. If none had, its events were dropped and generated again. An item whose route had moved to another service went on there in the same way.

Cause: the progress of an item holds the version that generated it, but version names say nothing across services, and each attempt picked a service of the route anew. Streams keep both (docs/design/origins.md).

Evidence: TestTextOfAnItemComesFromOneService breaks off eight items of one service after their second event, on a route that is then split, or has moved.

Fix: the service is part of the progress, in memory, in checkpoints and where progress is handed over, and an item with events keeps it while its route uses it. Otherwise its events are dropped and it starts anew, as when its version is gone. Earlier builds save no service and ignore the new field; their progress goes on at the service that is picked, as before.

--- a/internal/batchjobs/checkpoint.go
+++ b/internal/batchjobs/checkpoint.go
@@ -43,8 +43,8 @@
 	itemsRestored     = metrics.NewCounter(`rosemarydyke_items_restored_total`)
 )
 
-// itemProgress is how far an item has been generated. Every run of an item at one software version produces the same
-// events, so progress that was saved earlier or by another VM is always valid, at its version.
+// itemProgress is how far an item has been generated. Every run of an item at one software version of one service produces the
+// same events, so progress that was saved earlier or by another VM is always valid, at its service and version.
 type itemProgress struct {
 	// Position is the ID of the last event, or NoEvent.
 	Position int64 `cbor:"1,keyasint"`
@@ -58,6 +58,8 @@
 	GivenUp bool `cbor:"6,keyasint,omitempty"`
 	// Version is the version of the targets that generated the events. Empty means unknown.
 	Version string `cbor:"7,keyasint,omitempty"`
+	// Service is the service that generated the events. Empty means unknown.
+	Service string `cbor:"8,keyasint,omitempty"`
 }
 
 // isResumable reports whether another run would have to repeat anything without this progress.
--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -76,7 +76,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.Text)+len(data) > maxItemTextBytes {
-		s.itemProgress = itemProgress{Position: platform.NoEvent, Failures: s.Failures}
+		s.dropEvents()
 		return &platform.TargetError{Failure: platform.InvalidResponse, Cause: fmt.Errorf("text of the item exceeds %d bytes", maxItemTextBytes)}
 	}
 	s.Version = version
@@ -90,10 +90,31 @@
 	return nil
 }
 
+// chooseService sets the service of the next attempt: the one that generated the events, otherwise the one that was picked. It
+// drops the events, and reports so, if the route has moved to other services.
+func (s *itemState) chooseService(route *routing.Route, picked string) (restarted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Events > 0 && (s.Service == picked || route.Uses(s.Service)) {
+		return false
+	}
+	// Events that an earlier build saved have no service.
+	if restarted = s.Events > 0 && s.Service != ""; restarted {
+		s.dropEvents()
+	}
+	s.Service = picked
+	return restarted
+}
+
 // restart drops the events of an item whose version can't continue them.
 func (s *itemState) restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dropEvents()
+}
+
+// dropEvents makes the item start anew. The caller holds s.mu.
+func (s *itemState) dropEvents() {
 	s.itemProgress = itemProgress{Position: platform.NoEvent, Failures: s.Failures}
 	s.endUnconfirmed = false
 }
@@ -196,11 +217,14 @@
 	if s.holdQuarantined(ctx, run, index, content, state) {
 		return itemResult{}, false
 	}
+	if service, events := state.Service, state.Events; state.chooseService(route, route.Pick(rand.Float64())) {
+		s.config.Log.Info().EmbedObject(jobName(run.job)).Str("item", run.items[index].ID).Str("service", service).Int("events", events).
+			Msg("the route does not use the service that began the item any more; its events are dropped and it starts anew")
+	}
 	name, weight, priority := s.itemAccount(run.job, head, route)
 	item := run.items[index]
-	service := route.Pick(rand.Float64())
 	if table := s.config.Configuration.Current(); table != nil {
-		state.healthPath = table.Services[service].HealthPath
+		state.healthPath = table.Services[state.Service].HealthPath
 	}
 	slot, err := s.waitQueue.acquire(ctx, scheduler.Request{
 		Class:    scheduler.Item,
@@ -211,7 +235,7 @@
 		// Jobs state only the sum of the prompt and the output, which is what the item may hold in the target's memory.
 		OutputTokens: int(item.Tokens),
 		Prefix:       quarantine.PrefixFingerprint(platform.PromptModel(item.Header), platform.SharedParts(item.Header)),
-		Service:      service,
+		Service:      state.Service,
 		Tried:        state.tried,
 		Version:      state.Version,
 		StartBy:      s.dueAt(head, route),
--- a/internal/batchjobs/versions_test.go
+++ b/internal/batchjobs/versions_test.go
@@ -1,6 +1,7 @@
 package batchjobs_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling/schedulingtest"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
 	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
@@ -70,3 +72,45 @@
 		})
 	}
 }
+
+// An item of a route with several services went on at another service than the one that wrote its first events.
+func TestTextOfAnItemComesFromOneService(t *testing.T) {
+	const other = "other"
+	split := []routing.WeightedService{{Service: service, Weight: 1}, {Service: other, Weight: 1}}
+	for name, test := range map[string]struct {
+		// after are the services of the route once the items run at the first one, which then breaks off.
+		after []routing.WeightedService
+		want  []int64
+	}{
+		"it goes on at its service while the route uses that": {split, nil},
+		"it goes on at its service if all weights are zero":   {[]routing.WeightedService{{Service: service}}, nil},
+		"it starts anew if the route has moved":               {[]routing.WeightedService{{Service: other, Weight: 1}}, []int64{platform.NoEvent}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const items = 8
+			c := newClusterOfVersions(t, 0, 30*time.Millisecond, "v1", "v1")
+			registered := slices.Concat(schedulingtest.Registered(service, 2*items, c.targets[0]), schedulingtest.Registered(other, 2*items, c.targets[1]))
+			c.slots.SetTargets(registered)
+			for range items {
+				c.targets[0].Inject(streamtarget.CutMidEvent)
+			}
+			a := c.start("a", c.state)
+			c.submitUntilAccepted(a, "j", items)
+			runs := func() (first int) {
+				for i := range items {
+					first += c.targets[0].Runs(fmt.Sprintf("j-%d", i))
+				}
+				return first
+			}
+			c.eventually("items run", func() bool { return runs() == items })
+			table := *c.config.Current()
+			route := *table.Routes[0]
+			route.Services, table.Routes = test.after, []*routing.Route{&route}
+			c.config.table.Store(&table)
+			c.checkComplete("j", items, c.waitForResults(a, "j", items))
+			for i := range items {
+				qt.Check(t, c.targets[1].LastEventIDs(fmt.Sprintf("j-%d", i)), qt.DeepEquals, test.want)
+			}
+		})
+	}
+}
