origins: a VM that restarts just before it is asked counts as lost

Callers who resumed a stream after several VMs had been killed and started again got its rest from another version, with status 200 (ORDER).

Cause: a VM that finds a stream's origin nowhere takes the version that was the only one when its own process started, since with all VMs alive that it has known, only older streams can be unknown. Class: the absence of news is taken for the absence of a change.

Change: VMs state their incarnation in these answers, and one that isn't that of the last change of members counts as a lost VM, in the same critical section in which a change of members sets this. Earlier builds ignore the field and state none.

--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -97,6 +97,8 @@
 	VersionBefore string `cbor:"7,keyasint,omitempty"`
 	// Mixed means that the VM knows of several versions at which streams of the service can have begun.
 	Mixed bool `cbor:"8,keyasint,omitempty"`
+	// Incarnation is that of the VM that answers. Earlier builds don't state it.
+	Incarnation uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Config configures a Service.
@@ -274,6 +276,12 @@
 func (s *Service) soleBefore(service string, answer answers) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for vm, incarnation := range answer.incarnations {
+		// The VM has restarted, which this VM has not been told yet, and may have lost the origin.
+		if s.incarnations[vm] != incarnation {
+			return "", false
+		}
+	}
 	if version, sole := s.soleAtStart(service); sole {
 		return version, true
 	}
@@ -303,6 +311,8 @@
 	// differ means that one of them knows of several versions, or of another one than another VM, and sole that all that responded
 	// are certain of a single version.
 	differ, sole bool
+	// incarnations holds those of the VMs that responded and stated it.
+	incarnations map[string]uint64
 }
 
 // ask asks other VMs for the origin of an attempt until one knows it. If the store is to be read, the collector of the
@@ -314,21 +324,22 @@
 	}
 	askCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	peers := s.peers(request.Attempt, asked)
+	peers := s.rankedPeers(request.Attempt, asked)
 	type reply struct {
 		findResponse
+		vm  string
 		err error
 		// fromStore means that the reply says nothing but what the store holds of the attempt.
 		fromStore bool
 	}
 	replies := make(chan reply, len(peers)+1)
-	call := func(ctx context.Context, to netip.AddrPort, request findRequest) {
+	call := func(ctx context.Context, to rankedPeer, request findRequest) {
 		var response findResponse
-		err := s.config.Node.Call(ctx, to, methodFind, request, &response)
+		err := s.config.Node.Call(ctx, to.address, methodFind, request, &response)
 		if err != nil {
-			s.config.Log.Debug().Err(err).Str("attempt", request.Attempt).Stringer("from", to).Msg("peer does not say where a stream began; others are asked too")
+			s.config.Log.Debug().Err(err).Str("attempt", request.Attempt).Stringer("from", to.address).Msg("peer does not say where a stream began; others are asked too")
 		}
-		replies <- reply{findResponse: response, err: err}
+		replies <- reply{findResponse: response, vm: to.vm, err: err}
 	}
 	expected := len(peers)
 	for _, to := range peers {
@@ -341,13 +352,16 @@
 			replies <- reply{findResponse: response, err: err, fromStore: true}
 		}()
 	}
-	result := answers{all: true, sole: true}
+	result := answers{all: true, sole: true, incarnations: map[string]uint64{}}
 	for range expected {
 		r := <-replies
 		if r.Known {
 			return answers{findResponse: r.findResponse}
 		}
 		result.all = result.all && r.err == nil
+		if r.Incarnation != 0 && !r.fromStore {
+			result.incarnations[r.vm] = r.Incarnation
+		}
 		result.StoreRead = result.StoreRead || r.StoreRead
 		if r.err == nil && !r.fromStore {
 			result.sole = result.sole && r.Sole
@@ -366,6 +380,7 @@
 // rankedPeer is another VM with its rank for a key.
 type rankedPeer struct {
 	rank    uint64
+	vm      string
 	address netip.AddrPort
 }
 
@@ -391,7 +406,7 @@
 		if err != nil {
 			continue
 		}
-		candidate := rankedPeer{target.Rank(key, m.VM), address}
+		candidate := rankedPeer{target.Rank(key, m.VM), m.VM, address}
 		index, _ := slices.BinarySearchFunc(best, candidate, byRank)
 		if index < n {
 			best = slices.Insert(best, index, candidate)
@@ -421,10 +436,11 @@
 	if err := decode(&m); err != nil {
 		return nil, err
 	}
+	incarnation := s.config.Members.Self().Incarnation
 	s.mu.Lock()
 	now := time.Now()
 	o, known := s.ledger.Get(now, m.Attempt)
-	response := findResponse{Known: known, Origin: o}
+	response := findResponse{Known: known, Origin: o, Incarnation: incarnation}
 	if m.Service != "" {
 		response.SoleVersion, _, response.Sole = s.history.Sole(now, m.Service)
 		response.Mixed = s.history.Mixed(now, m.Service)
