soak: targets have a health check

A response that ends with its connection counts if the target answers a health check, so that the soak's targets need one to play what deployments do.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -152,7 +152,7 @@
 {"name":"u","host":"a.example","path_prefix":"/u/","route_kind":"streaming","timeout_ms":6000,"goal_ms":300,"service":"s","max_attempts":3,"gap_target_ms":400},
 {"name":"n","host":"a.example","path_prefix":"/n/","route_kind":"non_idempotent","timeout_ms":6000,"goal_ms":1000,"service":"s","max_attempts":3},
 {"name":"b","host":"a.example","path_prefix":"/b/","route_kind":"batch","goal_ms":500,"service":"s","max_attempts":3,"run_target_ms":18000,"retention_s":600}],
-"services":[{"name":"s","max_conns":64}],"limits":{"max_body_bytes":100000}}`
+"services":[{"name":"s","max_conns":64,"health_path":"/health"}],"limits":{"max_body_bytes":100000}}`
 
 // StartFleet starts all processes. Close stops them.
 func StartFleet(ctx context.Context, config Config) (*Fleet, error) {
