--- a/internal/ingress/raw_target_test.go
+++ b/internal/ingress/raw_target_test.go
@@ -51,6 +51,11 @@
 		}
 	}
 	f.serve(t, 4, timeout, quarantine.Config{CrashThreshold: 100, MassFailureTargets: 100})
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(f.log.String())
+		}
+	})
 	return f, runs
 }
 
