origins: a late read of the records removes no recorded version

Callers were not sent to the targets of a new version by a VM, from the moment of its release until the registered targets changed next or a later read of the records, while the record held the version.

Cause: since resumptions read the records beside the task that keeps them, and both adopt what they read. A read that was answered before the version was recorded, and arrived after the VM had written or read the new record, put the old one back. The version then isn't known to be recorded, so that its targets begin no streams, and nothing wakes the task, since the registry has not changed. Class: an outdated copy is taken for certain.

Change: a record older than the one that is known, by the version of its row, adds its versions to the history, and replaces nothing.

Evidence: TestLateReadOfTheRecordsRemovesNoRecordedVersion failed without the change (1 of 1 run), and passes (10 of 10, race detector).

--- a/internal/origins/versions.go
+++ b/internal/origins/versions.go
@@ -249,6 +249,10 @@
 	}
 	now := time.Now()
 	s.history.Load(asked, now, service, r, storeNow)
+	// Reads for resumptions run beside those and the writes of keepRecords.
+	if version < state.version {
+		return
+	}
 	state.record, state.version, state.live = r, version, map[string]bool{}
 	registered, _ := s.history.Registered(now, service, 0)
 	for _, v := range r.Live() {
