origins: a version confirmed by another VM is confirmed by the record, too

Callers who resumed a stream by naming its attempt got the rest of it from another version, with status 200, at a VM that was not certain of the only version that it knew (in the first minute of a deployment, or without a read of the records since its start).

Class: the absence of news is taken for the absence of a change.

Change: the version must still be the only one after a read of the records that began after the resumption did; without the store, all VMs that were asked must be certain of it, as for a VM that is certain itself.

--- a/internal/origins/confirm.go
+++ b/internal/origins/confirm.go
@@ -40,6 +40,21 @@
 	return certain && current == version
 }
 
+// confirmOf reports whether a version of which another VM is certain still is the only one of a service that this VM knows. The
+// copies of both may be outdated.
+func (s *Service) confirmOf(ctx context.Context, since time.Time, service, version string, answer answers) bool {
+	if answer.differ {
+		return false
+	}
+	if err := s.readSince(ctx, since); err != nil {
+		return answer.all && answer.sole
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, sole, _ := s.history.Sole(time.Now(), service)
+	return sole && current == version
+}
+
 // readSince reads the records, unless a read that began later than a time has succeeded.
 func (s *Service) readSince(ctx context.Context, since time.Time) error {
 	c := &s.confirmation
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -231,7 +231,7 @@
 		return s.checkVersion(answer.Origin, certain)
 	case certain:
 		return sole, nil
-	case onlyService && !outdated && answer.Sole && !answer.differ && answer.SoleVersion == version:
+	case onlyService && !outdated && answer.Sole && answer.SoleVersion == version && s.confirmOf(ctx, now, service, version, answer):
 		return sole, nil
 	}
 	if version, sole := s.soleBefore(service, answer); sole && onlyService && answer.all && answer.StoreRead {
