origins: a VM that has lost all others is not unanimous with them

Callers who resumed a stream at a VM that was cut off from the store and from all other VMs, but not from clients and targets, got its rest from the only version which that VM knew, with status 200, while the others recorded and used another one.

Cause: if the store can't be read, all VMs that are asked have to be certain of the version. Once the membership counts the others as lost, nobody is asked, and nobody contradicts. Class: the absence of news is taken for the absence of a change.

Change: without a VM to ask, a version counts as confirmed only if no VM was lost since the process started. A deployment of a single VM still goes on through an outage of the store. The last VM of several, without the store, refuses resumptions until it reads the store again, or is not alone.

A part of several VMs that is cut off from the rest and the store (a whole availability zone) still agrees with itself; that remains.

--- a/internal/origins/confirm.go
+++ b/internal/origins/confirm.go
@@ -32,7 +32,7 @@
 		return false
 	}
 	if err != nil {
-		return answer.all && answer.sole
+		return s.unanimous(answer)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -47,7 +47,7 @@
 		return false
 	}
 	if err := s.readSince(ctx, since); err != nil {
-		return answer.all && answer.sole
+		return s.unanimous(answer)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -55,6 +55,14 @@
 	return sole && current == version
 }
 
+// unanimous reports whether all VMs that were asked are certain of a single version. A VM that has lost all others may be the one
+// that is cut off, while they record a version.
+func (s *Service) unanimous(answer answers) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return answer.all && answer.sole && (answer.asked > 0 || !s.vmLost)
+}
+
 // readSince reads the records, unless a read that began later than a time has succeeded.
 func (s *Service) readSince(ctx context.Context, since time.Time) error {
 	c := &s.confirmation
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -306,8 +306,9 @@
 // answers is what the asked VMs know together.
 type answers struct {
 	findResponse
-	// all means that all of them responded.
-	all bool
+	// asked is the number of VMs that were asked, and all means that all of them responded.
+	asked int
+	all   bool
 	// differ means that one of them knows of several versions, or of another one than another VM, and sole that all that responded
 	// are certain of a single version.
 	differ, sole bool
@@ -352,7 +353,7 @@
 			replies <- reply{findResponse: response, err: err, fromStore: true}
 		}()
 	}
-	result := answers{all: true, sole: true, incarnations: map[string]uint64{}}
+	result := answers{asked: len(peers), all: true, sole: true, incarnations: map[string]uint64{}}
 	for range expected {
 		r := <-replies
 		if r.Known {
