origins: targets that have not changed are not passed on again

Each read of the records for a resumption passed all targets on to the scheduler, which divides them into groups again, forgets which VMs coordinate them and sorts them, under its lock and on the request's goroutine. Requests at this VM wait for that lock. How long was not measured.

Cause: OnTargets was called by the task that keeps the records, a few times for each change of versions; calls it for each read of a resumption, which may follow each other without a pause.

Change: the same list is not passed on twice. The first one is, also if it is empty.

--- a/internal/origins/lateread_test.go
+++ b/internal/origins/lateread_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -87,3 +88,31 @@
 	<-resolved
 	qt.Assert(t, uses("v2"), qt.IsTrue)
 }
+
+// Each resumption that read the records made the scheduler divide all targets into groups again.
+func TestResumptionsPassOnNoTargetsThatHaveNotChanged(t *testing.T) {
+	state := memory.New()
+	earlier := startAt(t, func(int) platform.Rows { return state }, 1, "v1")
+	eventually(t, func() bool { return recordedVersions(t, state) == 1 })
+	stopAll(t, earlier)
+	node, err := datagram.Listen("127.0.0.1:0", "vm-0", zerolog.Nop())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = node.Close() })
+	var list []member.Member
+	var calls atomic.Int32
+	onTargets := func([]routing.Target) { calls.Add(1) }
+	s := origins.New(origins.Config{Members: view{"vm-0", &sync.Mutex{}, &list}, Node: node, Rows: state, OnTargets: onTargets, Log: zerolog.Nop()})
+	s.SetTargets(nil)
+	qt.Assert(t, calls.Load(), qt.Equals, int32(1))
+	s.SetTargets(registry("v1"))
+	qt.Assert(t, calls.Load(), qt.Equals, int32(2))
+	node.Start()
+	go s.Run(t.Context())
+	for range 10 {
+		eventually(t, func() bool {
+			_, err := s.Resolve(t.Context(), "", service, true)
+			return err == nil
+		})
+	}
+	qt.Assert(t, calls.Load(), qt.Equals, int32(2))
+}
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -123,6 +123,8 @@
 
 	// publishMu orders the calls of OnTargets.
 	publishMu sync.Mutex
+	// published is what OnTargets was called with last, nil before.
+	published []routing.Target
 
 	mu      sync.Mutex
 	ledger  *origin.Ledger
--- a/internal/origins/versions.go
+++ b/internal/origins/versions.go
@@ -111,6 +111,10 @@
 		}
 	}
 	s.mu.Unlock()
+	if s.published != nil && slices.Equal(usable, s.published) {
+		return
+	}
+	s.published = usable
 	s.config.OnTargets(usable)
 }
 
