origins: questions about no attempt are spread over the fleet

A resumption that names no attempt asks four VMs whether they know of another version. They were chosen by the empty name, so that the whole fleet asked the same four, and one of them that was lost refused such resumptions everywhere while the store was away. They are chosen by the name of the asking VM now.

--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -327,7 +327,8 @@
 	}
 	askCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	peers := s.rankedPeers(request.Attempt, asked)
+	// Questions about no attempt are spread over the fleet.
+	peers := s.rankedPeers(cmp.Or(request.Attempt, s.config.Members.Self().VM), asked)
 	type reply struct {
 		findResponse
 		vm  string
