fleettest: daemons have process groups of their own

Traced: the run was a background job of a shell that exited meanwhile, which orphans its process group, and the kernel sends SIGHUP to the stopped processes of an orphaned group. Shown by a run that ends the shell as soon as a process is stopped: the case failed, and both passed in a run that was kept. Each daemon is in a group of its own now, which the test keeps from being orphaned; the run whose shell ends passes.

--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -163,6 +163,8 @@
 	defer func() { _ = log.Close() }()
 	p := &process{cmd: exec.Command(filepath.Join(binaries, "rosemary-"+string(d)), "--config", name+".yaml"), exited: make(chan struct{})}
 	p.cmd.Stderr = log
+	// A stopped process gets SIGHUP when its group is orphaned, as that of tests is when the shell that started them exits.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	qt.Assert(f.t, p.cmd.Start(), qt.IsNil)
 	go func() {
 		p.err = p.cmd.Wait()
