--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	store "github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/internal/standin/streamtarget"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 )
 
@@ -147,13 +148,6 @@
 	}
 }
 
-const configuration = `{"version":1,"routes":[
-{"name":"s","host":"a.example","path_prefix":"/s/","route_kind":"streaming","timeout_ms":6000,"goal_ms":300,"service":"s","max_attempts":3,"resumable":true,"gap_target_ms":400},
-{"name":"u","host":"a.example","path_prefix":"/u/","route_kind":"streaming","timeout_ms":6000,"goal_ms":300,"service":"s","max_attempts":3,"gap_target_ms":400},
-{"name":"n","host":"a.example","path_prefix":"/n/","route_kind":"non_idempotent","timeout_ms":6000,"goal_ms":1000,"service":"s","max_attempts":3},
-{"name":"b","host":"a.example","path_prefix":"/b/","route_kind":"batch","goal_ms":500,"service":"s","max_attempts":3,"run_target_ms":18000,"retention_s":600}],
-"services":[{"name":"s","max_conns":64,"health_path":"/health"}],"limits":{"max_body_bytes":100000}}`
-
 // StartFleet starts all processes. Close stops them.
 func StartFleet(ctx context.Context, config Config) (*Fleet, error) {
 	f := &Fleet{config: config}
@@ -183,7 +177,7 @@
 		return err
 	}
 	f.store = platform.NewStore(storeAddress)
-	if !f.put(platform.OperatorTable, platform.ConfigKey, configuration) {
+	if !f.put(platform.OperatorTable, platform.ConfigKey, streamtarget.Configuration) {
 		return fmt.Errorf("configuration not stored")
 	}
 	for i := range f.config.Targets {
