callerapi: a resumed stream is not asked for a finish reason

Cause: an engine that states no reasons can't be told from one that could not go on, so that was wrong as a rule.

--- a/internal/callerapi/resume.go
+++ b/internal/callerapi/resume.go
@@ -173,12 +173,6 @@
 	return r.resumable && !r.finished && end != admission.EndCancelled
 }
 
-// lacksEnd reports whether an engine that was to continue the text of another has ended the stream without any text or reason, as
-// one does that could not continue it. Some engines state no reason after their text.
-func (r *resumption) lacksEnd() bool {
-	return r.resumed && r.resumable && !r.finished && r.tokens == r.tokensBefore
-}
-
 // partialMessage is the last message of a resumed chat.
 type partialMessage struct {
 	Role    string `json:"role"`
