--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"crashing-requests": crashingRequests,
 	"long-streams":      longStreams,
+	"returning-workers": returningWorkers,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -19,7 +20,9 @@
 	storePageRows  = 500
 	storePageBytes = 1 << 20
 	storeTx        = 5 * time.Millisecond
-	storeAnswer    = 4 * time.Millisecond
+	// An answer takes 4 ms on the average, and some more or less.
+	storeAnswerMin = 2 * time.Millisecond
+	storeAnswerMax = 6 * time.Millisecond
 )
 
 type rowKey struct {
@@ -131,7 +134,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	time.Sleep(storeAnswer)
+	if r.URL.Path != "/api/rows-feed" {
+		time.Sleep(storeAnswer())
+	}
 	switch r.Method + " " + r.URL.Path {
 	case "POST /api/rows-tx":
 		s.apply(w, r)
@@ -145,6 +150,8 @@
 	}
 }
 
+func storeAnswer() time.Duration { return storeAnswerMin + rand.N(storeAnswerMax-storeAnswerMin) }
+
 func (s *store) answer(w http.ResponseWriter, status int, a rowsAnswer) {
 	if a.Rows == nil {
 		a.Rows = []storedRow{}
@@ -272,8 +279,10 @@
 				}
 				return rows[i].Key < rows[j].Key
 			})
-			s.answer(w, http.StatusOK, rowsAnswer{Rows: rows, DataVersion: s.version})
+			version := s.version
 			s.mu.Unlock()
+			time.Sleep(storeAnswer())
+			s.answer(w, http.StatusOK, rowsAnswer{Rows: rows, DataVersion: version})
 			return
 		}
 		s.mu.Unlock()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -51,6 +51,8 @@
 	onRun  func(run)
 	// onCrash is called when a request crashes the worker.
 	onCrash func(path, id string)
+	// onEnd is called when a request has run to its end.
+	onEnd func(path, id string)
 	// restart is how long a worker is down after a crash.
 	restart time.Duration
 }
@@ -74,6 +76,25 @@
 	running  int
 	stop     chan struct{}
 	ended    bool
+	// cut means that the worker can't reach the store.
+	cut bool
+	// registered means that the store has the worker's entry.
+	registered bool
+}
+
+// setCut cuts the worker off from the store, or ends that.
+func (w *worker) setCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+	w.record.log(w.name, "cut off from the store: %v", cut)
+}
+
+// state reports whether the worker is cut off or not registered, and the number of its requests.
+func (w *worker) state() (away bool, running int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut || !w.registered, w.running
 }
 
 func (w *worker) start() error {
@@ -114,16 +135,40 @@
 	return nil
 }
 
+// register keeps the worker's entry in the store, which the store removes after intervals of silence.
 func (w *worker) register(id string, stop chan struct{}) {
-	seq := 0
+	seq, silent := 0, 0
 	for {
 		seq++
-		entry, _ := json.Marshal(map[string]any{"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": slots, "state": "ready", "cold_left_ms": 0, "seq": seq})
-		w.store.put("servers", id, entry)
+		w.mu.Lock()
+		cut, registered := w.cut, w.registered
+		w.mu.Unlock()
+		if cut {
+			silent++
+		} else {
+			silent = 0
+			// The entry changes when more than seq changes.
+			if !registered {
+				entry, _ := json.Marshal(map[string]any{"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": slots, "state": "ready", "cold_left_ms": 0, "seq": seq})
+				w.store.put("servers", id, entry)
+			}
+		}
+		if removed := silent == silentPings; removed || !registered && !cut {
+			if removed {
+				w.store.remove("servers", id)
+			}
+			w.mu.Lock()
+			w.registered = !removed
+			w.mu.Unlock()
+			w.record.log(w.name, "entry of %s in the store: %v", id, !removed)
+		}
 		select {
 		case <-time.After(heartbeat):
 		case <-stop:
 			// The entry is removed after intervals of silence.
+			w.mu.Lock()
+			w.registered = false
+			w.mu.Unlock()
 			time.Sleep(silentPings * heartbeat)
 			w.store.remove("servers", id)
 			return
@@ -267,4 +312,7 @@
 			abort()
 		}
 	}
+	if w.onEnd != nil {
+		w.onEnd(r.URL.Path, attempt)
+	}
 }
