--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -34,7 +34,8 @@
 	vms     []*vm
 	binary  string
 	dir     string
-	ports   func() int
+	// claim keeps the ports of the machines from other cases.
+	claim   net.Listener
 	next    atomic.Int64
 	version int
 }
@@ -63,34 +64,51 @@
 	return &fleet{record: r, store: s, binary: binary, dir: dir}, nil
 }
 
-// freePorts returns ports that are free for TCP and UDP on the addresses of all machines.
-func freePorts(count, machines int) ([]int, error) {
-	var ports []int
-	for port := 21000 + os.Getpid()%4000; port < 31000 && len(ports) < count; port++ {
-		free := true
-		for i := range machines {
-			address := fmt.Sprintf("127.0.0.%d:%d", i+1, port)
-			l, err := net.Listen("tcp4", address)
-			if err != nil {
-				free = false
-				break
-			}
-			_ = l.Close()
-			p, err := net.ListenPacket("udp4", address)
-			if err != nil {
-				free = false
-				break
+const (
+	// firstPort and lastPort bound the ports of the machines. They lie below those that the kernel picks for outgoing connections.
+	firstPort = 20000
+	lastPort  = 31000
+	// portBlock is the number of ports that a case claims at a time, by listening on the first of them.
+	portBlock = 16
+)
+
+// claimPorts returns ports that are free for TCP and UDP on the addresses of all machines. The listener keeps other cases from the same
+// ports until it is closed.
+func claimPorts(count, machines int) ([]int, net.Listener, error) {
+	for first := firstPort; first < lastPort; first += portBlock {
+		claim, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", first))
+		if err != nil {
+			continue
+		}
+		var ports []int
+		for port := first + 1; port < first+portBlock && len(ports) < count; port++ {
+			if isFree(port, machines) {
+				ports = append(ports, port)
 			}
-			_ = p.Close()
 		}
-		if free {
-			ports = append(ports, port)
+		if len(ports) == count {
+			return ports, claim, nil
 		}
+		_ = claim.Close()
 	}
-	if len(ports) < count {
-		return nil, fmt.Errorf("no %d free ports", count)
+	return nil, nil, fmt.Errorf("no block with %d free ports", count)
+}
+
+func isFree(port, machines int) bool {
+	for i := range machines {
+		address := fmt.Sprintf("127.0.0.%d:%d", i+1, port)
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+		p, err := net.ListenPacket("udp4", address)
+		if err != nil {
+			return false
+		}
+		_ = p.Close()
 	}
-	return ports, nil
+	return true
 }
 
 // configure writes a configuration as the operator does.
@@ -130,10 +148,11 @@
 
 // startVMs starts the system's processes with the settings that the deploy file's template gives, and waits until they are ready.
 func (f *fleet) startVMs(count int) error {
-	ports, err := freePorts(6, count)
+	ports, claim, err := claimPorts(6, count)
 	if err != nil {
 		return err
 	}
+	f.claim = claim
 	var seeds []string
 	for i := range min(count, seedsOf) {
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("127.0.0.%d:%d", i+1, ports[5])))
@@ -245,6 +264,9 @@
 		w.close()
 	}
 	_ = f.store.server.Close()
+	if f.claim != nil {
+		_ = f.claim.Close()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
 	} else {
