ingress: a VM that shuts down refuses what may outlast it

What callers saw: around a planned stop, in calm, streams that were sent 2.3 to 4.5 s after SIGTERM, with an address that may still be cached, were passed on to a target and cut 7.3 s after SIGTERM. So were requests whose body arrived slowly, up to 6.5 s after it.

Cause: a leaving VM took every request that it had read while it listened (three TTLs, 4.5 s), whatever its time limit, and ended all connections 0.7 s before the end of the grace period. A request with a limit of 5 s has less left from 2.3 s on.

Fix: package drain plans a shutdown. A request is admitted only if its whole time limit ends before the last response has to be complete; otherwise it is refused at once with when to come back, before its body is read where that is known, and once a body takes too long. What began before SIGTERM without an answer gets one at the end (502 if it may have run) instead of a closed connection. A leaving VM opens no tunnel for others. The log states since when the VM was leaving; two metrics count refusals and cuts.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -340,16 +340,29 @@
 		panic(http.ErrAbortHandler)
 	case e.started:
 		failedTotal.Inc()
+		if isStopped(ctx) {
+			cutLeavingTotal.Inc()
+		}
 		e.log("cut", err, "")
 		panic(http.ErrAbortHandler)
 	case !e.mayHaveRun:
 		refusedTotal.Inc()
-		platform.WriteRefusal(e.writer, http.StatusServiceUnavailable, 0, "the request has not run")
+		retryAfter := time.Duration(0)
+		if isStopped(ctx) {
+			refusedLeavingTotal.Inc()
+			retryAfter = leavingRetryAfter
+		}
+		platform.WriteRefusal(e.writer, http.StatusServiceUnavailable, retryAfter, "the request has not run")
 		e.log("refused", err, strconv.Itoa(http.StatusServiceUnavailable))
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		failedTotal.Inc()
 		platform.WriteText(e.writer, http.StatusGatewayTimeout, "the request was not answered in time and may have run")
 		e.log("timeout", err, strconv.Itoa(http.StatusGatewayTimeout))
+	case isStopped(ctx):
+		failedTotal.Inc()
+		cutLeavingTotal.Inc()
+		platform.WriteText(e.writer, http.StatusBadGateway, "this VM exits and the request may have run")
+		e.log("stopped", err, strconv.Itoa(http.StatusBadGateway))
 	default:
 		failedTotal.Inc()
 		platform.WriteText(e.writer, http.StatusBadGateway, "the target broke off and the request may have run")
@@ -376,6 +389,9 @@
 	if e.account != nil {
 		event.Str("account", e.account.Name)
 	}
+	if plan, draining := e.server.shutdown.draining(); draining {
+		event.Dur("leaving_for_ms", time.Since(plan.Started)).Dur("arrived_leaving_ms", max(e.arrived.Sub(plan.Started), 0))
+	}
 	event.Str("request", e.client.ID).Str("route", e.route.Name).Str("service", e.service).
 		Uint64("config_version", e.configVersion).Dur("config_age_ms", e.server.config.Configuration.Age()).
 		Dur("patience_ms", e.client.Timeout).Bool("returned", e.retry).Dur("took_ms", time.Since(e.arrived)).
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -112,21 +111,18 @@
 // Server handles clients' requests.
 type Server struct {
 	config   Config
-	draining atomic.Bool
+	shutdown *shutdown
 	retries  *retryDetector
 }
 
 // New returns a server.
 func New(config Config) *Server {
-	return &Server{config: config, retries: newRetryDetector()}
+	return &Server{config: config, shutdown: newShutdown(), retries: newRetryDetector()}
 }
 
-// Drain makes the server ask clients to use other connections. Requests are still served.
-func (s *Server) Drain() { s.draining.Store(true) }
-
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.draining.Load() {
+	if _, draining := s.shutdown.draining(); draining {
 		platform.SetConnectionClose(w)
 	}
 	table := s.config.Configuration.Current()
@@ -136,8 +132,7 @@
 		return
 	}
 	if _, isCall := platform.ParseJobCall(r); isCall {
-		call, ok := s.authenticateJobCall(w, r, table)
-		if !ok || s.config.Jobs.Serve(w, call) {
+		if s.serveJobCall(w, r, table) {
 			return
 		}
 	}
@@ -152,7 +147,12 @@
 	if !ok {
 		return
 	}
-	body, ok := s.readBody(w, r, table)
+	limit := requestLimit(r, route)
+	if !s.shutdown.admits(time.Now(), limit) {
+		s.refuseLeaving(w, r, limit)
+		return
+	}
+	body, ok := s.readBody(w, r, table, limit)
 	if !ok {
 		return
 	}
@@ -163,13 +163,57 @@
 	s.serve(w, r, table, route, body)
 }
 
-// readBody reads the complete body, and ends the request if that fails.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, table *routing.Table) ([]byte, bool) {
+// serveJobCall responds to an API call about a job, and reports whether the request was one.
+func (s *Server) serveJobCall(w http.ResponseWriter, r *http.Request, table *routing.Table) bool {
+	r, ok := s.authenticateJobCall(w, r, table)
+	if !ok {
+		return true
+	}
+	if !s.shutdown.admits(time.Now(), jobCallTime) {
+		s.refuseLeaving(w, r, jobCallTime)
+		return true
+	}
+	ctx, cancel := s.shutdown.bound(r.Context())
+	defer cancel()
+	return s.config.Jobs.Serve(w, r.WithContext(ctx))
+}
+
+// requestLimit returns how long a request with a body that has been read may take at most.
+func requestLimit(r *http.Request, route *routing.Route) time.Duration {
+	if route.Kind == routing.Batch {
+		return jobCallTime
+	}
+	// A request that is not valid is rejected with the whole body.
+	parsed, _ := platform.ParseRequest(r.Header)
+	return timeLimit(route, parsed.Timeout)
+}
+
+// timeLimit returns how long a request to a route may take, given how long its client waits, zero if that is unknown.
+func timeLimit(route *routing.Route, client time.Duration) time.Duration {
+	limit := route.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if client > 0 {
+		limit = min(limit, client)
+	}
+	return limit
+}
+
+// readBody reads the complete body, and ends the request if that fails or takes until the request may not end any more before this VM
+// exits.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, table *routing.Table, timeLimit time.Duration) ([]byte, bool) {
 	limit := table.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	endReadLimit := s.shutdown.limitRead(w, timeLimit)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	endReadLimit()
+	if s.shutdown.isReadLimit(err) || err == nil && !s.shutdown.admits(time.Now(), timeLimit) {
+		s.refuseLeaving(w, r, timeLimit)
+		return nil, false
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		platform.WriteText(w, http.StatusRequestEntityTooLarge, "the body exceeds the limit")
@@ -190,14 +234,10 @@
 		return
 	}
 	now := time.Now()
-	timeout := route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if parsed.Timeout > 0 {
-		timeout = min(timeout, parsed.Timeout)
-	}
-	ctx, cancel := context.WithDeadline(r.Context(), now.Add(timeout))
+	timeout := timeLimit(route, parsed.Timeout)
+	bound, endBound := s.shutdown.bound(r.Context())
+	defer endBound()
+	ctx, cancel := context.WithDeadline(bound, now.Add(timeout))
 	defer cancel()
 	e := &exchange{
 		server:        s,
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -73,6 +73,7 @@
 // fixture is an ingress server with two targets.
 type fixture struct {
 	url     string
+	server  *ingress.Server
 	targets []*streamtarget.Target
 	slots   *scheduling.Service
 	log     syncBuffer
@@ -109,10 +110,11 @@
 	return startPausing(t, slots, timeout, pause, versions...)
 }
 
+// tolerant does not quarantine requests for injected faults.
+var tolerant = quarantine.Config{CrashThreshold: 3, MassFailureTargets: 100, MassFailureWindow: time.Millisecond}
+
 // startPausing starts a fixture with a timeout of the routes, and the pause of targets with a pause fault.
 func startPausing(t *testing.T, slots int, timeout, pause time.Duration, versions ...string) *fixture {
-	// Injected faults don't quarantine requests.
-	tolerant := quarantine.Config{CrashThreshold: 3, MassFailureTargets: 100, MassFailureWindow: time.Millisecond}
 	f := &fixture{}
 	for i, version := range versions {
 		f.addTarget(t, streamtarget.Config{ID: fmt.Sprintf("i-%d", i), Version: version, Pause: pause})
@@ -150,7 +152,8 @@
 	if f.adjust != nil {
 		f.adjust(&serverConfig, table)
 	}
-	server.Config.Handler = ingress.New(serverConfig)
+	f.server = ingress.New(serverConfig)
+	server.Config.Handler = f.server
 	f.url = server.URL
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 
 	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/connreuse"
+	"github.com/rosemarydyke/rosemarydyke/drain"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchjobs"
 	"github.com/rosemarydyke/rosemarydyke/internal/boottime"
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
@@ -47,8 +48,6 @@
 	addressTTL = 1500 * time.Millisecond
 	// cachedTTLs is the longest time for which clients cache addresses, as a multiple of the TTL.
 	cachedTTLs = 3
-	// exitMargin is the part of the grace period reserved for the exit of the process.
-	exitMargin = 700 * time.Millisecond
 	// headerTimeout bounds the time to read a request's header.
 	headerTimeout = 5 * time.Second
 	// idleTimeout closes idle client connections.
@@ -441,17 +440,19 @@
 	return nil
 }
 
-// leave shuts down gracefully: clients that have cached this VM's address are served until their cache entries expire.
+// leave shuts down gracefully: clients that have cached this VM's address are served or refused until their cache entries expire.
 func (n *Node) leave() {
 	started := time.Now()
-	n.log.Info().Dur("grace_ms", n.settings.StopGrace).Msg("shutting down: this VM is no longer listed in the directory")
+	plan := drain.New(started, n.settings.StopGrace, cachedTTLs*addressTTL)
+	n.log.Info().Dur("grace_ms", n.settings.StopGrace).Dur("listen_ms", plan.ListenUntil.Sub(started)).Dur("answer_ms", plan.AnswerBy.Sub(started)).
+		Msg("shutting down: this VM is no longer listed in the directory")
 	n.leaving.Store(true)
-	n.ingress.Drain()
+	n.ingress.Drain(plan)
+	n.relay.Drain()
 	n.members.Leave(context.Background())
 	n.jobs.Leave(context.Background())
-	exitAfter := n.settings.StopGrace - exitMargin
-	time.Sleep(min(cachedTTLs*addressTTL, exitAfter) - time.Since(started))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(exitAfter))
+	time.Sleep(time.Until(plan.ListenUntil))
+	ctx, cancel := context.WithDeadline(context.Background(), plan.ExitBy)
 	defer cancel()
 	var shutdowns sync.WaitGroup
 	for _, server := range []*http.Server{n.clientServer, n.relayServer} {
--- a/internal/targetrelay/relay.go
+++ b/internal/targetrelay/relay.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -52,8 +53,9 @@
 
 // Relay implements platform.Dialer.
 type Relay struct {
-	config Config
-	client *http.Transport
+	config   Config
+	client   *http.Transport
+	draining atomic.Bool
 
 	mu    sync.Mutex
 	paths *reach.Paths
@@ -83,6 +85,9 @@
 	)
 }
 
+// Drain makes the relay refuse to connect in place of other VMs, which try a third one.
+func (r *Relay) Drain() { r.draining.Store(true) }
+
 // attemptResult is how an attempt to connect ended.
 type attemptResult struct {
 	attempt reach.Attempt
--- a/internal/targetrelay/relay_test.go
+++ b/internal/targetrelay/relay_test.go
@@ -220,3 +220,20 @@
 	qt.Assert(t, relay.PathWorks(ctx, address), qt.IsTrue)
 	qt.Assert(t, relay.PathWorks(t.Context(), address), qt.IsTrue)
 }
+
+// Guards against requests of other VMs that are cut off because their tunnel ends with a VM that shuts down.
+func TestVMThatShutsDownOpensNoTunnel(t *testing.T) {
+	address, accepted := startTarget(t)
+	leaving, first, _ := startVM(t, "leaving", platform.DialTarget, true)
+	_, second, _ := startVM(t, "other", platform.DialTarget, true)
+	leaving.Drain()
+	relay, _, _ := startVM(t, "self", refuse, true, first)
+	_, err := relay.DialTarget(t.Context(), address)
+	qt.Assert(t, isPathError(err), qt.IsTrue, qt.Commentf("%v", err))
+	relay, _, _ = startVM(t, "self", refuse, true, first, second)
+	conn, err := relay.DialTarget(t.Context(), address)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	qt.Assert(t, conn.(interface{ Via() string }).Via(), qt.Equals, "other")
+	_ = (<-accepted).Close()
+}
--- a/internal/targetrelay/tunnel.go
+++ b/internal/targetrelay/tunnel.go
@@ -128,6 +128,11 @@
 		http.NotFound(w, request)
 		return
 	}
+	if r.draining.Load() {
+		// The tunnel would end with this process, and with it a request that may take longer.
+		http.Error(w, "this VM is shutting down", http.StatusForbidden)
+		return
+	}
 	if !r.config.Usable(address) {
 		http.Error(w, "not the address of a registered target that takes requests", http.StatusForbidden)
 		return
