origins: no stream begins at a version that is not recorded

Cause: while no target of a recorded version was available, all targets began streams, also those whose version was not recorded yet. The record is what a VM that was cut off or stood still reads before it resumes a stream at the only version that it knows; without the new version in it, nothing but the other VMs' answers keep the two apart. The first VM in rank writes the record, the others after 0.5 s, so that the gap is longest when that VM is the one that is out of step. Second, same class: a copy of the stored origins up to 500 ms old told that an origin was not stored.

Fix: targets begin streams only once their version is in the record, without exception for a VM that has read the records. That an origin is not stored is told only by a read that began after the question.

--- a/internal/origins/shards.go
+++ b/internal/origins/shards.go
@@ -58,26 +58,27 @@
 	}
 }
 
-// find looks for the origin of an attempt in the store. read is false if the store was not read.
+// find looks for the origin of an attempt in the store. read is false if the store was not read. That an origin is not stored is
+// only told by a read that began after the call.
 func (o *storedOrigins) find(ctx context.Context, attempt string) (from origin.Origin, known, read bool) {
-	shard, hash := shardOf(attempt), hashOf(attempt)
-	o.mu.Lock()
-	held := o.copies[shard]
-	if held != nil {
-		from, known = held.origins[hash]
-	}
-	o.mu.Unlock()
-	if known || held != nil && time.Since(held.readAt) < rereadAfter {
-		return from, known, true
-	}
-	// After a loss of all VMs many clients return at once.
-	result, err, _ := o.reads.Do(strconv.Itoa(shard), func() (any, error) { return o.read(context.WithoutCancel(ctx), shard) })
-	if err != nil {
-		o.config.Log.Info().Err(err).Str("attempt", attempt).Msg("origins of streams not read from the store")
-		return origin.Origin{}, false, false
+	shard, hash, asked := shardOf(attempt), hashOf(attempt), time.Now()
+	for {
+		o.mu.Lock()
+		held := o.copies[shard]
+		if held != nil {
+			from, known = held.origins[hash]
+		}
+		o.mu.Unlock()
+		if known || held != nil && held.readAt.After(asked) {
+			return from, known, true
+		}
+		// After a loss of all VMs many clients return at once. They share reads.
+		_, err, _ := o.reads.Do(strconv.Itoa(shard), func() (any, error) { return o.read(context.WithoutCancel(ctx), shard) })
+		if err != nil {
+			o.config.Log.Info().Err(err).Str("attempt", attempt).Msg("origins of streams not read from the store")
+			return origin.Origin{}, false, false
+		}
 	}
-	from, known = result.(*shardCopy).origins[hash]
-	return from, known, true
 }
 
 // read reads a shard and keeps the copy. Rows of other writers that are too old are deleted with the next write.
--- a/internal/origins/stored.go
+++ b/internal/origins/stored.go
@@ -30,8 +30,6 @@
 	// flushTimeout bounds one write, readTimeout the read of a shard.
 	flushTimeout = time.Second
 	readTimeout  = 300 * time.Millisecond
-	// rereadAfter is the age of a copy of a shard at which an attempt that it lacks is looked for again.
-	rereadAfter = 500 * time.Millisecond
 	// resubmitAge is the age up to which origins are sent again when the collectors change. The streams of older ones have
 	// ended, or have been resumed.
 	resubmitAge = 15 * time.Second
--- a/internal/origins/versions.go
+++ b/internal/origins/versions.go
@@ -24,6 +24,8 @@
 	// the first one in rank.
 	recordRetry     = 100 * time.Millisecond
 	firstWriterLead = 50 * time.Millisecond
+	// starvedLead replaces firstWriterLead while a service has no target of a recorded version.
+	starvedLead = 10 * time.Millisecond
 	// secondWriterLead is the time after which any VM writes a change that is still not recorded.
 	secondWriterLead = 500 * time.Millisecond
 	// absentBeforeGone is how long a version must have no registered target before it is recorded as gone. It exceeds the age
@@ -85,8 +87,8 @@
 }
 
 // publishTargets passes on the targets that may begin streams: those whose version is in the record, so that a stream is never
-// older than the record of its version. A service none of whose targets are recorded and available uses all of them. Before the
-// registry has been read there is nothing to pass on: an empty list would mean that no targets are registered.
+// older than the record of its version. A VM that cannot read the records yet uses all targets. Before the registry has been read
+// there is nothing to pass on: an empty list would mean that no targets are registered.
 func (s *Service) publishTargets() {
 	if s.config.OnTargets == nil {
 		return
@@ -98,19 +100,17 @@
 		s.mu.Unlock()
 		return
 	}
-	served := map[string]bool{}
-	for _, t := range s.targets {
-		if s.records[t.Service].live[t.Version] && !t.Draining {
-			served[t.Service] = true
-		}
-	}
 	usable := make([]routing.Target, 0, len(s.targets))
 	for _, t := range s.targets {
-		if s.records[t.Service].live[t.Version] || !served[t.Service] {
+		if !s.recordsRead || s.records[t.Service].live[t.Version] {
 			usable = append(usable, t)
 		}
 	}
+	unrecorded := len(usable) == 0 && len(s.targets) > 0
 	s.mu.Unlock()
+	if s.published == nil && unrecorded {
+		return
+	}
 	if s.published != nil && slices.Equal(usable, s.published) {
 		return
 	}
@@ -143,10 +143,15 @@
 // reconcile reads the records if the registered versions differ from them, and corrects them. It returns when to continue,
 // zero if nothing is left to do.
 func (s *Service) reconcile(ctx context.Context, verifying bool) time.Duration {
-	first := s.rankFor(versionsPrefix) == 0
+	rank := s.rankFor(versionsPrefix)
 	s.mu.Lock()
-	read := s.recordsRead
+	read, starved := s.recordsRead, s.starved()
 	s.mu.Unlock()
+	first, lead := rank == 0, firstWriterLead
+	if starved {
+		// Nothing serves until the version is recorded, and the first VM in rank may be out of step.
+		first, lead = rank < verifiers, starvedLead
+	}
 	if read && !verifying && !s.recordsDiffer(time.Now()) {
 		return s.nextGone(first)
 	}
@@ -155,7 +160,7 @@
 		select {
 		case <-ctx.Done():
 			return 0
-		case <-time.After(firstWriterLead + rand.N(firstWriterLead)):
+		case <-time.After(lead + rand.N(lead)):
 		}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
@@ -181,6 +186,22 @@
 	return s.nextGone(first)
 }
 
+// starved reports whether a service has targets that take requests, and none of a recorded version. s.mu must be held.
+func (s *Service) starved() bool {
+	served := map[string]bool{}
+	for _, t := range s.targets {
+		if !t.Draining {
+			served[t.Service] = served[t.Service] || s.records[t.Service].live[t.Version]
+		}
+	}
+	for _, serves := range served {
+		if !serves {
+			return true
+		}
+	}
+	return false
+}
+
 // nextGone returns when to look for versions that are gone. Only the first VM in rank records them, and the others when they
 // verify the record.
 func (s *Service) nextGone(first bool) time.Duration {
