Rows that no VM or target writes stop no process and no follower

Cause here: entries of targets were skipped one by one already, but other readers of the store were not as careful. One row that cannot be decoded among those of the VMs hid all VMs from one that starts; one in place of the record of versions was read again ten times a second by each VM and no version was recorded any more; one among the stored origins hid its shard. Rows of other partitions counted as heads. IDs and versions of targets had no bound, and may not have been headers.

Fix: each decoder checks what it returns (decodeHead, progress, overdrafts, records of versions, origins, target entries, stored blames); a row that fails is skipped or, where it is in the way, replaced. After an unreadable record of versions nothing of unknown origin is resumed for a minute, since it may have held any version.

--- a/cmd/rosemary-ingress/process_test.go
+++ b/cmd/rosemary-ingress/process_test.go
@@ -71,7 +71,9 @@
 	store   string
 	targets []*streamtarget.Target
 	vms     []*process
-	nextID  atomic.Int64
+	// peers is the port on which the VMs reach each other.
+	peers  int
+	nextID atomic.Int64
 }
 
 func startFleet(t *testing.T) *fleet { return startFleetOfVersions(t, "v1", "v1") }
@@ -95,10 +97,10 @@
 
 // startVMs starts three VMs, and waits until each knows all of them.
 func (f *fleet) startVMs() {
-	port := testports.Port(f.t)
+	f.peers = testports.Port(f.t)
 	f.vms = nil
 	for i := range 3 {
-		f.vms = append(f.vms, f.start(i, port))
+		f.vms = append(f.vms, f.start(i, f.peers))
 	}
 	for _, vm := range f.vms {
 		f.eventually("all VMs in the directory of "+vm.directory, func() bool { return len(f.addresses(vm)) == 3 })
--- a/internal/batchjobs/api.go
+++ b/internal/batchjobs/api.go
@@ -162,5 +162,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return platform.ParseJob(body)
+	return parseSubmission(body, head)
 }
--- a/internal/batchjobs/checkpoint.go
+++ b/internal/batchjobs/checkpoint.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
+	wire "github.com/rosemarydyke/rosemarydyke/platform"
 )
 
 const (
@@ -62,6 +63,14 @@
 	Service string `cbor:"8,keyasint,omitempty"`
 }
 
+// check returns an error for progress that no VM writes.
+func (p itemProgress) check() error {
+	if p.Position < wire.NoEvent || p.Position == math.MaxInt64 || p.Events < 0 || p.Failures < 0 {
+		return fmt.Errorf("position %d, %d events, %d failures", p.Position, p.Events, p.Failures)
+	}
+	return nil
+}
+
 // isResumable reports whether another run would have to repeat anything without this progress.
 func (p itemProgress) isResumable() bool { return p.Events > 0 || p.Failures > 0 || p.Ended }
 
@@ -137,7 +146,11 @@
 	progress := make(map[int]itemProgress, len(contents))
 	for index, content := range contents {
 		var p itemProgress
-		if err := cbor.Unmarshal(content, &p); err != nil {
+		err := cbor.Unmarshal(content, &p)
+		if err == nil {
+			err = p.check()
+		}
+		if err != nil {
 			failures = append(failures, fmt.Errorf("progress of item %d: %w", index, err))
 			continue
 		}
@@ -230,7 +243,7 @@
 
 // restoreProgress reads the saved progress that the items of a job made under its former owner. If it cannot be
 // read, they run from the start.
-func (s *Service) restoreProgress(ctx context.Context, run *jobRun) {
+func (s *Service) restoreProgress(ctx context.Context, run *jobRun, items int) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	rows, err := s.store.readProgress(callCtx, run.job)
@@ -245,6 +258,9 @@
 	events := 0
 	run.mu.Lock()
 	for index, p := range progress {
+		if index < 0 || index >= items {
+			continue
+		}
 		run.saved[index] = savedItem{p.Events, p.Failures, counts[index]}
 		if handedOver, ok := run.progress[index]; ok {
 			p = handedOver.merge(p)
--- a/internal/batchjobs/head.go
+++ b/internal/batchjobs/head.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/routing"
 )
 
@@ -104,5 +106,43 @@
 	if err := cbor.Unmarshal(content, &h); err != nil {
 		return nil, fmt.Errorf("decode job head: %w", err)
 	}
+	if err := h.check(); err != nil {
+		return nil, fmt.Errorf("decode job head: %w", err)
+	}
 	return &h, nil
 }
+
+const (
+	// maxContentRows is the largest number of rows of a submission or a text: their numbers have three digits in keys.
+	maxContentRows = 1000
+	// maxItemTokens bounds the tokens of an item, so that sums over all jobs do not overflow.
+	maxItemTokens = 1 << 40
+)
+
+// check returns an error for a head that no VM writes. Other programs write to the store too.
+func (h *Head) check() error {
+	switch {
+	case len(h.Items) == 0 || len(h.Items) > platform.MaxJobItems:
+		return fmt.Errorf("%d items", len(h.Items))
+	case h.BodyRows < 0 || h.BodyRows > maxContentRows:
+		return fmt.Errorf("%d rows of the submission", h.BodyRows)
+	case h.Submitted < 0 || h.Submitted > math.MaxInt64/2:
+		return fmt.Errorf("submitted at %d", h.Submitted)
+	}
+	for i, item := range h.Items {
+		if item.Tokens < 0 || item.Tokens > maxItemTokens {
+			return fmt.Errorf("item %d has %d tokens", i, item.Tokens)
+		}
+	}
+	committed := make(map[int]bool, len(h.Results))
+	for position, r := range h.Results {
+		if r.Item < 0 || r.Item >= len(h.Items) || committed[r.Item] {
+			return fmt.Errorf("result %d is of item %d, which does not exist or has another result", position, r.Item)
+		}
+		if r.Bytes < 0 || r.TextRows < 0 || r.TextRows > maxContentRows {
+			return fmt.Errorf("result %d has %d bytes in %d rows", position, r.Bytes, r.TextRows)
+		}
+		committed[r.Item] = true
+	}
+	return nil
+}
--- a/internal/batchjobs/headcache.go
+++ b/internal/batchjobs/headcache.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
+	wire "github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/routing"
 )
 
@@ -157,10 +159,17 @@
 	s.applyChanges(rows)
 }
 
+// isJobKey reports whether a key is that of a head.
+func isJobKey(key string) bool {
+	clientID, _ := splitID(key)
+	return wire.ValidJobID(clientID)
+}
+
 // applyChanges applies changed rows. The heads precede the quota rows, whose versions say which heads are included.
 func (s *Service) applyChanges(rows []platform.TableRow) {
+	rows = slices.DeleteFunc(slices.Clone(rows), func(row platform.TableRow) bool { return row.Part != "" })
 	for _, row := range rows {
-		if _, _, ok := parseQuotaKey(row.Key); ok {
+		if _, _, ok := parseQuotaKey(row.Key); ok || !isJobKey(row.Key) {
 			continue
 		}
 		if row.Deleted {
--- a/internal/batchjobs/runner.go
+++ b/internal/batchjobs/runner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,8 +15,10 @@
 	// dueMargin is the part of a job's time objective that is reserved for committing the last result and for the
 	// client to read it.
 	dueMargin = 1500 * time.Millisecond
-	// loadRetryDelay is the delay after a failed read of the submission of a job.
+	// loadRetryDelay is the first delay after a failed read of the submission of a job.
 	loadRetryDelay = 300 * time.Millisecond
+	// maxLoadRetryDelay bounds the delay for a submission that can't be read for long.
+	maxLoadRetryDelay = 5 * time.Second
 )
 
 // jobRun is a job whose items this VM runs.
@@ -190,6 +194,7 @@
 // loadSubmission reads the items of a job and their saved progress unless the items are in memory. It reports
 // whether the items are available.
 func (s *Service) loadSubmission(ctx context.Context, run *jobRun) bool {
+	delay := loadRetryDelay
 	for run.items == nil {
 		e := s.heads.get(run.job)
 		if e == nil {
@@ -200,8 +205,8 @@
 		cancel()
 		if err == nil {
 			var items []platform.JobItem
-			if items, err = platform.ParseJob(body); err == nil {
-				s.restoreProgress(ctx, run)
+			if items, err = parseSubmission(body, e.head); err == nil {
+				s.restoreProgress(ctx, run, len(items))
 				run.mu.Lock()
 				run.items = items
 				run.mu.Unlock()
@@ -212,12 +217,26 @@
 		select {
 		case <-ctx.Done():
 			return false
-		case <-time.After(loadRetryDelay):
+		case <-time.After(delay):
 		}
+		delay = min(2*delay, maxLoadRetryDelay)
 	}
 	return true
 }
 
+// parseSubmission parses the submission of a job. It fails if the items are not those of the head.
+func parseSubmission(body []byte, head *Head) ([]platform.JobItem, error) {
+	items, err := platform.ParseJob(body)
+	if err != nil {
+		return nil, err
+	}
+	same := func(item platform.JobItem, of ItemHead) bool { return item.ID == of.ID }
+	if !slices.EqualFunc(items, head.Items, same) {
+		return nil, fmt.Errorf("submission has other items than the head of the job (%d and %d)", len(items), len(head.Items))
+	}
+	return items, nil
+}
+
 // dueAt returns when the last result of a job should be committed.
 func (s *Service) dueAt(head *Head, route *routing.Route) time.Time {
 	return s.localTime(head.Submitted).Add(route.JobObjective - dueMargin)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -302,7 +302,8 @@
 		s.config.Log.Warn().Err(err).Uint64("row_version", row.Version).Msg("invalid target entry, target not used")
 		return routing.Target{}, false
 	}
-	s.targetRows[t.ID] = row.Value
+	// Fields that are not known may be long, and a copy for another VM has to fit a message.
+	s.targetRows[t.ID] = platform.EncodeTarget(t)
 	return t, true
 }
 
--- a/internal/evidence/evidence.go
+++ b/internal/evidence/evidence.go
@@ -91,7 +91,9 @@
 	maxReadRows = 1000
 	// maxPendingWrites bounds the queue of evidence to be written.
 	maxPendingWrites = 256
-	rowPrefix        = "quarantine/"
+	// maxStoredNames bounds the targets and the keys of a stored quarantine: far more than it takes to quarantine a request.
+	maxStoredNames = 200
+	rowPrefix      = "quarantine/"
 )
 
 func (c *Config) setDefaults() {
@@ -368,6 +370,10 @@
 			s.config.Log.Warn().Err(err).Str("key", row.Key).Msg("stored quarantine not decoded; it is ignored")
 			continue
 		}
+		if len(e.Targets) > maxStoredNames || e.Blame != nil && len(e.Blame.Keys) > maxStoredNames {
+			s.config.Log.Warn().Str("key", row.Key).Int("targets", len(e.Targets)).Msg("stored quarantine has too many targets or keys; it is ignored")
+			continue
+		}
 		if e.Blame != nil {
 			s.config.Tracker.MergeStored(*e.Blame)
 			continue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,7 +130,7 @@
 func (n *Node) assemble() {
 	s := n.settings
 	n.rows = storerelay.New(storerelay.Config{Direct: n.store, Node: n.transport, Peers: n.otherPeers, Log: n.log})
-	n.registry = &vmRegistry{rows: n.rows, self: s.VM.Name, peers: s.Peers, zone: s.VM.AvailabilityZone}
+	n.registry = &vmRegistry{rows: n.rows, self: s.VM.Name, peers: s.Peers, zone: s.VM.AvailabilityZone, log: n.log}
 	n.members = membership.New(membership.Config{
 		Self: member.Member{
 			VM:               s.VM.Name,
--- a/internal/node/vmregistry.go
+++ b/internal/node/vmregistry.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"fmt"
+	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
@@ -21,6 +22,8 @@
 	vmListRows = 32
 )
 
+var unreadableVMRows = metrics.NewCounter(`rosemarydyke_unreadable_vm_rows_total`)
+
 // vmRegistry registers this VM in the platform's store and lists the VMs there. Rows of lost VMs stay until their
 // names are reused: liveness is determined by the membership protocol.
 type vmRegistry struct {
@@ -28,6 +31,7 @@
 	self  string
 	peers string
 	zone  string
+	log   zerolog.Logger
 
 	// next is the key at which the next list begins, after the first one.
 	next   string
@@ -100,8 +104,14 @@
 	vms := make([]platform.VM, 0, len(rows))
 	for _, row := range rows {
 		var content vmRow
-		if err := cbor.Unmarshal(row.Value, &content); err != nil {
-			return nil, fmt.Errorf("decode row of VM %q: %w", row.Key, err)
+		err := cbor.Unmarshal(row.Value, &content)
+		if err == nil {
+			_, err = netip.ParseAddrPort(content.Peers)
+		}
+		if err != nil {
+			unreadableVMRows.Inc()
+			r.log.Info().Err(err).Str("row", row.Key).Msg("row of a VM not decoded; it is skipped")
+			continue
 		}
 		vms = append(vms, platform.VM{
 			Name:             row.Key,
--- a/internal/node/vmregistry_test.go
+++ b/internal/node/vmregistry_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
@@ -68,3 +69,17 @@
 		})
 	}
 }
+
+// Guards against VMs that find no others because of one row that they cannot read.
+func TestRowOfAVMThatCannotBeReadHidesNoOthers(t *testing.T) {
+	state := memory.New()
+	for name, value := range map[string][]byte{"vm-0": {0xff}, "vm-1": append(bytes.Repeat([]byte{0x81}, 40_000), 0), "vm-2": {0xa1, 0x01, 0x61, 'x'}, "vm-3": nil} {
+		_, err := state.Apply(t.Context(), store.RowTxn{Writes: []store.RowWrite{{RowKey: store.RowKey{Table: tableVMs, Key: name}, Value: value}}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	(&vmRegistry{rows: state, self: "vm-4", peers: "10.0.0.1:1", zone: "z"}).register(t.Context(), zerolog.Nop())
+	list, err := (&vmRegistry{rows: state, self: "vm-5", log: zerolog.Nop()}).List(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Assert(t, list[0].Name, qt.Equals, "vm-4")
+}
--- a/internal/origins/shards.go
+++ b/internal/origins/shards.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
@@ -81,6 +82,8 @@
 	}
 }
 
+var unreadableOrigins = metrics.NewCounter(`rosemarydyke_unreadable_origins_total`)
+
 // read reads a shard and keeps the copy. Rows of other writers that are too old are deleted with the next write.
 func (o *storedOrigins) read(ctx context.Context, shard int) (*shardCopy, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -96,8 +99,10 @@
 		o.setClock(page.Now)
 		for _, row := range page.Rows {
 			var stored storedRow
-			if err := cbor.Unmarshal(row.Value, &stored); err != nil {
-				return nil, fmt.Errorf("origins in row %q not decoded: %w", row.Key, err)
+			if err := cbor.Unmarshal(row.Value, &stored); err != nil || stored.WrittenAt < 0 || stored.WrittenAt > page.Now+maxAhead {
+				unreadableOrigins.Inc()
+				o.config.Log.Warn().Err(err).Str("row", row.Key).Dur("written_at_ms", stored.WrittenAt).Msg("stored origins not decoded; the row is skipped")
+				continue
 			}
 			if age := page.Now - stored.WrittenAt; age > origin.Retention {
 				o.deleteLater(row.RowKey)
--- a/internal/origins/versions.go
+++ b/internal/origins/versions.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/platform"
@@ -247,10 +249,11 @@
 	defer s.mu.Unlock()
 	found := map[string]bool{}
 	for _, row := range page.Rows {
-		var r origin.Record
-		if err := cbor.Unmarshal(row.Value, &r); err != nil {
-			s.config.Log.Error().Err(err).Str("row", row.Key).Msg("versions of a service not decoded; the record is ignored")
-			continue
+		r, err := decodeRecord(row.Value, page.Now)
+		if err != nil {
+			unreadableRecords.Inc()
+			s.config.Log.Error().Err(err).Str("row", row.Key).Msg("versions of a service not decoded; streams of unknown origin are not resumed until the record has been replaced for a minute")
+			r = origin.Record{Versions: []origin.Served{{Version: unreadableVersion, GoneAt: max(page.Now, 1)}}}
 		}
 		service := row.Key[len(versionsPrefix):]
 		found[service] = true
@@ -265,6 +268,29 @@
 	s.markLoaded()
 }
 
+const (
+	// unreadableVersion stands for the versions of a record that was not decoded.
+	unreadableVersion = "?"
+	// maxAhead is the largest time by which a time in a row may be ahead of the store's clock.
+	maxAhead = time.Minute
+)
+
+var unreadableRecords = metrics.NewCounter(`rosemarydyke_unreadable_version_records_total`)
+
+// decodeRecord decodes a record that was read at a time of the store. It fails for a record that no VM writes.
+func decodeRecord(value []byte, now time.Duration) (origin.Record, error) {
+	var r origin.Record
+	if err := cbor.Unmarshal(value, &r); err != nil {
+		return origin.Record{}, err
+	}
+	for _, v := range r.Versions {
+		if min(v.AddedAt, v.GoneAt) < 0 || max(v.AddedAt, v.GoneAt) > now+maxAhead {
+			return origin.Record{}, fmt.Errorf("version %q was added at %s and gone at %s, read at %s", v.Version, v.AddedAt, v.GoneAt, now)
+		}
+	}
+	return r, nil
+}
+
 // adoptRecord adopts the record of a service. s.mu must be held.
 func (s *Service) adoptRecord(asked time.Time, service string, r origin.Record, version uint64, storeNow time.Duration) {
 	state := s.records[service]
--- a/internal/usage/overdraft.go
+++ b/internal/usage/overdraft.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"time"
 
@@ -47,6 +48,21 @@
 	Since time.Duration `cbor:"4,keyasint"`
 }
 
+// maxAhead is the largest time by which a time in a record may be ahead of the store's clock.
+const maxAhead = time.Minute
+
+// decodeOverdraft decodes a record that was read at a time of the store. It fails for a record that no VM writes.
+func decodeOverdraft(value []byte, now time.Duration) (overdraftRow, error) {
+	var row overdraftRow
+	if err := cbor.Unmarshal(value, &row); err != nil {
+		return overdraftRow{}, err
+	}
+	if !(row.Amount >= 0 && row.Amount <= math.MaxFloat32) || max(row.Until, row.Since) > now+maxAhead || min(row.Until, row.Since) < -maxAhead {
+		return overdraftRow{}, fmt.Errorf("amount %g until %s since %s", row.Amount, row.Until, row.Since)
+	}
+	return row, nil
+}
+
 // overdraft is what this VM knows of the overdraft of an account.
 type overdraft struct {
 	usedAt time.Time
@@ -165,7 +181,7 @@
 	var version uint64
 	if len(page.Rows) > 0 {
 		version = page.Rows[0].Version
-		if err := cbor.Unmarshal(page.Rows[0].Value, &row); err != nil {
+		if row, err = decodeOverdraft(page.Rows[0].Value, page.Now); err != nil {
 			// A record that can't be read may stand for any overdraft.
 			row = overdraftRow{Amount: math.MaxFloat32, Until: page.Now}
 			s.config.Log.Error().Err(err).Str("account", name).Msg("overdraft of an account not decoded; all of its limit counts as used")
@@ -229,9 +245,9 @@
 			return nil, err
 		}
 		for _, r := range page.Rows {
-			var row overdraftRow
-			if cbor.Unmarshal(r.Value, &row) != nil || row == (overdraftRow{}) {
-				row.Amount = math.MaxFloat32
+			row, err := decodeOverdraft(r.Value, page.Now)
+			if err != nil || row == (overdraftRow{}) {
+				row = overdraftRow{Amount: math.MaxFloat32}
 			}
 			if row.Until+usage.Window > page.Now || row.Amount == math.MaxFloat32 {
 				records[r.Key] = row
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -130,6 +130,9 @@
 const maxAge = 7 * 24 * time.Hour
 
 // timeOf returns the time that another VM reported as an age.
+// maxBlames bounds how often a group counts as blamed: its term no longer grows long before.
+const maxBlames = 1000
+
 func timeOf(now time.Time, ageMs int64) time.Time {
 	return now.Add(-time.Duration(min(max(ageMs, 0), maxAge.Milliseconds())) * time.Millisecond)
 }
@@ -167,6 +170,7 @@
 	if len(keys) == 0 || report.Times <= 0 {
 		return
 	}
+	report.Times = min(report.Times, maxBlames)
 	crashedAt := timeOf(now, report.AgeMs)
 	for _, key := range keys {
 		if begun, known := a.begun.last(key); known && begun.After(crashedAt) {
