batchjobs: what a submission may hold can be read from its head

Submissions are rejected with the same bound now, and a test reads the head of the largest one. Overdrafts that began long ago are adopted as before; their times do no harm.

--- a/internal/batchjobs/checkpoint.go
+++ b/internal/batchjobs/checkpoint.go
@@ -15,7 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
-	wire "github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/platform"
 )
 
 const (
@@ -65,7 +65,7 @@
 
 // check returns an error for progress that no VM writes.
 func (p itemProgress) check() error {
-	if p.Position < wire.NoEvent || p.Position == math.MaxInt64 || p.Events < 0 || p.Failures < 0 {
+	if p.Position < platform.NoEvent || p.Position == math.MaxInt64 || p.Events < 0 || p.Failures < 0 {
 		return fmt.Errorf("position %d, %d events, %d failures", p.Position, p.Events, p.Failures)
 	}
 	return nil
--- a/internal/batchjobs/head.go
+++ b/internal/batchjobs/head.go
@@ -112,12 +112,8 @@
 	return &h, nil
 }
 
-const (
-	// maxContentRows is the largest number of rows of a submission or a text: their numbers have three digits in keys.
-	maxContentRows = 1000
-	// maxItemTokens bounds the tokens of an item, so that sums over all jobs do not overflow.
-	maxItemTokens = 1 << 40
-)
+// maxContentRows is the largest number of rows of a submission or a text: their numbers have three digits in keys.
+const maxContentRows = 1000
 
 // check returns an error for a head that no VM writes. Other programs write to the store too.
 func (h *Head) check() error {
@@ -130,7 +126,7 @@
 		return fmt.Errorf("submitted at %d", h.Submitted)
 	}
 	for i, item := range h.Items {
-		if item.Tokens < 0 || item.Tokens > maxItemTokens {
+		if item.Tokens < 0 || item.Tokens > platform.MaxItemTokens {
 			return fmt.Errorf("item %d has %d tokens", i, item.Tokens)
 		}
 	}
--- a/internal/batchjobs/odd_head_test.go
+++ b/internal/batchjobs/odd_head_test.go
@@ -1,7 +1,9 @@
 package batchjobs
 
 import (
+	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/platform"
 )
 
 func validHead() *Head {
@@ -65,6 +68,27 @@
 	qt.Assert(t, s.heads.get("j").version, qt.Equals, uint64(6))
 }
 
+// Guards against jobs that are accepted and that no VM can read.
+func TestHeadOfTheLargestSubmissionIsRead(t *testing.T) {
+	body := []string{}
+	for i := range platform.MaxJobItems {
+		body = append(body, fmt.Sprintf(`{"id":"%0100d","path":"/b/","tokens":%d}`, i, int64(platform.MaxItemTokens)))
+	}
+	items, err := platform.ParseJob([]byte(`{"items":[` + strings.Join(body, ",") + `]}`))
+	qt.Assert(t, err, qt.IsNil)
+	h := &Head{BodyRows: maxContentRows}
+	for _, item := range items {
+		h.Items = append(h.Items, ItemHead{ID: item.ID, Tokens: item.Tokens})
+	}
+	content, err := h.encode()
+	qt.Assert(t, err, qt.IsNil)
+	h, err = decodeHead(content)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, h.WaitingTokens() > 0, qt.IsTrue)
+	_, err = platform.ParseJob([]byte(fmt.Sprintf(`{"items":[{"id":"a","path":"/b/","tokens":%d}]}`, int64(platform.MaxItemTokens)+1)))
+	qt.Assert(t, err, qt.IsNotNil)
+}
+
 func FuzzDecodeHead(f *testing.F) {
 	content, err := validHead().encode()
 	if err != nil {
--- a/internal/usage/overdraft.go
+++ b/internal/usage/overdraft.go
@@ -57,7 +57,7 @@
 	if err := cbor.Unmarshal(value, &row); err != nil {
 		return overdraftRow{}, err
 	}
-	if !(row.Amount >= 0 && row.Amount <= math.MaxFloat32) || max(row.Until, row.Since) > now+maxAhead || min(row.Until, row.Since) < -maxAhead {
+	if !(row.Amount >= 0 && row.Amount <= math.MaxFloat32) || max(row.Until, row.Since) > now+maxAhead {
 		return overdraftRow{}, fmt.Errorf("amount %g until %s since %s", row.Amount, row.Until, row.Since)
 	}
 	return row, nil
