--- a/cmd/rosemary-ingress/planned_stop_test.go
+++ b/cmd/rosemary-ingress/planned_stop_test.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// A stream of longEvents lasts 4.6 s, within its time limit.
+	// A stream of longEvents lasts 4.6 s, within its timeout.
 	longEvents, longInterval = 46, 100 * time.Millisecond
 	timeLimit                = 5 * time.Second
 	// slowBody is how long a body takes that arrives in two parts.
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -13,7 +13,7 @@
 // request is what a client sends to a process that is shutting down.
 type request struct {
 	arrival time.Duration
-	// limit is the time limit, and takes how long the request takes if it is not cut off.
+	// limit is the timeout, and takes how long the request takes if it is not cut off.
 	limit, takes time.Duration
 }
 
