--- a/cmd/rosemary-ingress/process_test.go
+++ b/cmd/rosemary-ingress/process_test.go
@@ -60,8 +60,10 @@
 // process is the ingress process of one VM.
 type process struct {
 	clients, ready, directory string
-	command                   *exec.Cmd
-	exited                    chan error
+	// addresses are all TCP addresses of the process: for clients, ready, directory, metrics and peers.
+	addresses []string
+	command   *exec.Cmd
+	exited    chan error
 }
 
 // fleet is three VMs on loopback addresses, two targets and a stand-in for the platform.
@@ -131,11 +133,21 @@
 	qt.Assert(f.t, err, qt.IsNil)
 }
 
-func (f *fleet) start(i, peers int) *process {
+func (f *fleet) start(i, peers int) *process { return f.startWith(i, peers, "") }
+
+// startLimited starts a further VM that may have a number of open descriptors.
+func (f *fleet) startLimited(i int, settings string, descriptors int) *process {
+	return f.startWith(i, f.peers, settings, "sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors))
+}
+
+// startWith starts a VM with more settings, by way of a command that gets its command line.
+func (f *fleet) startWith(i, peers int, more string, command ...string) *process {
 	ip := fmt.Sprintf("127.0.0.%d", i+1)
 	p := &process{exited: make(chan error, 1)}
 	address := func() string { return testports.Address(f.t, ip) }
 	p.clients, p.ready, p.directory = address(), address(), address()
+	metrics := address()
+	p.addresses = []string{p.clients, p.ready, p.directory, metrics, fmt.Sprintf("%s:%d", ip, peers)}
 	settings := fmt.Sprintf(`vm:
   name: vm-%d
   availability_zone: z
@@ -149,10 +161,11 @@
 metrics: %q
 stop_grace: 8s
 max_ttl: 1s
-`, i, f.store, p.clients, p.ready, p.directory, ip, peers, address())
+`, i, f.store, p.clients, p.ready, p.directory, ip, peers, metrics)
 	path := filepath.Join(f.t.TempDir(), "settings.yaml")
-	qt.Assert(f.t, os.WriteFile(path, []byte(settings), 0o600), qt.IsNil)
-	p.command = exec.Command(binary, "--config", path)
+	qt.Assert(f.t, os.WriteFile(path, []byte(settings+more), 0o600), qt.IsNil)
+	command = append(command, binary, "--config", path)
+	p.command = exec.Command(command[0], command[1:]...)
 	log, err := os.Create(filepath.Join(f.t.TempDir(), "log"))
 	qt.Assert(f.t, err, qt.IsNil)
 	p.command.Stdout, p.command.Stderr = log, log
