--- a/cmd/rosemary-ingress/main.go
+++ b/cmd/rosemary-ingress/main.go
@@ -64,6 +64,9 @@
 		return nil, err
 	}
 	settings.SetDefaults()
+	if err := settings.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	return &settings, nil
 }
 
--- /dev/null
+++ b/internal/clientconn/guard.go
@@ -0,0 +1,220 @@
+package clientconn
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"github.com/rosemarydyke/rosemarydyke/intake"
+)
+
+const (
+	// connectionBytes is what a connection holds beside its request: buffers here and in the kernel, and stacks.
+	connectionBytes = 48 << 10
+	// descriptorsForOthers is the number of descriptors that are kept for files.
+	descriptorsForOthers = 200
+	// memoryShare is the share of a VM's memory that clients may hold, and connectionShare the share of that for connections alone.
+	memoryShare     = 0.4
+	connectionShare = 0.5
+	// Defaults of Limits.
+	defaultHeadTimeout = 5 * time.Second
+	defaultIdleTimeout = 60 * time.Second
+	// logBurst is the number of lines per second on refused and ended clients.
+	logBurst = 20
+)
+
+// Limits bound what a client sends. Zero means the default.
+type Limits struct {
+	// HeadTimeout bounds the time from the first to the last byte of a head, and IdleTimeout the time before the first.
+	HeadTimeout, IdleTimeout time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.HeadTimeout <= 0 {
+		l.HeadTimeout = defaultHeadTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = defaultIdleTimeout
+	}
+	return l
+}
+
+// Config configures a Guard.
+type Config struct {
+	// Memory is what all clients may hold, in bytes, and Connections their number.
+	Memory      int64
+	Connections int
+	// Limits returns the limits of a single request that are in force.
+	Limits func() Limits
+	Log    zerolog.Logger
+}
+
+// DefaultMemory returns the memory that the clients of a VM may hold, in the unit of its memory.
+func DefaultMemory(vm int64) int64 { return max(int64(memoryShare*float64(vm)), 1) }
+
+// DefaultConnections returns how many clients a VM serves at once, given its descriptors and the memory of its clients. Half of the
+// descriptors are for targets.
+func DefaultConnections(descriptors int, memory int64) int {
+	byMemory := int(connectionShare * float64(memory) / connectionBytes)
+	return max(min((descriptors-descriptorsForOthers)/2, byMemory), 1)
+}
+
+// ProcessDescriptors returns the number of descriptors that this process may open.
+func ProcessDescriptors() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 1024
+	}
+	return int(min(limit.Cur, 1<<20))
+}
+
+// Guard bounds the clients of a process. The zero value is not valid; use New.
+type Guard struct {
+	config Config
+	log    zerolog.Logger
+	// refusing is the number of connections that are being refused.
+	refusing atomic.Int64
+
+	mu     sync.Mutex
+	conns  map[uint64]*Conn
+	nextID uint64
+	held   int64
+}
+
+// New returns a guard.
+func New(config Config) *Guard {
+	g := &Guard{
+		config: config,
+		conns:  map[uint64]*Conn{},
+		log:    config.Log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second}),
+	}
+	guards.add(g)
+	return g
+}
+
+func (g *Guard) limits() Limits { return g.config.Limits().withDefaults() }
+
+// Listen listens on a TCP address for connections that the guard bounds.
+func (g *Guard) Listen(address string) (net.Listener, error) {
+	inner, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return &listener{Listener: inner, guard: g}, nil
+}
+
+type listener struct {
+	net.Listener
+	guard *Guard
+}
+
+// Accept implements net.Listener. It refuses connections for which there is no room.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.guard.admit(conn); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// Server returns an HTTP server of a handler, whose listeners are those of the guard.
+func (g *Guard) Server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:     g.handler(handler),
+		ConnState:   connState,
+		ConnContext: connContext,
+	}
+}
+
+// admit returns a connection for which there is room, and nil for one that is refused.
+func (g *Guard) admit(conn net.Conn) *Conn {
+	now := time.Now()
+	c := &Conn{Conn: conn, guard: g, since: now, rateAt: now}
+	g.mu.Lock()
+	g.nextID++
+	c.id = g.nextID
+	demand := intake.Demand{Client: intake.Client{ID: c.id}, Bytes: connectionBytes, Connection: true}
+	decision := g.decide(now, demand)
+	if decision.Admit {
+		c.held = connectionBytes
+		g.held += connectionBytes
+		g.conns[c.id] = c
+	}
+	g.mu.Unlock()
+	if !decision.Admit {
+		refusedTotal(reasonConnections).Inc()
+		g.logRefusal(c, demand, decision, reasonConnections)
+		g.refuse(conn, decision.RetryAfter)
+		return nil
+	}
+	c.enter(intake.Idle, now)
+	return c
+}
+
+// decide answers a demand, and ends other clients for it. The caller holds the lock.
+func (g *Guard) decide(now time.Time, demand intake.Demand) intake.Decision {
+	room := intake.Room{Memory: g.config.Memory, Held: g.held, Connections: g.config.Connections, ConnectionsIn: len(g.conns)}
+	if room.Fits(demand) {
+		return intake.Decision{Admit: true}
+	}
+	clients := make([]intake.Client, 0, len(g.conns))
+	for _, c := range g.conns {
+		client := c.client(now)
+		client.Held = c.held
+		clients = append(clients, client)
+	}
+	decision := intake.Decide(room, clients, demand)
+	for _, id := range decision.End {
+		c := g.conns[id]
+		held := c.held
+		g.forget(c)
+		phase := c.end()
+		endedTotal(phase).Inc()
+		g.log.Info().Uint64("connection", id).Str("client", c.RemoteAddr().String()).Str("phase", phase.String()).Int64("held", held).
+			Uint64("for", demand.Client.ID).Msg("client ended: it held much, moved little, and another one needs the room")
+	}
+	return decision
+}
+
+// forget takes a connection out of the account. The caller holds the lock.
+func (g *Guard) forget(c *Conn) {
+	if g.conns[c.id] == c {
+		delete(g.conns, c.id)
+		g.held -= c.held
+		c.held = 0
+	}
+}
+
+// releaseRequest takes back what a connection was charged for its last request.
+func (g *Guard) releaseRequest(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conns[c.id] == c {
+		g.held -= c.held - connectionBytes
+		c.held = connectionBytes
+	}
+}
+
+func (g *Guard) logRefusal(c *Conn, d intake.Demand, decision intake.Decision, reason string) {
+	g.log.Info().Uint64("connection", c.id).Str("client", c.RemoteAddr().String()).Str("phase", d.Client.Phase.String()).
+		Int64("held", d.Client.Held).Float64("rate", d.Client.Rate).Dur("age_ms", d.Client.Age).Int64("wanted", d.Bytes).
+		Int64("memory", g.config.Memory).Int("connections", g.config.Connections).
+		Dur("retry_after_ms", decision.RetryAfter).Str("reason", reason).Msg("client refused: there is no room for what it asks for")
+}
+
+// inUse returns what clients hold.
+func (g *Guard) inUse() (connections int, bytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns), g.held
+}
--- a/internal/config/ingress.go
+++ b/internal/config/ingress.go
@@ -1,6 +1,11 @@
 package config
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
+)
 
 // Ingress holds the settings of rosemary-ingress.
 type Ingress struct {
@@ -32,6 +37,14 @@
 	Capabilities []string `yaml:"capabilities"`
 	// MemoryMB is the memory of the VM, in MB. Default 256.
 	MemoryMB int64 `yaml:"memory_mb" validate:"min=0"`
+	// MaxFDs is the number of descriptors that the process may open. Default: the limit that it finds.
+	MaxFDs int `yaml:"max_fds" validate:"min=0"`
+	// ClientMemoryMB is the memory that all clients may hold together, in MB: connections, requests and responses. Default 0.4 of
+	// MemoryMB.
+	ClientMemoryMB int64 `yaml:"client_memory_mb" validate:"min=0"`
+	// ClientConnections is the number of clients that are served at once. Default: half of the descriptors that are not kept for
+	// files, and as many as take half of ClientMemoryMB at most.
+	ClientConnections int `yaml:"client_connections" validate:"min=0"`
 	// CPUShare is the share of a core that the process may use, and CoreSpeed the speed of that core relative to the other
 	// VMs'. Both default to 1. VMs with more processor time coordinate slots and are listed to clients more often.
 	CPUShare  float64 `yaml:"cpu_share" validate:"min=0"`
@@ -69,4 +82,24 @@
 	if i.MemoryMB == 0 {
 		i.MemoryMB = defaultMemoryMB
 	}
+	if i.MaxFDs == 0 {
+		i.MaxFDs = clientconn.ProcessDescriptors()
+	}
+	if i.ClientMemoryMB == 0 {
+		i.ClientMemoryMB = clientconn.DefaultMemory(i.MemoryMB)
+	}
+	if i.ClientConnections == 0 {
+		i.ClientConnections = clientconn.DefaultConnections(i.MaxFDs, i.ClientMemoryMB<<20)
+	}
+}
+
+// Check returns an error for settings that contradict each other. Defaults have been set.
+func (i *Ingress) Check() error {
+	if i.ClientMemoryMB >= i.MemoryMB {
+		return fmt.Errorf("client_memory_mb: %d MB is not less than memory_mb, %d MB", i.ClientMemoryMB, i.MemoryMB)
+	}
+	if i.ClientConnections >= i.MaxFDs {
+		return fmt.Errorf("client_connections: %d is not less than max_fds, %d", i.ClientConnections, i.MaxFDs)
+	}
+	return nil
 }
--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -1,23 +1,16 @@
 package ingress
 
 import (
-	"context"
-	"net"
 	"net/http"
-)
-
-type connKey struct{}
 
-// ConnContext adds the client's connection to the contexts of its requests. Servers of the handler have it as their ConnContext.
-func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
+)
 
 // setIncomplete states whether the end of the client's connection would leave the response incomplete. A stream to an HTTP/1.0
 // client ends with its connection, so that only a reset shows that a part is missing.
 func setIncomplete(r *http.Request, incomplete bool) {
-	conn, ok := r.Context().Value(connKey{}).(*net.TCPConn)
-	if !ok || r.ProtoAtLeast(1, 1) {
+	conn := clientconn.Of(r.Context())
+	if conn == nil || r.ProtoAtLeast(1, 1) {
 		return
 	}
 	linger := -1
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/account"
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/internal/evidence"
 	"github.com/rosemarydyke/rosemarydyke/internal/ingress"
 	"github.com/rosemarydyke/rosemarydyke/internal/platform/memory"
@@ -138,10 +140,7 @@
 		recordVersions(t, f.store, schedulingtest.Registered(service, slots, f.targets...))
 	}
 	resolver, _ := startOrigins(t, f.store, schedulingtest.Registered(service, slots, f.targets...))
-	server := httptest.NewUnstartedServer(nil)
-	server.Config.ConnContext = ingress.ConnContext
-	server.Start()
-	t.Cleanup(server.Close)
+	server := f.guarded(t)
 	table := table(strings.TrimPrefix(server.URL, "http://"), timeout)
 	serverConfig := ingress.Config{
 		Configuration: configuration{table},
@@ -153,10 +152,31 @@
 		f.adjust(&serverConfig, table)
 	}
 	f.server = ingress.New(serverConfig)
-	server.Config.Handler = f.server
+	server.handler.Store(&f.server)
 	f.url = server.URL
 }
 
+// guardedServer is an HTTP server with bounds on its clients, whose handler is set later.
+type guardedServer struct {
+	*httptest.Server
+	handler atomic.Pointer[*ingress.Server]
+}
+
+func (f *fixture) guarded(t *testing.T) *guardedServer {
+	guard := clientconn.New(clientconn.Config{
+		Memory: 64 << 20, Connections: 1000, Limits: func() clientconn.Limits { return clientconn.Limits{} }, Log: zerolog.New(&f.log),
+	})
+	s := &guardedServer{Server: httptest.NewUnstartedServer(nil)}
+	listener, err := guard.Listen("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	_ = s.Listener.Close()
+	s.Listener = listener
+	s.Config = guard.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { (*s.handler.Load()).ServeHTTP(w, r) }))
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
 // inject queues faults at all targets, so that the next request fails wherever it is sent.
 func (f *fixture) inject(faults ...streamtarget.Fault) {
 	for _, target := range f.targets {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -23,6 +22,7 @@
 	"github.com/rosemarydyke/rosemarydyke/drain"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchjobs"
 	"github.com/rosemarydyke/rosemarydyke/internal/boottime"
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
 	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
 	"github.com/rosemarydyke/rosemarydyke/internal/discovery"
@@ -48,10 +48,6 @@
 	addressTTL = 1500 * time.Millisecond
 	// cachedTTLs is the longest time for which clients cache addresses, as a multiple of the TTL.
 	cachedTTLs = 3
-	// headerTimeout bounds the time to read a request's header.
-	headerTimeout = 5 * time.Second
-	// idleTimeout closes idle client connections.
-	idleTimeout = 60 * time.Second
 	// leaveTimeout bounds the deregistration and the last messages to the other VMs.
 	leaveTimeout = 300 * time.Millisecond
 	// quarantineCrashes is the number of targets that must break off a request before it is quarantined. Targets
@@ -83,6 +79,7 @@
 	servers      []*http.Server
 	relay        *targetrelay.Relay
 	clientServer *http.Server
+	guard        *clientconn.Guard
 	relayServer  *http.Server
 	listeners    []net.Listener
 	// dialTarget connects to a target directly.
@@ -103,6 +100,12 @@
 		return nil, err
 	}
 	n := &Node{settings: settings, log: log, transport: transport, store: platform.NewStore(settings.Store), dialTarget: dialTarget}
+	n.guard = clientconn.New(clientconn.Config{
+		Memory:      settings.ClientMemoryMB << 20,
+		Connections: settings.ClientConnections,
+		Limits:      n.clientLimits,
+		Log:         log,
+	})
 	n.assemble()
 	if err := n.listen(); err != nil {
 		return nil, errors.Join(err, transport.Close())
@@ -236,6 +239,16 @@
 	})
 }
 
+// clientLimits returns the limits of the configuration in force for what a client sends.
+func (n *Node) clientLimits() clientconn.Limits {
+	table := n.discovery.Current()
+	if table == nil {
+		return clientconn.Limits{}
+	}
+	l := table.Limits
+	return clientconn.Limits{HeadTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+}
+
 // accounts returns the client accounts of the configuration in force and its version.
 func (n *Node) accounts() (*account.Directory, uint64) {
 	table := n.discovery.Current()
@@ -359,17 +372,16 @@
 		if h.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp4", h.address)
+		listener, err := n.guard.Listen(h.address)
 		if err != nil {
-			return fmt.Errorf("listen on %s: %w", h.address, err)
+			return err
 		}
-		server := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		server := n.guard.Server(h.handler)
 		n.servers = append(n.servers, server)
 		n.listeners = append(n.listeners, listener)
 		switch h.address {
 		case n.settings.Clients:
 			n.clientServer = server
-			server.ConnContext = ingress.ConnContext
 		case n.settings.Peers:
 			n.relayServer = server
 		}
--- a/internal/targetrelay/tunnel.go
+++ b/internal/targetrelay/tunnel.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/reach"
 )
 
@@ -170,6 +171,10 @@
 // serveTunnel copies bytes in both directions until one side ends.
 func serveTunnel(w http.ResponseWriter, request *http.Request, conn net.Conn) {
 	controller := http.NewResponseController(w)
+	// A tunnel lasts as long as the connection that it carries.
+	if !clientconn.Of(request.Context()).Run() {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Trailer", trailerBroken)
 	// Without full duplex, the server would read the whole request before the response.
 	if err := errors.Join(controller.EnableFullDuplex(), controller.Flush()); err != nil {
