--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -20,6 +20,8 @@
 const (
 	// rateTime is the time constant of the mean rate at which a client sends.
 	rateTime = 500 * time.Millisecond
+	// readAhead is how much of a body net/http may read together with the head.
+	readAhead = 4 << 10
 	// endedRetryAfter is when a client may come back that was ended for others.
 	endedRetryAfter = 500 * time.Millisecond
 	// maxRefusing is the number of connections that are refused with a response at the same time. Others are closed.
@@ -43,6 +45,8 @@
 	since  time.Time
 	rate   float64
 	rateAt time.Time
+	// headBytes counts the bytes of the head that arrives.
+	headBytes int64
 	// wanted is the read deadline of the server, and phaseDeadline that of the phase.
 	wanted, phaseDeadline time.Time
 	// ended means that the client was ended for others.
@@ -95,7 +99,7 @@
 	c.phaseDeadline = time.Time{}
 	switch phase {
 	case intake.Idle:
-		c.since = now
+		c.since, c.headBytes = now, 0
 		c.phaseDeadline = now.Add(limits.IdleTimeout)
 	case intake.Head:
 		c.since = now
@@ -132,11 +136,13 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It charges the client for the head of a request, and ends one that exceeds its limits.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.receive(n)
+		if refused := c.receive(p[:n]); refused != nil {
+			return 0, refused
+		}
 		return n, err
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -146,15 +152,35 @@
 }
 
 // receive records bytes that have arrived.
-func (c *Conn) receive(n int) {
+func (c *Conn) receive(p []byte) error {
 	now := time.Now()
 	c.mu.Lock()
-	c.rate, c.rateAt = c.rateNow(now)+float64(n)/rateTime.Seconds(), now
+	c.rate, c.rateAt = c.rateNow(now)+float64(len(p))/rateTime.Seconds(), now
 	phase := c.phase
+	if phase == intake.Idle || phase == intake.Head {
+		c.headBytes += int64(len(p))
+	}
+	size := c.headBytes
 	c.mu.Unlock()
-	if phase == intake.Idle {
+	switch phase {
+	case intake.Idle:
 		c.enter(intake.Head, now)
+	case intake.Head:
+	default:
+		return nil
+	}
+	if limit := c.guard.limits().HeadBytes; size > limit+readAhead {
+		refusedTotal(reasonHeadSize).Inc()
+		c.guard.log.Info().Uint64("connection", c.id).Str("client", c.RemoteAddr().String()).Int64("bytes", size).Int64("limit", limit).
+			Str("reason", reasonHeadSize).Msg("client refused: the head of its request exceeds the limit")
+		return c.answer(http.StatusRequestHeaderFieldsTooLarge, 0)
 	}
+	cost := int64(2*len(p) + headLineBytes*bytes.Count(p, []byte{'\n'}))
+	var refused *RefusedError
+	if errors.As(c.guard.reserve(c, cost), &refused) {
+		return c.answer(http.StatusServiceUnavailable, refused.RetryAfter)
+	}
+	return nil
 }
 
 // expire returns the error for a read deadline that has passed.
--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -17,12 +17,15 @@
 const (
 	// connectionBytes is what a connection holds beside its request: buffers here and in the kernel, and stacks.
 	connectionBytes = 48 << 10
+	// headLineBytes is what a line of a head takes beside its text.
+	headLineBytes = 200
 	// descriptorsForOthers is the number of descriptors that are kept for files.
 	descriptorsForOthers = 200
 	// memoryShare is the share of a VM's memory that clients may hold, and connectionShare the share of that for connections alone.
 	memoryShare     = 0.4
 	connectionShare = 0.5
 	// Defaults of Limits.
+	defaultHeadBytes   = 64 << 10
 	defaultHeadTimeout = 5 * time.Second
 	defaultIdleTimeout = 60 * time.Second
 	// logBurst is the number of lines per second on refused and ended clients.
@@ -31,11 +34,15 @@
 
 // Limits bound what a client sends. Zero means the default.
 type Limits struct {
+	HeadBytes int64
 	// HeadTimeout bounds the time from the first to the last byte of a head, and IdleTimeout the time before the first.
 	HeadTimeout, IdleTimeout time.Duration
 }
 
 func (l Limits) withDefaults() Limits {
+	if l.HeadBytes <= 0 {
+		l.HeadBytes = defaultHeadBytes
+	}
 	if l.HeadTimeout <= 0 {
 		l.HeadTimeout = defaultHeadTimeout
 	}
@@ -130,9 +137,11 @@
 // Server returns an HTTP server of a handler, whose listeners are those of the guard.
 func (g *Guard) Server(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:     g.handler(handler),
-		ConnState:   connState,
-		ConnContext: connContext,
+		Handler: g.handler(handler),
+		// Conn limits the head and the time.
+		MaxHeaderBytes: 64 << 20,
+		ConnState:      connState,
+		ConnContext:    connContext,
 	}
 }
 
@@ -195,6 +204,31 @@
 	}
 }
 
+// reserve charges a connection for n more bytes. It fails with *RefusedError.
+func (g *Guard) reserve(c *Conn, n int64) error {
+	now := time.Now()
+	client := c.client(now)
+	g.mu.Lock()
+	if g.conns[c.id] != c {
+		g.mu.Unlock()
+		return &RefusedError{RetryAfter: endedRetryAfter}
+	}
+	client.Held = c.held
+	demand := intake.Demand{Client: client, Bytes: n}
+	decision := g.decide(now, demand)
+	if decision.Admit {
+		c.held += n
+		g.held += n
+	}
+	g.mu.Unlock()
+	if !decision.Admit {
+		refusedTotal(reasonMemory).Inc()
+		g.logRefusal(c, demand, decision, reasonMemory)
+		return &RefusedError{RetryAfter: decision.RetryAfter}
+	}
+	return nil
+}
+
 // releaseRequest takes back what a connection was charged for its last request.
 func (g *Guard) releaseRequest(c *Conn) {
 	g.mu.Lock()
--- a/internal/clientconn/metrics.go
+++ b/internal/clientconn/metrics.go
@@ -12,6 +12,8 @@
 // Reasons of refusals.
 const (
 	reasonConnections = "connections"
+	reasonMemory      = "memory"
+	reasonHeadSize    = "head_size"
 	reasonHeadTime    = "head_time"
 )
 
--- a/internal/clientconn/request.go
+++ b/internal/clientconn/request.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -25,6 +26,11 @@
 			Refuse(w, http.StatusServiceUnavailable, endedRetryAfter, "this VM holds as much for clients as it can")
 			return
 		}
+		if limit := g.limits().HeadBytes; headSize(r) > limit {
+			refusedTotal(reasonHeadSize).Inc()
+			Refuse(w, http.StatusRequestHeaderFieldsTooLarge, 0, fmt.Sprintf("the head of the request exceeds %d bytes", limit))
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -50,6 +56,20 @@
 	c.applyDeadline()
 }
 
+// headSize returns the size of a head, at most that of what was sent.
+func headSize(r *http.Request) int64 {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n\r\n")
+	if r.Host != "" {
+		size += len("Host: \r\n") + len(r.Host)
+	}
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(":\r\n")
+		}
+	}
+	return int64(size)
+}
+
 // Refuse refuses a request whose body may not have been read, and closes the connection.
 func Refuse(w http.ResponseWriter, status int, retryAfter time.Duration, reason string) {
 	if retryAfter > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -246,7 +246,7 @@
 		return clientconn.Limits{}
 	}
 	l := table.Limits
-	return clientconn.Limits{HeadTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+	return clientconn.Limits{HeadBytes: l.HeaderBytes, HeadTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
 
 // accounts returns the client accounts of the configuration in force and its version.
