--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -1,11 +1,13 @@
 package clientconn
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +17,9 @@
 )
 
 const (
+	// receiveBuffer and sendBuffer are the sizes that the kernel is asked for. It takes up to twice as much.
+	receiveBuffer = 16 << 10
+	sendBuffer    = 64 << 10
 	// connectionBytes is what a connection holds beside its request: buffers here and in the kernel, and stacks.
 	connectionBytes = 48 << 10
 	// headLineBytes is what a line of a head takes beside its text.
@@ -109,7 +114,20 @@
 
 // Listen listens on a TCP address for connections that the guard bounds.
 func (g *Guard) Listen(address string) (net.Listener, error) {
-	inner, err := net.Listen("tcp4", address)
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		failed := raw.Control(func(fd uintptr) {
+			// Connections inherit the sizes. They are set before the TCP window is negotiated.
+			if err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer); err == nil {
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+			}
+		})
+		if failed != nil {
+			return failed
+		}
+		return err
+	}}
+	inner, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
