--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -247,6 +247,16 @@
 	return nil
 }
 
+// release takes back a charge of n bytes.
+func (g *Guard) release(c *Conn, n int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conns[c.id] == c {
+		c.held -= n
+		g.held -= n
+	}
+}
+
 // releaseRequest takes back what a connection was charged for its last request.
 func (g *Guard) releaseRequest(c *Conn) {
 	g.mu.Lock()
--- a/internal/clientconn/metrics.go
+++ b/internal/clientconn/metrics.go
@@ -15,6 +15,7 @@
 	reasonMemory      = "memory"
 	reasonHeadSize    = "head_size"
 	reasonHeadTime    = "head_time"
+	reasonBodyTime    = "body_time"
 )
 
 func refusedTotal(reason string) *metrics.Counter {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/account"
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/origin"
 	"github.com/rosemarydyke/rosemarydyke/platform"
@@ -30,6 +30,8 @@
 	// unknownOriginRetryAfter is the retry delay for clients whose stream began where no VM knows. Another VM that was
 	// paused or cut off may answer then.
 	unknownOriginRetryAfter = 300 * time.Millisecond
+	// lateBodyRetryAfter is the retry delay for clients whose body did not arrive in time.
+	lateBodyRetryAfter = 500 * time.Millisecond
 	// noConfigRetryAfter is the retry delay for clients while no configuration is known.
 	noConfigRetryAfter = 500 * time.Millisecond
 )
@@ -152,7 +154,7 @@
 		s.refuseLeaving(w, r, limit)
 		return
 	}
-	body, ok := s.readBody(w, r, table, limit)
+	body, ok := s.readBody(w, r, table, route, limit)
 	if !ok {
 		return
 	}
@@ -202,28 +204,58 @@
 
 // readBody reads the complete body, and ends the request if that fails or takes until the request may not end any more before this VM
 // exits.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, table *routing.Table, timeLimit time.Duration) ([]byte, bool) {
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, table *routing.Table, route *routing.Route, timeLimit time.Duration) ([]byte, bool) {
 	limit := table.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	conn, began := clientconn.Of(r.Context()), time.Now()
 	endReadLimit := s.shutdown.limitRead(w, timeLimit)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := conn.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, began.Add(bodyTime(r, route)))
 	endReadLimit()
 	if s.shutdown.isReadLimit(err) || err == nil && !s.shutdown.admits(time.Now(), timeLimit) {
 		s.refuseLeaving(w, r, timeLimit)
 		return nil, false
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		platform.WriteText(w, http.StatusRequestEntityTooLarge, "the body exceeds the limit")
+	if err != nil {
+		s.endWithoutBody(w, r, err, time.Since(began))
 		return nil, false
 	}
-	if err != nil {
-		s.config.Log.Info().Err(err).Str("path", r.URL.Path).Msg("request body is incomplete; aborting the request")
+	return body, true
+}
+
+// bodyTime returns how long the body of a request may take: as long as the request, whose client has gone then.
+func bodyTime(r *http.Request, route *routing.Route) time.Duration {
+	parsed, _ := platform.ParseRequest(r.Header)
+	return timeLimit(route, parsed.Timeout)
+}
+
+// endWithoutBody ends a request whose body was not read. It has not run.
+func (s *Server) endWithoutBody(w http.ResponseWriter, r *http.Request, err error, took time.Duration) {
+	var tooLarge *http.MaxBytesError
+	var refused *clientconn.RefusedError
+	status := 0
+	switch {
+	case errors.As(err, &tooLarge):
+		status = http.StatusRequestEntityTooLarge
+		platform.SetConnectionClose(w)
+		platform.WriteText(w, status, "the body exceeds the limit")
+	case errors.As(err, &refused):
+		status = http.StatusServiceUnavailable
+		refusedTotal.Inc()
+		platform.SetConnectionClose(w)
+		platform.WriteRefusal(w, status, refused.RetryAfter, err.Error())
+	case errors.Is(err, clientconn.ErrBodyTime):
+		status = http.StatusRequestTimeout
+		refusedTotal.Inc()
+		platform.SetConnectionClose(w)
+		platform.WriteRefusal(w, status, lateBodyRetryAfter, err.Error())
+	}
+	s.config.Log.Info().Err(err).Str("request", platform.RequestID(r.Header)).Str("path", r.URL.Path).Int64("length", r.ContentLength).
+		Dur("took_ms", took).Int("status", status).Msg("request body not read; the request has not run")
+	if status == 0 {
 		panic(http.ErrAbortHandler)
 	}
-	return body, true
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, table *routing.Table, route *routing.Route, body []byte) {
