--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -24,6 +24,9 @@
 	readAhead = 4 << 10
 	// endedRetryAfter is when a client may come back that was ended for others.
 	endedRetryAfter = 500 * time.Millisecond
+	// stallTimeout bounds the time for which a client accepts nothing of a response, and writeStep is the part of it that counts.
+	stallTimeout = 2 * time.Second
+	writeStep    = 16 << 10
 	// maxRefusing is the number of connections that are refused with a response at the same time. Others are closed.
 	maxRefusing = 64
 	// refusalTimeout and refusalBytes bound what is read of a refused client, so that it gets the response.
@@ -49,6 +52,8 @@
 	headBytes int64
 	// wanted is the read deadline of the server, and phaseDeadline that of the phase.
 	wanted, phaseDeadline time.Time
+	// writeDeadline bounds the response.
+	writeDeadline time.Time
 	// ended means that the client was ended for others.
 	ended bool
 	// answered means that the connection was refused with a response of its own.
@@ -136,6 +141,14 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
+// SetWriteDeadline implements net.Conn. Writes also end when a client reads nothing.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return nil
+}
+
 // Read implements net.Conn. It charges the client for the head of a request, and ends one that exceeds its limits.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -226,6 +239,31 @@
 	return text.Bytes()
 }
 
+// Write implements net.Conn. It fails if the client accepts nothing for a while.
+func (c *Conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		step := p[written:min(written+writeStep, len(p))]
+		c.mu.Lock()
+		deadline := time.Now().Add(stallTimeout)
+		if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
+			deadline = c.writeDeadline
+		}
+		c.mu.Unlock()
+		_ = c.Conn.SetWriteDeadline(deadline)
+		n, err := c.Conn.Write(step)
+		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			stalledTotal.Inc()
+			c.guard.log.Info().Uint64("connection", c.id).Str("client", c.RemoteAddr().String()).Int("unsent", len(p)-written).
+				Msg("response broken off: its client does not read it")
+		}
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // end ends a client for others, and returns the phase that it was in. The goroutine that reads from the connection responds.
 func (c *Conn) end() intake.Phase {
 	c.mu.Lock()
@@ -302,5 +340,6 @@
 	if c, ok := conn.(*Conn); ok && state == http.StateIdle {
 		c.guard.releaseRequest(c)
 		c.enter(intake.Idle, time.Now())
+		_ = c.SetWriteDeadline(time.Time{})
 	}
 }
--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -33,6 +33,8 @@
 	defaultHeadBytes   = 64 << 10
 	defaultHeadTimeout = 5 * time.Second
 	defaultIdleTimeout = 60 * time.Second
+	// responseTimeout bounds the writing of a response, unless its request has a time limit.
+	responseTimeout = 30 * time.Second
 	// logBurst is the number of lines per second on refused and ended clients.
 	logBurst = 20
 )
--- a/internal/clientconn/metrics.go
+++ b/internal/clientconn/metrics.go
@@ -26,6 +26,9 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`rosemarydyke_clients_ended_total{phase=%q}`, phase))
 }
 
+// stalledTotal counts responses that were broken off because their clients read nothing.
+var stalledTotal = metrics.NewCounter(`rosemarydyke_clients_stalled_total`)
+
 // guardList is the list of all guards of the process, for the metrics.
 type guardList struct {
 	mu   sync.Mutex
--- a/internal/clientconn/request.go
+++ b/internal/clientconn/request.go
@@ -54,6 +54,7 @@
 	if phase == intake.Body {
 		c.limitBody(now.Add(bodyTimeout))
 	}
+	_ = c.SetWriteDeadline(now.Add(responseTimeout))
 	return live
 }
 
@@ -112,6 +113,13 @@
 	return c.enter(intake.Running, time.Now())
 }
 
+// LimitResponse sets the time until which the response may be written, zero for no limit.
+func (c *Conn) LimitResponse(deadline time.Time) {
+	if c != nil {
+		_ = c.SetWriteDeadline(deadline)
+	}
+}
+
 // ReadBody reads a body that has to arrive until a deadline, and charges the client for it. It fails with *RefusedError, ErrBodyTime,
 // or the error of the reader. Length is -1 if it is not known.
 func (c *Conn) ReadBody(body io.Reader, length int64, deadline time.Time) ([]byte, error) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -32,6 +32,8 @@
 	unknownOriginRetryAfter = 300 * time.Millisecond
 	// lateBodyRetryAfter is the retry delay for clients whose body did not arrive in time.
 	lateBodyRetryAfter = 500 * time.Millisecond
+	// responseGrace is how long after the deadline of a request its response may still be written.
+	responseGrace = 500 * time.Millisecond
 	// noConfigRetryAfter is the retry delay for clients while no configuration is known.
 	noConfigRetryAfter = 500 * time.Millisecond
 )
@@ -267,6 +269,7 @@
 	}
 	now := time.Now()
 	timeout := timeLimit(route, parsed.Timeout)
+	clientconn.Of(r.Context()).LimitResponse(now.Add(timeout + responseGrace))
 	bound, endBound := s.shutdown.bound(r.Context())
 	defer endBound()
 	ctx, cancel := context.WithDeadline(bound, now.Add(timeout))
--- a/internal/ingress/run.go
+++ b/internal/ingress/run.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/internal/completion"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/platform"
@@ -25,6 +26,8 @@
 	begun    bool
 	sent     time.Time
 	arrivals chan arrival
+	// accepted tells the goroutine that reads the response that the client has accepted a large event.
+	accepted chan struct{}
 	cancel   context.CancelFunc
 	// silentFor is the timeout that the target exceeded since its last event, zero if it did not.
 	silentFor time.Duration
@@ -82,6 +85,7 @@
 		record:   attempt{target: slot.Target, version: slot.Version, waited: waited},
 		sent:     time.Now(),
 		arrivals: make(chan arrival),
+		accepted: make(chan struct{}, 1),
 		cancel:   cancel,
 		address:  slot.Address,
 	}
@@ -129,6 +133,19 @@
 		if !r.deliver(ctx, arrival{response: response, event: event, isStream: true, err: err}) || err != nil {
 			return
 		}
+		if len(event.Raw) >= largeEvent && !r.awaitAccepted(ctx) {
+			return
+		}
+	}
+}
+
+// awaitAccepted waits until the client has accepted a large event, so that the next one is not held beside it.
+func (r *run) awaitAccepted(ctx context.Context) bool {
+	select {
+	case <-r.accepted:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -247,10 +264,7 @@
 		e.recordOrigin(r)
 	}
 	e.writeHeader(a.response)
-	if _, err := e.writer.Write(a.event.Raw); err != nil {
-		return &clientError{err}
-	}
-	if err := http.NewResponseController(e.writer).Flush(); err != nil {
+	if err := e.writeEvent(r, a.event.Raw); err != nil {
 		return &clientError{err}
 	}
 	e.lastEvent = a.event.ID
@@ -259,6 +273,26 @@
 	return nil
 }
 
+// largeEvent is the size from which the client is charged for an event that it has not accepted.
+const largeEvent = 4 << 10
+
+func (e *exchange) writeEvent(r *run, raw []byte) error {
+	if len(raw) >= largeEvent {
+		conn := clientconn.Of(e.request.Context())
+		if err := conn.Reserve(int64(len(raw))); err != nil {
+			return err
+		}
+		defer func() {
+			conn.Release(int64(len(raw)))
+			r.accepted <- struct{}{}
+		}()
+	}
+	if _, err := e.writer.Write(raw); err != nil {
+		return err
+	}
+	return http.NewResponseController(e.writer).Flush()
+}
+
 // writeHeader sends the header of the first target's response. A target that resumes the stream adds none.
 func (e *exchange) writeHeader(response *platform.TargetResponse) {
 	if e.started {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,8 @@
 	addressTTL = 1500 * time.Millisecond
 	// cachedTTLs is the longest time for which clients cache addresses, as a multiple of the TTL.
 	cachedTTLs = 3
+	// responseMemoryShare is the share of the VM's memory for responses that are held as a whole.
+	responseMemoryShare = 0.15
 	// leaveTimeout bounds the deregistration and the last messages to the other VMs.
 	leaveTimeout = 300 * time.Millisecond
 	// quarantineCrashes is the number of targets that must break off a request before it is quarantined. Targets
@@ -199,6 +201,7 @@
 	if slices.Contains(s.Capabilities, platform.CapabilityConnections) {
 		targets.ReuseConnections(n.connectionShare)
 	}
+	targets.LimitBuffered(int64(responseMemoryShare * float64(s.MemoryMB<<20)))
 	n.targets = targets
 	tracker := evidence.NewSharedTracker(quarantine.Config{
 		CrashThreshold: quarantineCrashes,
--- a/internal/targetrelay/tunnel.go
+++ b/internal/targetrelay/tunnel.go
@@ -172,8 +172,10 @@
 func serveTunnel(w http.ResponseWriter, request *http.Request, conn net.Conn) {
 	controller := http.NewResponseController(w)
 	// A tunnel lasts as long as the connection that it carries.
-	if !clientconn.Of(request.Context()).Run() {
+	if client := clientconn.Of(request.Context()); !client.Run() {
 		panic(http.ErrAbortHandler)
+	} else {
+		client.LimitResponse(time.Time{})
 	}
 	w.Header().Set("Trailer", trailerBroken)
 	// Without full duplex, the server would read the whole request before the response.
