--- a/internal/batchjobs/api.go
+++ b/internal/batchjobs/api.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/account"
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 )
 
@@ -21,6 +22,8 @@
 	quotaRetryAfter = time.Second
 	// maxResponseBytes bounds the result texts in one response, which stays below 1 MB with their encoding.
 	maxResponseBytes = 600_000
+	// resultCopies is how many times the size of results is held while a response is made.
+	resultCopies = 3
 	// refreshTimeout is how long a call that does not wait for results waits for the local copy.
 	refreshTimeout = 100 * time.Millisecond
 )
@@ -50,9 +53,14 @@
 	if status == http.StatusOK {
 		return true
 	}
+	retryAfter := storeRetryAfter
+	var refused *clientconn.RefusedError
+	if errors.As(err, &refused) {
+		retryAfter = refused.RetryAfter
+	}
 	s.config.Log.Info().AnErr("cause", err).Str("job", call.Job).Str("account", accountName(account.FromContext(r.Context()))).Str("item", call.Item).Int("after", call.After).
 		Int("status", status).Msg("job request failed")
-	platform.WriteRefusal(w, status, storeRetryAfter, http.StatusText(status))
+	platform.WriteRefusal(w, status, retryAfter, http.StatusText(status))
 	return true
 }
 
@@ -76,6 +84,9 @@
 			head = e.head
 		}
 	}
+	if err := clientconn.Of(r.Context()).Reserve(resultCopies * resultBytes(head, call.After)); err != nil {
+		return http.StatusServiceUnavailable, err
+	}
 	results, err := s.loadResults(r.Context(), job, call.After, head)
 	if err != nil {
 		return http.StatusServiceUnavailable, err
@@ -94,6 +105,15 @@
 	})
 }
 
+// resultBytes returns the size of the texts that a response holds at most.
+func resultBytes(head *Head, after int) int64 {
+	bytes := 0
+	for position := after; position < len(head.Results) && bytes < maxResponseBytes; position++ {
+		bytes += head.Results[position].Bytes
+	}
+	return int64(bytes)
+}
+
 func (s *Service) loadResults(ctx context.Context, job string, after int, head *Head) ([]platform.JobResult, error) {
 	var results []platform.JobResult
 	bytes := 0
