--- a/internal/batchjobs/api.go
+++ b/internal/batchjobs/api.go
@@ -22,8 +22,9 @@
 	quotaRetryAfter = time.Second
 	// maxResponseBytes bounds the result texts in one response, which stays below 1 MB with their encoding.
 	maxResponseBytes = 600_000
-	// resultCopies is how many times the size of results is held while a response is made.
+	// resultCopies and bodyCopies are how many times the size of results, and of a submission, is held while a response is made.
 	resultCopies = 3
+	bodyCopies   = 3
 	// refreshTimeout is how long a call that does not wait for results waits for the local copy.
 	refreshTimeout = 100 * time.Millisecond
 )
@@ -160,6 +161,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), storeTimeout)
 	defer cancel()
+	if s.cachedItems(job) == nil {
+		if err := clientconn.Of(r.Context()).Reserve(bodyCopies * submissionBytes(e.head)); err != nil {
+			return http.StatusServiceUnavailable, err
+		}
+	}
 	items, err := s.loadItems(ctx, job, e.head)
 	if err != nil {
 		return http.StatusServiceUnavailable, err
--- a/internal/batchjobs/runner.go
+++ b/internal/batchjobs/runner.go
@@ -33,6 +33,9 @@
 	// stopped is closed when no item runs any more.
 	stopped chan struct{}
 
+	// memory is the part of Config.ItemMemory that the items take. Only the goroutine that runs the job uses it once it has started.
+	memory int64
+
 	mu    sync.Mutex
 	items []platform.JobItem
 	// progress holds the progress of the items that do not run and have no committed result.
@@ -114,6 +117,7 @@
 			delete(s.runs, job)
 		}
 	}
+	s.dropAcceptedItems(jobs)
 	if !s.leaving {
 		s.takeOverJobs(ctx, now, jobs)
 	}
@@ -132,31 +136,59 @@
 		running:  map[int]*itemState{},
 		saved:    map[int]savedItem{},
 	}
-	if items := s.acceptedItems[job]; items != nil {
-		run.items = items
+	if accepted, ok := s.acceptedItems[job]; ok {
+		run.items, run.memory = accepted.items, accepted.memory
 		delete(s.acceptedItems, job)
 	}
 	s.runs[job] = run
 	s.tasks.Go(func() {
+		defer func() { s.itemRoom.Release(run.memory) }()
 		defer close(run.stopped)
 		defer cancel()
 		s.runJob(runCtx, run)
 	})
 }
 
-// cacheItems keeps the items of a job that is about to be run.
+// itemCopies is how many times the size of a submission its items take, with those that are just read.
+const itemCopies = 2
+
+// acceptedItems are the items of a job, and the part of Config.ItemMemory that they take.
+type acceptedItems struct {
+	items  []platform.JobItem
+	memory int64
+}
+
+// submissionBytes returns the size of a job's submission at most.
+func submissionBytes(head *Head) int64 { return int64(head.BodyRows) * maxRowBytes }
+
+// itemMemory returns the part of Config.ItemMemory that the items of a job take. A job that exceeds all of it runs alone.
+func (s *Service) itemMemory(head *Head) int64 {
+	return min(itemCopies*submissionBytes(head), s.config.ItemMemory)
+}
+
+// cacheItems keeps the items of a job that is about to be run, if there is room.
 func (s *Service) cacheItems(job string, head *Head, items []platform.JobItem) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if head.Owner == s.config.VM && s.runs[job] == nil {
-		s.acceptedItems[job] = items
+	if head.Owner == s.config.VM && s.runs[job] == nil && s.acceptedItems[job].items == nil && s.itemRoom.TryAcquire(s.itemMemory(head)) {
+		s.acceptedItems[job] = acceptedItems{items, s.itemMemory(head)}
+	}
+}
+
+// dropAcceptedItems forgets the items of jobs that this VM does not run. The caller holds s.mu.
+func (s *Service) dropAcceptedItems(jobs map[string]*cachedHead) {
+	for job, accepted := range s.acceptedItems {
+		if e := jobs[job]; e == nil || !e.head.Open() || e.head.Owner != s.config.VM {
+			delete(s.acceptedItems, job)
+			s.itemRoom.Release(accepted.memory)
+		}
 	}
 }
 
 // cachedItems returns the items of a job that this VM runs or is about to run, or nil.
 func (s *Service) cachedItems(job string) []platform.JobItem {
 	s.mu.Lock()
-	run, accepted := s.runs[job], s.acceptedItems[job]
+	run, accepted := s.runs[job], s.acceptedItems[job].items
 	s.mu.Unlock()
 	if run == nil {
 		return accepted
@@ -197,7 +229,7 @@
 	delay := loadRetryDelay
 	for run.items == nil {
 		e := s.heads.get(run.job)
-		if e == nil {
+		if e == nil || !s.acquireItemMemory(ctx, run, e.head) {
 			return false
 		}
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -224,6 +256,24 @@
 	return true
 }
 
+// acquireItemMemory waits until there is room for the items of a job. It reports false if ctx ends before.
+func (s *Service) acquireItemMemory(ctx context.Context, run *jobRun, head *Head) bool {
+	if run.memory > 0 {
+		return true
+	}
+	memory := s.itemMemory(head)
+	if !s.itemRoom.TryAcquire(memory) {
+		s.config.Log.Info().EmbedObject(jobName(run.job)).Int64("bytes", memory).Int64("item_memory", s.config.ItemMemory).
+			Msg("job waits: the items of other jobs take the memory")
+		jobsWaited.Inc()
+		if s.itemRoom.Acquire(ctx, memory) != nil {
+			return false
+		}
+	}
+	run.memory = memory
+	return true
+}
+
 // parseSubmission parses the submission of a job. It fails if the items are not those of the head.
 func parseSubmission(body []byte, head *Head) ([]platform.JobItem, error) {
 	items, err := platform.ParseJob(body)
--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -8,11 +8,13 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/follow"
 	"github.com/rosemarydyke/rosemarydyke/internal/periodic"
@@ -47,6 +49,7 @@
 	itemsPreempted = metrics.NewCounter(`rosemarydyke_items_yielded_total`)
 	itemsHeld      = metrics.NewCounter(`rosemarydyke_items_held_total`)
 	itemsFailed    = metrics.NewCounter(`rosemarydyke_item_runs_failed_total`)
+	jobsWaited     = metrics.NewCounter(`rosemarydyke_jobs_waited_for_memory_total`)
 	itemTime       = metrics.NewHistogram(`rosemarydyke_item_seconds`)
 )
 
@@ -74,7 +77,9 @@
 	// ResultRetention is how long after a job's submission its results must be available. Zero keeps them
 	// forever.
 	ResultRetention time.Duration
-	Log             zerolog.Logger
+	// ItemMemory is the memory for the items of the jobs that this VM runs, in bytes. Further jobs wait. Zero means no bound.
+	ItemMemory int64
+	Log        zerolog.Logger
 }
 
 // Service serves and runs batch jobs.
@@ -93,7 +98,7 @@
 	runs    map[string]*jobRun
 	leaving bool
 	// acceptedItems holds the items of jobs that were accepted here and do not run yet.
-	acceptedItems map[string][]platform.JobItem
+	acceptedItems map[string]acceptedItems
 	// obsoleteProgress holds the keys of progress rows that the next checkpoints delete.
 	obsoleteProgress []rowstore.RowKey
 	// claiming is the set of jobs that are being taken over.
@@ -101,12 +106,17 @@
 	// ownerMissingSince is when the owner of a job was first found missing.
 	ownerMissingSince map[string]time.Time
 	tasks             sync.WaitGroup
-	waitQueue         *waitQueue
-	started           time.Time
+	// itemRoom is what is left of Config.ItemMemory.
+	itemRoom  *semaphore.Weighted
+	waitQueue *waitQueue
+	started   time.Time
 }
 
 // New returns a Service, which Run starts.
 func New(config Config) *Service {
+	if config.ItemMemory == 0 {
+		config.ItemMemory = math.MaxInt64
+	}
 	s := &Service{
 		config:            config,
 		store:             store{rows: config.Rows},
@@ -116,10 +126,11 @@
 		runs:              map[string]*jobRun{},
 		ownerMissingSince: map[string]time.Time{},
 		waitQueue:         newWaitQueue(config.Slots, maxWaitingItems),
-		acceptedItems:     map[string][]platform.JobItem{},
+		acceptedItems:     map[string]acceptedItems{},
 		claiming:          map[string]bool{},
 		started:           time.Now(),
 		handedOver:        newHandedOverProgress(),
+		itemRoom:          semaphore.NewWeighted(config.ItemMemory),
 	}
 	config.Node.HandleCall(methodProgress, s.handleProgress)
 	s.follower = follow.New(follow.Config{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,8 +48,10 @@
 	addressTTL = 1500 * time.Millisecond
 	// cachedTTLs is the longest time for which clients cache addresses, as a multiple of the TTL.
 	cachedTTLs = 3
-	// responseMemoryShare is the share of the VM's memory for responses that are held as a whole.
+	// responseMemoryShare and itemMemoryShare are the shares of the VM's memory for responses that are held as a whole, and for the
+	// items of jobs.
 	responseMemoryShare = 0.15
+	itemMemoryShare     = 0.15
 	// leaveTimeout bounds the deregistration and the last messages to the other VMs.
 	leaveTimeout = 300 * time.Millisecond
 	// quarantineCrashes is the number of targets that must break off a request before it is quarantined. Targets
@@ -217,6 +219,7 @@
 		Quarantine:      tracker,
 		Node:            n.transport,
 		ResultRetention: s.ResultRetention,
+		ItemMemory:      int64(itemMemoryShare * float64(s.MemoryMB<<20)),
 		Log:             n.log,
 	})
 	n.evidence = evidence.New(evidence.Config{
