--- a/cmd/rosemary-ingress/process_test.go
+++ b/cmd/rosemary-ingress/process_test.go
@@ -212,7 +212,11 @@
 
 // doWith sends a request with more headers. The content may be incomplete if there is an error.
 func (f *fleet) doWith(method, address, path, id, body string, addHeaders func(http.Header)) (int, string, error) {
-	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	return f.doContext(context.Background(), method, address, path, id, body, addHeaders)
+}
+
+func (f *fleet) doContext(ctx context.Context, method, address, path, id, body string, addHeaders func(http.Header)) (int, string, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
--- a/cmd/rosemary-ingress/unruly_clients_test.go
+++ b/cmd/rosemary-ingress/unruly_clients_test.go
@@ -56,7 +56,7 @@
 	f := startFleetOfVersions(t)
 	f.put(platform.OperatorTable, platform.ConfigKey, unrulyConfiguration)
 	for i := range 4 {
-		target.ID, target.Version, target.Interval = fmt.Sprintf("t-%d", i), "v1", eventInterval
+		target.ID, target.Version, target.Interval = fmt.Sprintf("t-%d", i), "v1", max(target.Interval, eventInterval)
 		f.startTarget(target)
 	}
 	vm := f.startLimited(len(f.vms), fmt.Sprintf("memory_mb: %d\n", unrulyMemoryMB), unrulyDescriptors)
@@ -68,7 +68,9 @@
 
 // servesOrdinary reports whether one small request gets its whole answer.
 func (u *unrulyFleet) servesOrdinary() bool {
-	status, content, err := u.do(http.MethodPost, u.vm.clients, "/s/x", fmt.Sprintf("ordinary-%d", u.nextID.Add(1)), "prompt")
+	ctx, cancel := context.WithTimeout(context.Background(), crowdTime)
+	defer cancel()
+	status, content, err := u.doContext(ctx, http.MethodPost, u.vm.clients, "/s/x", fmt.Sprintf("ordinary-%d", u.nextID.Add(1)), "prompt", func(http.Header) {})
 	return err == nil && status == http.StatusOK && strings.Count(content, "\n\n") == streamEvents
 }
 
@@ -81,22 +83,23 @@
 		u.t.Fatalf("the process has ended: %v", err)
 	default:
 	}
-	memory, descriptors := u.usage.peaks()
-	u.t.Logf("peaks: %d MB, %d descriptors", memory>>20, descriptors)
+	memory, unread, descriptors := u.usage.peaks()
+	u.t.Logf("peaks: %d MB (%d MB not read then), %d descriptors", memory>>20, unread>>20, descriptors)
 	qt.Check(u.t, memory <= unrulyMemoryMB<<20, qt.IsTrue, qt.Commentf("%d MB in use, of %d", memory>>20, unrulyMemoryMB))
 	qt.Check(u.t, descriptors < unrulyDescriptors, qt.IsTrue, qt.Commentf("%d descriptors in use, of %d", descriptors, unrulyDescriptors))
 }
 
 // usage is the largest use of memory and descriptors that was seen. Bytes that were received and not yet read count as memory.
 type usage struct {
-	mu                  sync.Mutex
-	memory, descriptors int64
+	mu                          sync.Mutex
+	memory, unread, descriptors int64
 }
 
-func (u *usage) peaks() (memory, descriptors int64) {
+// peaks returns the largest use, and how much of the memory had not been read.
+func (u *usage) peaks() (memory, unread, descriptors int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.memory, u.descriptors
+	return u.memory, u.unread, u.descriptors
 }
 
 func (f *fleet) watch(vm *process) *usage {
@@ -110,10 +113,14 @@
 	var watch sync.WaitGroup
 	watch.Go(func() {
 		for ; ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
-			memory := residentBytes(vm.command.Process.Pid) + unreadBytes(ip, ports)
+			unread := unreadBytes(ip, ports)
+			memory := residentBytes(vm.command.Process.Pid) + unread
 			open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", vm.command.Process.Pid))
 			u.mu.Lock()
-			u.memory, u.descriptors = max(u.memory, memory), max(u.descriptors, int64(len(open)))
+			if memory > u.memory {
+				u.memory, u.unread = memory, unread
+			}
+			u.descriptors = max(u.descriptors, int64(len(open)))
 			u.mu.Unlock()
 		}
 	})
@@ -427,8 +434,12 @@
 
 // What a client sends behind a request that is running waits in the kernel, as much as its buffers hold.
 func TestBytesBehindARequestExhaustMemory(t *testing.T) {
-	play(t, streamtarget.Config{}, 2*unrulyClients, toClients, func(c *unrulyConn) {
+	behind := func(c *unrulyConn) {
 		_ = c.begin("POST", "/s/x", "HTTP/1.1", "Content-Length: 6\r\n\r\nprompt") && c.repeat("a", 8<<20)
+	}
+	t.Run("of 250 ms", func(t *testing.T) { play(t, streamtarget.Config{}, 2*unrulyClients, toClients, behind) })
+	t.Run("of 2.5 s", func(t *testing.T) {
+		play(t, streamtarget.Config{Interval: 100 * time.Millisecond}, 2*unrulyClients, toClients, behind)
 	})
 }
 
@@ -499,6 +510,29 @@
 	}
 }
 
+// Tunnels to targets that nobody used took all connections of the VM and of the targets.
+func TestTunnelsThatNobodyUsesTakeAllConnections(t *testing.T) {
+	u := startUnrulyFleet(t, streamtarget.Config{Events: streamEvents})
+	u.crowd(u.vm.addresses[4], silentClients, func(c *unrulyConn) {
+		target := u.targets[int(u.nextID.Load())%len(u.targets)]
+		c.send("POST /targets/tunnel HTTP/1.1\r\nHost: x\r\nRosemarydyke-Target: %s\r\nTransfer-Encoding: chunked\r\n\r\n", target.Address())
+	})
+	u.check()
+}
+
+// The heads of all jobs are in memory on all VMs, and jobs of many small items had no bound.
+func TestJobsOfManyItemsExhaustMemory(t *testing.T) {
+	play(t, streamtarget.Config{}, unrulyClients, toClients, func(c *unrulyConn) {
+		for i := range 32 {
+			job := jobOf(fmt.Sprintf("%s-%d-%s", c.id, i, strings.Repeat("a", 60)), 200, 0)
+			head := fmt.Sprintf("POST /b/j HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s-%d\r\nContent-Length: %d\r\n\r\n", host, c.id, i, len(job))
+			if !c.send("%s%s", head, job) {
+				return
+			}
+		}
+	})
+}
+
 // All listeners read heads and bodies of any client.
 func TestOtherListenersExhaustMemory(t *testing.T) {
 	for _, listener := range []int{1, 2, 3, 4} {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -24,11 +24,13 @@
 	Body
 	// Running means that the request is complete.
 	Running
+	// Tunnel means that the connection carries one to a target.
+	Tunnel
 )
 
 // String returns the phase for logs and metrics.
 func (p Phase) String() string {
-	return [...]string{"idle", "head", "body", "running"}[p]
+	return [...]string{"idle", "head", "body", "running", "tunnel"}[p]
 }
 
 const (
@@ -50,7 +52,7 @@
 	Phase Phase
 	// Held is the memory that the client holds, in bytes.
 	Held int64
-	// Rate is the number of bytes per second that it has sent lately.
+	// Rate is the number of bytes per second that it has sent and accepted lately.
 	Rate float64
 	// Age is the time since the connection was opened or its request began.
 	Age time.Duration
--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -56,7 +56,7 @@
 	writeDeadline time.Time
 	// ended means that the client was ended for others.
 	ended bool
-	// answered means that the connection was refused with a response of its own.
+	// answered means that the client has got its last response, and may not have read it.
 	answered bool
 	closed   sync.Once
 }
@@ -164,11 +164,19 @@
 	return n, err
 }
 
+// moved records bytes that the client has sent or accepted.
+func (c *Conn) moved(n int) time.Time {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rate, c.rateAt = c.rateNow(now)+float64(n)/rateTime.Seconds(), now
+	return now
+}
+
 // receive records bytes that have arrived.
 func (c *Conn) receive(p []byte) error {
-	now := time.Now()
+	now := c.moved(len(p))
 	c.mu.Lock()
-	c.rate, c.rateAt = c.rateNow(now)+float64(len(p))/rateTime.Seconds(), now
 	phase := c.phase
 	if phase == intake.Idle || phase == intake.Head {
 		c.headBytes += int64(len(p))
@@ -253,6 +261,7 @@
 		_ = c.Conn.SetWriteDeadline(deadline)
 		n, err := c.Conn.Write(step)
 		written += n
+		c.moved(n)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			stalledTotal.Inc()
 			c.guard.log.Info().Uint64("connection", c.id).Str("client", c.RemoteAddr().String()).Int("unsent", len(p)-written).
@@ -273,12 +282,13 @@
 	return c.phase
 }
 
-// CloseWrite ends the sending direction.
+// CloseWrite closes the connection after its client has had time to read the response. The server calls it before it waits for that
+// without a bound on the number of connections.
 func (c *Conn) CloseWrite() error {
-	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return conn.CloseWrite()
-	}
-	return nil
+	c.mu.Lock()
+	c.answered = true
+	c.mu.Unlock()
+	return c.Close()
 }
 
 // SetLinger sets what happens with unsent bytes when the connection is closed.
--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +30,8 @@
 	// memoryShare is the share of a VM's memory that clients may hold, and connectionShare the share of that for connections alone.
 	memoryShare     = 0.4
 	connectionShare = 0.5
+	// tunnelDivisor is the number of connections for each tunnel that there may be.
+	tunnelDivisor = 4
 	// Defaults of Limits.
 	defaultHeadBytes   = 64 << 10
 	defaultHeadTimeout = 5 * time.Second
@@ -190,19 +193,44 @@
 	return c
 }
 
+// admitTunnel reports whether there is room for one more tunnel. Each takes a descriptor more than other connections.
+func (g *Guard) admitTunnel(c *Conn) bool {
+	now := time.Now()
+	demand := intake.Demand{Client: c.client(now), Connection: true}
+	g.mu.Lock()
+	tunnels := slices.DeleteFunc(g.clients(now), func(c intake.Client) bool { return c.Phase != intake.Tunnel })
+	room := intake.Room{Memory: g.config.Memory, Connections: max(g.config.Connections/tunnelDivisor, 1), ConnectionsIn: len(tunnels)}
+	decision := g.endFor(demand, intake.Decide(room, tunnels, demand))
+	g.mu.Unlock()
+	if !decision.Admit {
+		refusedTotal(reasonTunnels).Inc()
+		g.logRefusal(c, demand, decision, reasonTunnels)
+	}
+	return decision.Admit
+}
+
 // decide answers a demand, and ends other clients for it. The caller holds the lock.
 func (g *Guard) decide(now time.Time, demand intake.Demand) intake.Decision {
 	room := intake.Room{Memory: g.config.Memory, Held: g.held, Connections: g.config.Connections, ConnectionsIn: len(g.conns)}
 	if room.Fits(demand) {
 		return intake.Decision{Admit: true}
 	}
+	return g.endFor(demand, intake.Decide(room, g.clients(now), demand))
+}
+
+// clients returns what each client holds. The caller holds the lock.
+func (g *Guard) clients(now time.Time) []intake.Client {
 	clients := make([]intake.Client, 0, len(g.conns))
 	for _, c := range g.conns {
 		client := c.client(now)
 		client.Held = c.held
 		clients = append(clients, client)
 	}
-	decision := intake.Decide(room, clients, demand)
+	return clients
+}
+
+// endFor ends the clients that make way for a demand. The caller holds the lock.
+func (g *Guard) endFor(demand intake.Demand, decision intake.Decision) intake.Decision {
 	for _, id := range decision.End {
 		c := g.conns[id]
 		held := c.held
--- a/internal/clientconn/metrics.go
+++ b/internal/clientconn/metrics.go
@@ -15,6 +15,7 @@
 	reasonMemory      = "memory"
 	reasonHeadSize    = "head_size"
 	reasonHeadTime    = "head_time"
+	reasonTunnels     = "tunnels"
 	reasonBodyTime    = "body_time"
 )
 
--- a/internal/clientconn/request.go
+++ b/internal/clientconn/request.go
@@ -113,6 +113,19 @@
 	return c.enter(intake.Running, time.Now())
 }
 
+// Tunnel records that the connection carries another one, which has no time limit, and which may be ended for others. It fails with
+// *RefusedError if there are too many.
+func (c *Conn) Tunnel() error {
+	if c == nil {
+		return nil
+	}
+	c.LimitResponse(time.Time{})
+	if !c.guard.admitTunnel(c) || !c.enter(intake.Tunnel, time.Now()) {
+		return &RefusedError{RetryAfter: endedRetryAfter}
+	}
+	return nil
+}
+
 // LimitResponse sets the time until which the response may be written, zero for no limit.
 func (c *Conn) LimitResponse(deadline time.Time) {
 	if c != nil {
--- a/internal/targetrelay/tunnel.go
+++ b/internal/targetrelay/tunnel.go
@@ -138,6 +138,10 @@
 		http.Error(w, "not the address of a registered target that takes requests", http.StatusForbidden)
 		return
 	}
+	if err := clientconn.Of(request.Context()).Tunnel(); err != nil {
+		http.Error(w, err.Error(), http.StatusForbidden)
+		return
+	}
 	conn, err := r.connectFor(request.Context(), address)
 	if err != nil {
 		r.config.Log.Info().Err(err).Str("for", request.RemoteAddr).Str("target", address).Msg("no connection to a target in place of another VM, which tries a third one")
@@ -171,12 +175,6 @@
 // serveTunnel copies bytes in both directions until one side ends.
 func serveTunnel(w http.ResponseWriter, request *http.Request, conn net.Conn) {
 	controller := http.NewResponseController(w)
-	// A tunnel lasts as long as the connection that it carries.
-	if client := clientconn.Of(request.Context()); !client.Run() {
-		panic(http.ErrAbortHandler)
-	} else {
-		client.LimitResponse(time.Time{})
-	}
 	w.Header().Set("Trailer", trailerBroken)
 	// Without full duplex, the server would read the whole request before the response.
 	if err := errors.Join(controller.EnableFullDuplex(), controller.Flush()); err != nil {
