--- a/internal/batchjobs/account.go
+++ b/internal/batchjobs/account.go
@@ -129,7 +129,7 @@
 		}
 		if head != nil {
 			s.heads.put(id, head, version)
-			return id, &cachedHead{head, version}, s.checkPublic(a, head)
+			return id, &cachedHead{head: head, version: version}, s.checkPublic(a, head)
 		}
 	}
 	return "", nil, errNoSuchJob
--- a/internal/batchjobs/headcache.go
+++ b/internal/batchjobs/headcache.go
@@ -15,6 +15,8 @@
 type headCache struct {
 	mu   sync.Mutex
 	jobs map[string]*cachedHead
+	// bytes is about how much memory the heads take.
+	bytes int64
 	// quotas holds the version of each quota row, and accounts the names of accounts by their digests.
 	quotas   map[string]uint64
 	accounts map[string]string
@@ -42,12 +44,30 @@
 type cachedHead struct {
 	head    *Head
 	version uint64
+	bytes   int64
 }
 
 func newHeadCache() *headCache {
 	return &headCache{jobs: map[string]*cachedHead{}, quotas: map[string]uint64{}, accounts: map[string]string{}, changed: make(chan struct{}), onWait: func() {}}
 }
 
+// headBytes returns about how much memory a head takes.
+func headBytes(job string, head *Head) int64 {
+	const perEntry = 48
+	bytes := 10*perEntry + len(job) + len(head.Host) + len(head.Path) + len(head.Account) + perEntry*(len(head.Items)+len(head.Results))
+	for _, item := range head.Items {
+		bytes += len(item.ID)
+	}
+	return int64(bytes)
+}
+
+// size returns about how much memory all heads take.
+func (v *headCache) size() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.bytes
+}
+
 // put stores a head unless a newer one is cached.
 func (v *headCache) put(job string, head *Head, version uint64) {
 	v.mu.Lock()
@@ -55,13 +75,21 @@
 	if known := v.jobs[job]; known != nil && known.version >= version {
 		return
 	}
-	v.jobs[job] = &cachedHead{head: head, version: version}
+	if known := v.jobs[job]; known != nil {
+		v.bytes -= known.bytes
+	}
+	e := &cachedHead{head: head, version: version, bytes: headBytes(job, head)}
+	v.bytes += e.bytes
+	v.jobs[job] = e
 	v.broadcast()
 }
 
 func (v *headCache) remove(job string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if known := v.jobs[job]; known != nil {
+		v.bytes -= known.bytes
+	}
 	delete(v.jobs, job)
 	v.broadcast()
 }
--- a/internal/batchjobs/runner.go
+++ b/internal/batchjobs/runner.go
@@ -149,8 +149,12 @@
 	})
 }
 
-// itemCopies is how many times the size of a submission its items take, with those that are just read.
-const itemCopies = 2
+const (
+	// itemCopies is how many times the size of a submission its items take, with those that are just read.
+	itemCopies = 2
+	// itemRunBytes is what an item that runs or waits takes beside its content.
+	itemRunBytes = 8 << 10
+)
 
 // acceptedItems are the items of a job, and the part of Config.ItemMemory that they take.
 type acceptedItems struct {
@@ -163,7 +167,7 @@
 
 // itemMemory returns the part of Config.ItemMemory that the items of a job take. A job that exceeds all of it runs alone.
 func (s *Service) itemMemory(head *Head) int64 {
-	return min(itemCopies*submissionBytes(head), s.config.ItemMemory)
+	return min(itemCopies*submissionBytes(head)+itemRunBytes*int64(len(head.Items)), s.config.ItemMemory)
 }
 
 // cacheItems keeps the items of a job that is about to be run, if there is room.
--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -49,6 +49,7 @@
 	itemsPreempted = metrics.NewCounter(`rosemarydyke_items_yielded_total`)
 	itemsHeld      = metrics.NewCounter(`rosemarydyke_items_held_total`)
 	itemsFailed    = metrics.NewCounter(`rosemarydyke_item_runs_failed_total`)
+	jobsOverMemory = metrics.NewCounter(`rosemarydyke_jobs_refused_for_memory_total`)
 	jobsWaited     = metrics.NewCounter(`rosemarydyke_jobs_waited_for_memory_total`)
 	itemTime       = metrics.NewHistogram(`rosemarydyke_item_seconds`)
 )
@@ -77,6 +78,8 @@
 	// ResultRetention is how long after a job's submission its results must be available. Zero keeps them
 	// forever.
 	ResultRetention time.Duration
+	// HeadMemory is the memory for the heads of all jobs, which each VM holds. Further jobs are refused. Zero means no bound.
+	HeadMemory int64
 	// ItemMemory is the memory for the items of the jobs that this VM runs, in bytes. Further jobs wait. Zero means no bound.
 	ItemMemory int64
 	Log        zerolog.Logger
--- a/internal/batchjobs/submit.go
+++ b/internal/batchjobs/submit.go
@@ -150,7 +150,11 @@
 	defer cancel()
 	waiting, version := s.heads.waitingTokens(s.config.Configuration.Current(), sub.route, sub.head.Account)
 	if quota := sub.route.TokenQuota; quota > 0 && waiting+totalTokens(sub.head) > quota {
-		return s.refuseOverQuota(callCtx, sub)
+		return s.refuseUnlessAccepted(callCtx, sub, http.StatusTooManyRequests, errOverQuota)
+	}
+	if limit := s.config.HeadMemory; limit > 0 && s.heads.size()+headBytes(sub.job, sub.head) > limit {
+		jobsOverMemory.Inc()
+		return s.refuseUnlessAccepted(callCtx, sub, http.StatusServiceUnavailable, errTooManyJobs)
 	}
 	remaining, err := s.store.putBody(callCtx, sub.job, sub.parts)
 	if err != nil {
@@ -175,9 +179,14 @@
 	}
 }
 
-// refuseOverQuota refuses a submission unless the store has the job: status 429 promises that nothing runs, but an earlier
+var (
+	errOverQuota   = errors.New("the tokens that wait on the route exceed the quota")
+	errTooManyJobs = errors.New("the jobs that are kept take all the memory there is for them")
+)
+
+// refuseUnlessAccepted refuses a submission unless the store has the job: the status promises that nothing runs, but an earlier
 // submission may have been accepted at another VM, or its response from the store lost.
-func (s *Service) refuseOverQuota(ctx context.Context, sub *submission) (int, error) {
+func (s *Service) refuseUnlessAccepted(ctx context.Context, sub *submission, status int, reason error) (int, error) {
 	// The next attempt finds a copy that shows the items completed until then.
 	s.follower.Hurry()
 	head, version, err := s.store.readHead(ctx, sub.job)
@@ -189,7 +198,7 @@
 		s.requestReconcile()
 		return http.StatusAccepted, nil
 	}
-	return http.StatusTooManyRequests, errors.New("the tokens that wait on the route exceed the quota")
+	return status, reason
 }
 
 // resolveConflict determines whether the job exists already or another one was accepted in the meantime.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,8 @@
 	// items of jobs.
 	responseMemoryShare = 0.15
 	itemMemoryShare     = 0.15
+	// headMemoryShare is the share of the VM's memory for the heads of all jobs.
+	headMemoryShare = 0.1
 	// leaveTimeout bounds the deregistration and the last messages to the other VMs.
 	leaveTimeout = 300 * time.Millisecond
 	// quarantineCrashes is the number of targets that must break off a request before it is quarantined. Targets
@@ -219,6 +221,7 @@
 		Quarantine:      tracker,
 		Node:            n.transport,
 		ResultRetention: s.ResultRetention,
+		HeadMemory:      int64(headMemoryShare * float64(s.MemoryMB<<20)),
 		ItemMemory:      int64(itemMemoryShare * float64(s.MemoryMB<<20)),
 		Log:             n.log,
 	})
