--- a/internal/datagram/fragment.go
+++ b/internal/datagram/fragment.go
@@ -5,8 +5,13 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
+// partialDropped counts incomplete messages that were dropped because all took too much memory.
+var partialDropped = metrics.NewCounter(`rosemarydyke_datagram_partial_messages_dropped_total`)
+
 const (
 	// maxFragmentBytes is the largest packet that is sent: with all headers it fits the usual MTU of 1500 bytes.
 	maxFragmentBytes = 1200
@@ -18,6 +23,10 @@
 	reassemblyTimeout = 2 * time.Second
 	// maxPartialMessages bounds the incomplete messages in memory: a further one evicts arbitrary others.
 	maxPartialMessages = 1024
+	// maxPartialBytes bounds the memory of the incomplete messages.
+	maxPartialBytes = 8 << 20
+	// fragmentOverhead is what a fragment takes beside its content.
+	fragmentOverhead = 48
 )
 
 // fragment splits a message into packets. A message that needs more than maxFragments packets is truncated, and
@@ -44,12 +53,15 @@
 	parts     [][]byte
 	missing   int
 	startedAt time.Time
+	bytes     int
 }
 
 // reassembly reassembles messages from their fragments.
 type reassembly struct {
 	mu         sync.Mutex
 	incomplete map[partialKey]*partialMessage
+	// bytes is the memory that the incomplete messages take.
+	bytes int
 }
 
 func newReassembly() *reassembly {
@@ -62,13 +74,13 @@
 		return nil, false
 	}
 	id, index, count := binary.BigEndian.Uint64(packet), int(packet[8]), int(packet[9])
-	part := append([]byte(nil), packet[headerBytes:]...)
 	if count == 1 {
-		return part, true
+		return append([]byte(nil), packet[headerBytes:]...), true
 	}
 	if index >= count {
 		return nil, false
 	}
+	part := append([]byte(nil), packet[headerBytes:]...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := partialKey{from, id}
@@ -77,15 +89,18 @@
 		r.expire(now)
 		m = &partialMessage{parts: make([][]byte, count), missing: count, startedAt: now}
 		r.incomplete[key] = m
+		r.charge(m, count*fragmentOverhead)
 	}
 	if len(m.parts) != count || m.parts[index] != nil {
 		return nil, false
 	}
 	m.parts[index] = part
+	r.charge(m, len(part))
 	if m.missing--; m.missing > 0 {
+		r.makeRoom(key)
 		return nil, false
 	}
-	delete(r.incomplete, key)
+	r.drop(key)
 	var content []byte
 	for _, p := range m.parts {
 		content = append(content, p...)
@@ -93,10 +108,37 @@
 	return content, true
 }
 
+func (r *reassembly) charge(m *partialMessage, bytes int) {
+	m.bytes += bytes
+	r.bytes += bytes
+}
+
+func (r *reassembly) drop(key partialKey) {
+	r.bytes -= r.incomplete[key].bytes
+	delete(r.incomplete, key)
+}
+
 func (r *reassembly) expire(now time.Time) {
 	for key, m := range r.incomplete {
 		if now.Sub(m.startedAt) > reassemblyTimeout || len(r.incomplete) >= maxPartialMessages {
-			delete(r.incomplete, key)
+			r.drop(key)
+		}
+	}
+}
+
+// makeRoom drops arbitrary other messages while all take too much memory.
+func (r *reassembly) makeRoom(kept partialKey) {
+	if r.bytes <= maxPartialBytes {
+		return
+	}
+	for key := range r.incomplete {
+		if key == kept {
+			continue
+		}
+		partialDropped.Inc()
+		r.drop(key)
+		if r.bytes <= maxPartialBytes {
+			return
 		}
 	}
 }
--- a/internal/datagram/fragment_test.go
+++ b/internal/datagram/fragment_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"net/netip"
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
 
@@ -60,3 +62,31 @@
 		r.add(netip.MustParseAddrPort("10.0.0.1:1"), packet, time.Unix(9, 0))
 	})
 }
+
+// Incomplete messages took up to 300 MB: only their number was bounded.
+func TestIncompleteMessagesAreBoundedInBytes(t *testing.T) {
+	r := newReassembly()
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	packet := make([]byte, maxFragmentBytes)
+	now := time.Unix(1, 0)
+	for id := range uint64(200) {
+		binary.BigEndian.PutUint64(packet, id)
+		packet[9] = maxFragments
+		for i := range maxFragments - 1 {
+			packet[8] = byte(i)
+			_, complete := r.add(from, packet, now)
+			qt.Assert(t, complete, qt.IsFalse)
+		}
+	}
+	held := 0
+	for _, m := range r.incomplete {
+		for _, part := range m.parts {
+			held += len(part)
+		}
+	}
+	qt.Assert(t, held <= maxPartialBytes, qt.IsTrue, qt.Commentf("%d bytes", held))
+	// The last message is still completed.
+	packet[8] = maxFragments - 1
+	_, complete := r.add(from, packet, now)
+	qt.Assert(t, complete, qt.IsTrue)
+}
