--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -190,6 +190,7 @@
 // Record records where the stream of an attempt began, here and at other VMs. splitRoute means that the route has several
 // services, so that the versions of one don't tell the origin.
 func (s *Service) Record(attempt string, o origin.Origin, splitRoute bool) {
+	attempt = origin.Key(attempt)
 	s.put(attempt, o)
 	for _, to := range s.peers(attempt, replicas) {
 		if err := s.config.Node.Send(to, methodRecord, recordMessage{Attempt: attempt, Origin: o}); err != nil {
@@ -206,6 +207,7 @@
 // the client did not name the attempt, it is the only version at which streams of the service can have begun, if there is one.
 // onlyService means that the stream can't have begun at another service. It fails with ErrUnknown or ErrNotRead.
 func (s *Service) Resolve(ctx context.Context, attempt, service string, onlyService bool) (origin.Origin, error) {
+	attempt = origin.Key(attempt)
 	s.awaitLoad(ctx)
 	s.mu.Lock()
 	now := time.Now()
