--- a/cmd/rosemary/settingscheck.go
+++ b/cmd/rosemary/settingscheck.go
@@ -15,6 +15,8 @@
 type settingsCheck struct {
 	File    string `arg:"" help:"Configuration as the VMs read it from the store (JSON). Use - for standard input."`
 	InForce string `help:"Configuration in force, in the same form; what changes for clients is listed."`
+	// VMMemoryMB is the memory of the smallest VM.
+	VMMemoryMB int64 `name:"vm-memory-mb" default:"256" help:"Memory of the smallest VM in MB, for the limits of requests."`
 }
 
 // checkResult is the output of settings check.
@@ -44,7 +46,7 @@
 // Run checks the file. The exit status is 0 without findings, 1 with findings, and 2 if a file can't be read.
 func (c *settingsCheck) Run(s *session) error {
 	result := checkResult{File: c.File, Findings: []checkFinding{}}
-	table, err := result.check(c.File)
+	table, err := result.check(c.File, c.VMMemoryMB<<20)
 	if err != nil {
 		return err
 	}
@@ -63,7 +65,7 @@
 }
 
 // check adds the findings about a file, and returns its table if the VMs would adopt it.
-func (r *checkResult) check(file string) (*routing.Table, error) {
+func (r *checkResult) check(file string, vmMemory int64) (*routing.Table, error) {
 	content, err := readFile(file)
 	if err != nil {
 		return nil, &statusError{exitUnreadable, err.Error()}
@@ -78,6 +80,7 @@
 	r.Version = table.Version
 	r.add(text, text.UnknownValues())
 	r.add(text, configcheck.Check(table))
+	r.add(text, configcheck.CheckLimits(table, vmMemory))
 	return table, nil
 }
 
--- a/configcheck/check.go
+++ b/configcheck/check.go
@@ -23,6 +23,7 @@
 	Routes
 	Services
 	Accounts
+	Limits
 )
 
 // Field is a field of an entry. The zero value means the whole entry.
@@ -43,6 +44,10 @@
 	Retention
 	Burst
 	Keys
+	HeaderBytes
+	BodyBytes
+	HeaderTimeout
+	IdleTimeout
 )
 
 // Place is where a finding is.
--- /dev/null
+++ b/configcheck/limits.go
@@ -0,0 +1,37 @@
+package configcheck
+
+import (
+	"fmt"
+
+	"github.com/rosemarydyke/rosemarydyke/intake"
+	"github.com/rosemarydyke/rosemarydyke/routing"
+)
+
+// CheckLimits finds limits of requests that the VMs do not apply, and those that let one request take more memory than there is for it
+// on a VM of a size.
+func CheckLimits(t *routing.Table, vmMemory int64) []Finding {
+	var findings []Finding
+	add := func(field Field, format string, args ...any) {
+		findings = append(findings, Finding{Place{Section: Limits, Field: field}, fmt.Sprintf(format, args...)})
+	}
+	l := t.Limits
+	for _, limit := range []struct {
+		field    Field
+		name     string
+		negative bool
+	}{
+		{HeaderBytes, "the size of a head", l.HeaderBytes < 0},
+		{BodyBytes, "the size of a body", l.BodyBytes < 0},
+		{HeaderTimeout, "the time for a head", l.HeaderTimeout < 0},
+		{IdleTimeout, "the time that a connection may be idle", l.IdleTimeout < 0},
+	} {
+		if limit.negative {
+			add(limit.field, "the limit of %s is negative; the VMs use their default", limit.name)
+		}
+	}
+	if room := intake.LargestRequest(intake.ClientMemory(vmMemory)); l.BodyBytes > room/intake.SubmissionCopies {
+		add(BodyBytes, "a job of %d bytes takes %d bytes while it is submitted, and a large request may take %d on a VM with %d MB; it is served only while others hold little",
+			l.BodyBytes, intake.SubmissionCopies*l.BodyBytes, room, vmMemory>>20)
+	}
+	return findings
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -11,6 +11,12 @@
 	"time"
 )
 
+// ClientMemory returns how much of a VM's memory clients may hold, in the unit of its memory.
+func ClientMemory(vm int64) int64 { return max(int64(clientShare*float64(vm)), 1) }
+
+// LargestRequest returns how much one request may hold beside others, given the memory of all clients.
+func LargestRequest(memory int64) int64 { return memory - int64(smallShare*float64(memory)) }
+
 // Phase is what a client does.
 type Phase uint8
 
@@ -42,6 +48,10 @@
 	newClientRate = 64 << 10
 	// leastRate is the least rate that counts, in bytes per second.
 	leastRate = 1 << 10
+	// clientShare is the share of a VM's memory that clients may hold.
+	clientShare = 0.4
+	// SubmissionCopies is how many times its size a job takes while it is parsed and stored.
+	SubmissionCopies = 5
 	// retryAfter is when a refused client may come back: a client that stops is ended within this time.
 	retryAfter = 500 * time.Millisecond
 )
@@ -97,7 +107,7 @@
 func (r Room) shortBytes(d Demand) int64 {
 	limit := r.Memory
 	if d.Client.Held+d.Bytes > smallRequest {
-		limit -= int64(smallShare * float64(r.Memory))
+		limit = LargestRequest(r.Memory)
 	}
 	return r.Held + min(d.Bytes, limit/2) - limit
 }
--- a/internal/clientconn/clientconn_test.go
+++ b/internal/clientconn/clientconn_test.go
@@ -27,7 +27,7 @@
 	f := &fixture{guard: clientconn.New(clientconn.Config{
 		Memory: memory, Connections: connections, Limits: func() clientconn.Limits { return limits }, Log: zerolog.Nop(),
 	})}
-	listener, err := f.guard.Listen("127.0.0.1:0")
+	listener, err := f.guard.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	server := f.guard.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := clientconn.Of(r.Context()).ReadBody(r.Body, r.ContentLength, time.Now().Add(20*time.Second))
--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -27,8 +27,7 @@
 	headLineBytes = 200
 	// descriptorsForOthers is the number of descriptors that are kept for files.
 	descriptorsForOthers = 200
-	// memoryShare is the share of a VM's memory that clients may hold, and connectionShare the share of that for connections alone.
-	memoryShare     = 0.4
+	// connectionShare is the share of the memory of clients that connections alone may take.
 	connectionShare = 0.5
 	// tunnelDivisor is the number of connections for each tunnel that there may be.
 	tunnelDivisor = 4
@@ -67,14 +66,13 @@
 	// Memory is what all clients may hold, in bytes, and Connections their number.
 	Memory      int64
 	Connections int
-	// Limits returns the limits of a single request that are in force.
+	// Limits returns the limits of a single request that are in force. Nil means the defaults.
 	Limits func() Limits
-	Log    zerolog.Logger
+	// LongResponses means that responses have no time limit. Their clients still have to read them.
+	LongResponses bool
+	Log           zerolog.Logger
 }
 
-// DefaultMemory returns the memory that the clients of a VM may hold, in the unit of its memory.
-func DefaultMemory(vm int64) int64 { return max(int64(memoryShare*float64(vm)), 1) }
-
 // DefaultConnections returns how many clients a VM serves at once, given its descriptors and the memory of its clients. Half of the
 // descriptors are for targets.
 func DefaultConnections(descriptors int, memory int64) int {
@@ -115,10 +113,15 @@
 	return g
 }
 
-func (g *Guard) limits() Limits { return g.config.Limits().withDefaults() }
+func (g *Guard) limits() Limits {
+	if g.config.Limits == nil {
+		return Limits{}.withDefaults()
+	}
+	return g.config.Limits().withDefaults()
+}
 
-// Listen listens on a TCP address for connections that the guard bounds.
-func (g *Guard) Listen(address string) (net.Listener, error) {
+// Listen listens on a TCP address for connections that the guard bounds. The network is that of net.Listen.
+func (g *Guard) Listen(network, address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
 		failed := raw.Control(func(fd uintptr) {
@@ -132,7 +135,7 @@
 		}
 		return err
 	}}
-	inner, err := config.Listen(context.Background(), "tcp4", address)
+	inner, err := config.Listen(context.Background(), network, address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
--- a/internal/clientconn/request.go
+++ b/internal/clientconn/request.go
@@ -54,10 +54,19 @@
 	if phase == intake.Body {
 		c.limitBody(now.Add(bodyTimeout))
 	}
-	_ = c.SetWriteDeadline(now.Add(responseTimeout))
+	if !c.guard.config.LongResponses {
+		_ = c.SetWriteDeadline(now.Add(responseTimeout))
+	}
 	return live
 }
 
+// LimitBody sets the time until which the body has to arrive, zero for no limit.
+func (c *Conn) LimitBody(deadline time.Time) {
+	if c != nil {
+		c.limitBody(deadline)
+	}
+}
+
 func (c *Conn) limitBody(deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/config/ingress.go
+++ b/internal/config/ingress.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/intake"
 	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 )
 
@@ -86,7 +87,7 @@
 		i.MaxFDs = clientconn.ProcessDescriptors()
 	}
 	if i.ClientMemoryMB == 0 {
-		i.ClientMemoryMB = clientconn.DefaultMemory(i.MemoryMB)
+		i.ClientMemoryMB = intake.ClientMemory(i.MemoryMB)
 	}
 	if i.ClientConnections == 0 {
 		i.ClientConnections = clientconn.DefaultConnections(i.MaxFDs, i.ClientMemoryMB<<20)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarydyke/rosemarydyke/account"
+	"github.com/rosemarydyke/rosemarydyke/intake"
 	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/origin"
@@ -32,8 +33,6 @@
 	unknownOriginRetryAfter = 300 * time.Millisecond
 	// lateBodyRetryAfter is the retry delay for clients whose body did not arrive in time.
 	lateBodyRetryAfter = 500 * time.Millisecond
-	// submissionCopies is how many times the size of a submission is held in addition while it is parsed and stored.
-	submissionCopies = 4
 	// responseGrace is how long after the deadline of a request its response may still be written.
 	responseGrace = 500 * time.Millisecond
 	// noConfigRetryAfter is the retry delay for clients while no configuration is known.
@@ -222,7 +221,7 @@
 		return nil, false
 	}
 	if err == nil && route.Kind == routing.Batch {
-		err = conn.Reserve(submissionCopies * int64(len(body)))
+		err = conn.Reserve((intake.SubmissionCopies - 1) * int64(len(body)))
 	}
 	if err != nil {
 		s.endWithoutBody(w, r, err, time.Since(began))
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -167,7 +167,7 @@
 		Memory: 64 << 20, Connections: 1000, Limits: func() clientconn.Limits { return clientconn.Limits{} }, Log: zerolog.New(&f.log),
 	})
 	s := &guardedServer{Server: httptest.NewUnstartedServer(nil)}
-	listener, err := guard.Listen("127.0.0.1:0")
+	listener, err := guard.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	_ = s.Listener.Close()
 	s.Listener = listener
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -381,7 +381,7 @@
 		if h.address == "" {
 			continue
 		}
-		listener, err := n.guard.Listen(h.address)
+		listener, err := n.guard.Listen("tcp4", h.address)
 		if err != nil {
 			return err
 		}
