--- a/cmd/rosemary-operator/main.go
+++ b/cmd/rosemary-operator/main.go
@@ -4,11 +4,11 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
 	"github.com/rosemarydyke/rosemarydyke/internal/explain"
 	"github.com/rosemarydyke/rosemarydyke/internal/jobstore"
@@ -78,16 +78,17 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, env, c.Operators, handler)
+	return serve(ctx, env, c.Operators, c.CallerBounds(env.Log), handler)
 }
 
 // serve serves operators until ctx ends, then finishes the requests in progress.
-func serve(ctx context.Context, env process.Env, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+func serve(ctx context.Context, env process.Env, address string, bounds clientconn.Config, handler http.Handler) error {
+	guard := clientconn.New(bounds)
+	listener, err := guard.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := guard.Server(handler)
 	serveErrors := make(chan error, 1)
 	go func() { serveErrors <- server.Serve(listener) }()
 	env.Ready.Store(true)
--- a/internal/callerapi/call.go
+++ b/internal/callerapi/call.go
@@ -16,6 +16,7 @@
 
 	"github.com/rosemarydyke/rosemarydyke/idempotency"
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/internal/clientctx"
 	"github.com/rosemarydyke/rosemarydyke/internal/requestlog"
 	"github.com/rosemarydyke/rosemarydyke/quarantine"
@@ -100,6 +101,10 @@
 	if size > s.config.MaxBodyBytes {
 		return bodyTooLarge(s.config.MaxBodyBytes)
 	}
+	if clientconn.Of(r.Context()) != nil {
+		// The body is charged to its connection as it arrives.
+		return nil
+	}
 	if size < 0 {
 		size = s.config.MaxBodyBytes
 	}
@@ -148,7 +153,13 @@
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := clientconn.Of(r.Context()).ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, time.Now().Add(bodyTimeout))
+	var refused *clientconn.RefusedError
+	if errors.As(err, &refused) {
+		// The server would await the rest of the body otherwise.
+		w.Header().Set("Connection", "close")
+		return overloaded(err.Error())
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return bodyTooLarge(limit)
--- a/internal/callerapi/entries.go
+++ b/internal/callerapi/entries.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/settings"
 	"github.com/rosemarydyke/rosemarydyke/verdict"
@@ -78,6 +79,8 @@
 		handleNotFound(w, r)
 		return
 	}
+	// An upload takes as long as its size needs.
+	clientconn.Of(r.Context()).LimitBody(time.Time{})
 	w.Header().Set(headerRequestID, s.newRequestID())
 	release, err := s.gate.enter()
 	if err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,10 +2,15 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarydyke/rosemarydyke/intake"
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/internal/strictyaml"
 )
 
@@ -60,8 +65,28 @@
 	Status string `yaml:"status" validate:"required,hostname_port"`
 	// Peers is the UDP address (IP:port) on which other processes reach this one.
 	Peers string `yaml:"peers" validate:"required,hostname_port"`
+	// MemoryMB is the memory that this process may use, in MB. Default 256.
+	MemoryMB int64 `yaml:"memory_mb" validate:"min=0"`
+}
+
+// CallerBounds returns the bounds on the callers of the process: the shares of its memory and descriptors that rosemary-ingress has, and
+// times that suit long responses.
+func (c *Common) CallerBounds(log zerolog.Logger) clientconn.Config {
+	memory := intake.ClientMemory(cmp.Or(c.MemoryMB, defaultMemoryMB) << 20)
+	return clientconn.Config{
+		Memory:        memory,
+		Connections:   clientconn.DefaultConnections(clientconn.ProcessDescriptors(), memory),
+		Limits:        func() clientconn.Limits { return clientconn.Limits{HeadTimeout: headTimeout, IdleTimeout: idleTimeout} },
+		LongResponses: true,
+		Log:           log,
+	}
 }
 
+const (
+	headTimeout = 10 * time.Second
+	idleTimeout = 2 * time.Minute
+)
+
 // Entry holds the settings of rosemary-entry.
 type Entry struct {
 	Common `yaml:",inline"`
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/admission/controller"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchapi"
 	"github.com/rosemarydyke/rosemarydyke/internal/callerapi"
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
 	"github.com/rosemarydyke/rosemarydyke/internal/engine"
 	"github.com/rosemarydyke/rosemarydyke/internal/evidence"
@@ -67,10 +68,6 @@
 	defaultDrainTimeout = 15 * time.Minute
 	// closeTimeout bounds the final leave message to the other processes, and the closing of peer connections.
 	closeTimeout = 2 * time.Second
-	// headerTimeout bounds the time to read a caller's request headers.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is the time after which a caller's idle connection is closed.
-	idleTimeout = 2 * time.Minute
 	// readyPollInterval is the interval at which Ready is updated.
 	readyPollInterval = 100 * time.Millisecond
 )
@@ -103,6 +100,7 @@
 	api             *callerapi.Server
 	server          *http.Server
 	listener        net.Listener
+	guard           *clientconn.Guard
 }
 
 // New opens the listening sockets and assembles the services. Nothing is served before Run.
@@ -112,12 +110,13 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", config.Settings.Callers)
+	guard := clientconn.New(config.Settings.CallerBounds(config.Log))
+	listener, err := guard.Listen("tcp", config.Settings.Callers)
 	if err != nil {
 		_ = node.Close(context.Background())
 		return nil, err
 	}
-	e := &Entry{config: config, node: node, listener: listener}
+	e := &Entry{config: config, node: node, listener: listener, guard: guard}
 	e.assemble()
 	e.register()
 	return e, nil
@@ -170,7 +169,7 @@
 	})
 	e.requests = requestlog.New(requestlog.Config{VM: vm.Name})
 	e.api = callerapi.New(e.apiConfig())
-	e.server = &http.Server{Handler: e.api, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	e.server = e.guard.Server(e.api)
 }
 
 func (e *Entry) apiConfig() callerapi.Config {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -24,6 +23,7 @@
 	"go.opentelemetry.io/otel/sdk/trace"
 	semconv "go.opentelemetry.io/otel/semconv/v1.37.0"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
 	"github.com/rosemarydyke/rosemarydyke/internal/config"
 )
 
@@ -33,6 +33,12 @@
 // exitUsage is the exit status for invalid arguments or settings.
 const exitUsage = 2
 
+const (
+	// statusMemory and statusConnections bound the clients of the status endpoints.
+	statusMemory      = 8 << 20
+	statusConnections = 64
+)
+
 // flushTimeout bounds the export of the remaining spans at shutdown.
 const flushTimeout = 2 * time.Second
 
@@ -82,7 +88,7 @@
 		return err
 	}
 	defer flush()
-	closeStatus, err := startStatus(common.Status, env.Ready)
+	closeStatus, err := startStatus(common.Status, env.Ready, log)
 	if err != nil {
 		log.Error().Err(err).Msg("status endpoint not started; the process exits")
 		return err
@@ -130,7 +136,7 @@
 	}, nil
 }
 
-func startStatus(address string, ready *atomic.Bool) (closeStatus func(), err error) {
+func startStatus(address string, ready *atomic.Bool, log zerolog.Logger) (closeStatus func(), err error) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
@@ -141,11 +147,12 @@
 		}
 		_, _ = w.Write([]byte("ready\n"))
 	})
-	listener, err := net.Listen("tcp", address)
+	guard := clientconn.New(clientconn.Config{Memory: statusMemory, Connections: statusConnections, Log: log})
+	listener, err := guard.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for status: %w", err)
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	server := guard.Server(mux)
 	go func() { _ = server.Serve(listener) }()
 	return func() { _ = server.Close() }, nil
 }
