--- a/cmd/rosemary-operator/main.go
+++ b/cmd/rosemary-operator/main.go
@@ -30,8 +30,6 @@
 	drainTimeout = 30 * time.Second
 	// callTimeout bounds the call for the list of VMs, and the close of the peer transport.
 	callTimeout = 2 * time.Second
-	// headerTimeout bounds the time to read a request's header.
-	headerTimeout = 5 * time.Second
 )
 
 func main() {
