--- a/cmd/rosemary-ingress/unruly_clients_test.go
+++ b/cmd/rosemary-ingress/unruly_clients_test.go
@@ -50,6 +50,8 @@
 	*fleet
 	vm    *process
 	usage *usage
+	// pause is how long a client waits before it comes back.
+	pause time.Duration
 }
 
 func startUnrulyFleet(t *testing.T, target streamtarget.Config) *unrulyFleet {
@@ -60,7 +62,7 @@
 		f.startTarget(target)
 	}
 	vm := f.startLimited(len(f.vms), fmt.Sprintf("memory_mb: %d\n", unrulyMemoryMB), unrulyDescriptors)
-	u := &unrulyFleet{fleet: f, vm: vm}
+	u := &unrulyFleet{fleet: f, vm: vm, pause: 50 * time.Millisecond}
 	u.eventually("an ordinary request is answered", u.servesOrdinary)
 	u.usage = u.watch(vm)
 	return u
@@ -230,7 +232,7 @@
 					mu.Unlock()
 				}
 				arrived()
-				time.Sleep(50 * time.Millisecond)
+				time.Sleep(u.pause)
 			}
 		})
 	}
@@ -533,6 +535,22 @@
 	})
 }
 
+// What clients had sent waited in the kernel, for thousands of connections that were not accepted yet.
+func TestClientsThatComeBackAtOnceExhaustMemory(t *testing.T) {
+	for _, path := range []string{"/s/x", "/none/x"} {
+		t.Run("to "+path, func(t *testing.T) {
+			u := startUnrulyFleet(t, streamtarget.Config{Events: streamEvents})
+			u.pause = time.Millisecond
+			u.crowd(u.vm.clients, 4*unrulyClients, func(c *unrulyConn) {
+				_ = c.begin("POST", path, "HTTP/1.1", "Content-Length: 300000\r\n\r\n") && c.repeat("a", 299_999)
+				_ = c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+			})
+			time.Sleep(3 * time.Second)
+			u.check()
+		})
+	}
+}
+
 // All listeners read heads and bodies of any client.
 func TestOtherListenersExhaustMemory(t *testing.T) {
 	for _, listener := range []int{1, 2, 3, 4} {
--- a/internal/clientconn/guard.go
+++ b/internal/clientconn/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -29,6 +30,11 @@
 	descriptorsForOthers = 200
 	// connectionShare is the share of the memory of clients that connections alone may take.
 	connectionShare = 0.5
+	// backlogDivisor is the number of connections for each one that the kernel may hold until it is accepted, leastBacklog or more.
+	backlogDivisor = 4
+	leastBacklog   = 64
+	// fullTime is how long new connections are refused without another decision after one that was refused.
+	fullTime = 5 * time.Millisecond
 	// tunnelDivisor is the number of connections for each tunnel that there may be.
 	tunnelDivisor = 4
 	// Defaults of Limits.
@@ -100,6 +106,8 @@
 	conns  map[uint64]*Conn
 	nextID uint64
 	held   int64
+	// fullUntil is until when no client is expected to make way for a new one.
+	fullUntil time.Time
 }
 
 // New returns a guard.
@@ -139,9 +147,23 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
+	if err := g.limitBacklog(inner); err != nil {
+		return nil, errors.Join(fmt.Errorf("listen on %s: %w", address, err), inner.Close())
+	}
 	return &listener{Listener: inner, guard: g}, nil
 }
 
+// limitBacklog bounds the connections that the kernel holds until they are accepted, with what their clients have sent. The net package
+// asks for as many as the kernel allows.
+func (g *Guard) limitBacklog(l net.Listener) error {
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	failed := raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), max(g.config.Connections/backlogDivisor, leastBacklog)) })
+	return errors.Join(failed, err)
+}
+
 type listener struct {
 	net.Listener
 	guard *Guard
@@ -179,7 +201,7 @@
 	g.nextID++
 	c.id = g.nextID
 	demand := intake.Demand{Client: intake.Client{ID: c.id}, Bytes: connectionBytes, Connection: true}
-	decision := g.decide(now, demand)
+	decision := g.decideNew(now, demand)
 	if decision.Admit {
 		c.held = connectionBytes
 		g.held += connectionBytes
@@ -196,6 +218,18 @@
 	return c
 }
 
+// decideNew answers a demand for a connection. The caller holds the lock.
+func (g *Guard) decideNew(now time.Time, demand intake.Demand) intake.Decision {
+	if len(g.conns) >= g.config.Connections && now.Before(g.fullUntil) {
+		return intake.Decision{RetryAfter: endedRetryAfter}
+	}
+	decision := g.decide(now, demand)
+	if !decision.Admit {
+		g.fullUntil = now.Add(fullTime)
+	}
+	return decision
+}
+
 // admitTunnel reports whether there is room for one more tunnel. Each takes a descriptor more than other connections.
 func (g *Guard) admitTunnel(c *Conn) bool {
 	now := time.Now()
