--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -78,7 +78,7 @@
 func (f *fleet) endRun(r *run, how string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r.ended = how
+	r.ended, r.endedAt = how, time.Now()
 	f.noteLocked("worker %s of %s ends %s after %d events: %s", r.worker, r.service, r.id, r.sent, how)
 }
 
@@ -215,15 +215,6 @@
 	<-v.exited
 }
 
-func (v *vm) hasExited() bool {
-	select {
-	case <-v.exited:
-		return true
-	default:
-		return false
-	}
-}
-
 func (v *vm) awaitReady(limit time.Duration) error {
 	for began := time.Now(); time.Since(began) < limit; time.Sleep(20 * time.Millisecond) {
 		response, err := http.Get("http://" + v.ready + "/api/ready")
@@ -371,23 +362,3 @@
 	}
 	return r, a
 }
-
-// readAll reads a batch job from the start, at any machine that answers.
-func (f *fleet) readAll(job string) (results, bool) {
-	var all results
-	for failures := 0; failures < 50; {
-		v := f.vms[failures%len(f.vms)]
-		r, a := f.read(v, job, len(all.Results))
-		if a.status != http.StatusOK {
-			failures++
-			time.Sleep(100 * time.Millisecond)
-			continue
-		}
-		all.Total = r.Total
-		all.Results = append(all.Results, r.Results...)
-		if len(r.Results) == 0 || len(all.Results) >= r.Total {
-			return all, true
-		}
-	}
-	return all, false
-}
--- a/review/standin2/restart.go
+++ b/review/standin2/restart.go
@@ -29,7 +29,7 @@
 	}, nil)
 	for _, s := range []string{"a", "b"} {
 		for i := range 3 {
-			f.addWorker(&worker{id: fmt.Sprintf("i-%s%d", s, i), service: "svc-" + s, slots: 8, interval: 20 * time.Millisecond, eventsOf: variedLength})
+			f.addWorker(&worker{id: fmt.Sprintf("i-%s%d", s, i), service: "svc-" + s, slots: 8, interval: 20 * time.Millisecond, events: variedLength})
 		}
 	}
 	f.addVMs(restartVictims+1, "")
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -9,7 +9,6 @@
 	"slices"
 	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -46,23 +45,6 @@
 	history []storedRow
 	version uint64
 	changed chan struct{}
-	// oldest is the version from which the history is complete.
-	oldest uint64
-	// fault decides what becomes of a call, given the caller's address. Nil means that it is served.
-	fault func(caller, path string, tx *change) verdict
-	calls int
-}
-
-// verdict is what becomes of a call.
-type verdict struct {
-	// status refuses the call, which is not done.
-	status int
-	// lose does the call and closes the connection without an answer, after the delay.
-	lose bool
-	// delay is the time before the call is done.
-	delay time.Duration
-	// answerDelay is the time between doing the call and answering it.
-	answerDelay time.Duration
 }
 
 func newStore(address string) *store {
@@ -76,12 +58,6 @@
 
 func (s *store) address() string { return s.listener.Addr().String() }
 
-func (s *store) setFault(fault func(caller, path string, tx *change) verdict) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fault = fault
-}
-
 // put writes a row as the operator or a worker, and returns the version.
 func (s *store) put(table, key string, value any) uint64 {
 	content, err := json.Marshal(value)
@@ -90,20 +66,6 @@
 	return version
 }
 
-func (s *store) remove(table, key string) {
-	s.apply(&change{Remove: []storedRow{{Table: table, Key: key}}})
-}
-
-// compact drops the history, so that followers have to read their tables again.
-func (s *store) compact() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.history, s.oldest = nil, s.version
-	s.version++
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 func (s *store) apply(tx *change) (version uint64, conflicts []storedRow, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -135,6 +97,8 @@
 }
 
 const (
+	// answerTime is the time that an answer takes on the site (4 ms).
+	answerTime   = 4 * time.Millisecond
 	maxPageRows  = 500
 	maxPageBytes = 1 << 20
 )
@@ -149,37 +113,19 @@
 			return
 		}
 	}
-	s.mu.Lock()
-	s.calls++
-	fault := s.fault
-	s.mu.Unlock()
-	var v verdict
-	if fault != nil {
-		host, _, _ := net.SplitHostPort(r.RemoteAddr)
-		v = fault(host, r.URL.Path, &tx)
-	}
-	if v.status != 0 {
-		http.Error(w, "refused", v.status)
-		return
-	}
-	time.Sleep(v.delay)
 	switch r.URL.Path {
 	case "/api/rows-tx":
-		time.Sleep(4 * time.Millisecond)
+		time.Sleep(answerTime)
 		version, conflicts, ok := s.apply(&tx)
-		time.Sleep(v.answerDelay)
-		if v.lose {
-			panic(http.ErrAbortHandler)
-		}
 		if !ok {
 			s.answer(w, http.StatusPreconditionFailed, conflicts, version, false)
 			return
 		}
 		s.answer(w, http.StatusOK, nil, version, false)
 	case "/api/rows-get":
-		s.read(w, r, v)
+		s.read(w, r)
 	case "/api/rows-feed":
-		s.feed(w, r, v)
+		s.feed(w, r)
 	default:
 		http.Error(w, "unknown call", http.StatusNotFound)
 	}
@@ -196,7 +142,7 @@
 	_, _ = w.Write(content)
 }
 
-func (s *store) read(w http.ResponseWriter, r *http.Request, v verdict) {
+func (s *store) read(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	limit, err := strconv.Atoi(q.Get("limit"))
 	if err != nil || limit <= 0 || limit > maxPageRows {
@@ -213,10 +159,7 @@
 	s.mu.Unlock()
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
 	rows, more := page(rows, limit)
-	time.Sleep(4*time.Millisecond + v.answerDelay)
-	if v.lose {
-		panic(http.ErrAbortHandler)
-	}
+	time.Sleep(answerTime)
 	s.answer(w, http.StatusOK, rows, version, more)
 }
 
@@ -231,7 +174,7 @@
 	return rows, false
 }
 
-func (s *store) feed(w http.ResponseWriter, r *http.Request, v verdict) {
+func (s *store) feed(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
 	if err != nil {
@@ -243,11 +186,6 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		if after < s.oldest {
-			s.mu.Unlock()
-			http.Error(w, "history is gone", http.StatusGone)
-			return
-		}
 		var rows []storedRow
 		for _, row := range s.history {
 			if row.Table == q.Get("table") && row.Version > after {
@@ -267,7 +205,7 @@
 			if more {
 				version = rows[len(rows)-1].Version
 			}
-			time.Sleep(4*time.Millisecond + v.answerDelay)
+			time.Sleep(answerTime)
 			s.answer(w, http.StatusOK, rows, version, more)
 			return
 		}
@@ -281,17 +219,3 @@
 		}
 	}
 }
-
-// keys returns the keys of a table that begin with a prefix.
-func (s *store) keys(table, prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var keys []string
-	for k := range s.rows {
-		if k.table == table && strings.HasPrefix(k.key, prefix) {
-			keys = append(keys, k.key)
-		}
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -20,23 +19,18 @@
 	path    string
 	after   int
 	// sent is the number of events that were sent, and ended tells how the run ended.
-	sent  int
-	ended string
+	sent    int
+	ended   string
+	endedAt time.Time
 }
 
 // worker is a stand-in for a model worker.
 type worker struct {
 	id, service, address string
 	slots                int
-	// events is the number of events of a request and interval the time between two.
-	events   int
+	// events returns the number of events of a request, and interval is the time between two.
+	events   func(id string) int
 	interval time.Duration
-	// eventsOf overrides events by request.
-	eventsOf func(id string) int
-	// onRun is called when a request is about to run.
-	onRun func(r *run)
-	// answer overrides the answer to a request that runs. It reports whether it has answered.
-	answer func(w http.ResponseWriter, r *http.Request, run *run) bool
 
 	fleet    *fleet
 	server   *http.Server
@@ -44,8 +38,6 @@
 	places   chan struct{}
 	waiting  sync.Mutex
 	queued   int
-	// gone means that the worker has left or is about to.
-	gone bool
 }
 
 const workerQueue = 24
@@ -100,14 +92,8 @@
 	}
 	run := &run{at: time.Now(), worker: w.id, service: w.service, id: id, path: r.URL.Path, after: after}
 	w.fleet.addRun(run)
-	if w.onRun != nil {
-		w.onRun(run)
-	}
 	rw.Header().Set("X-Attempt-Id", id)
 	rw.Header().Set("X-Response-Seal", "seal."+id)
-	if w.answer != nil && w.answer(rw, r, run) {
-		return
-	}
 	w.stream(rw, r, run)
 }
 
@@ -133,32 +119,14 @@
 	}
 }
 
-func (w *worker) eventCount(id string) int {
-	if w.eventsOf != nil {
-		if n := w.eventsOf(id); n > 0 {
-			return n
-		}
-	}
-	return w.events
-}
-
 // eventData is the data of an event of a request, which is the same at all workers.
 func eventData(id string, n int) string { return fmt.Sprintf("%s-%d", id, n) }
 
-// wholeText is the text of an item that was run to its end.
-func wholeText(id string, events int) string {
-	lines := make([]string, events)
-	for i := range lines {
-		lines[i] = eventData(id, i+1)
-	}
-	return strings.Join(lines, "\n")
-}
-
 func (w *worker) stream(rw http.ResponseWriter, r *http.Request, run *run) {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	rw.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(rw)
-	for n := run.after + 1; n <= w.eventCount(run.id); n++ {
+	for n := run.after + 1; n <= w.events(run.id); n++ {
 		select {
 		case <-r.Context().Done():
 			w.fleet.endRun(run, "caller left")
