scheduling: a restarted process takes no slot of its predecessor

Cause: a coordinator's messages (grant, refusal, queued, preemption, unknown waits) named a request by its sequence number only, and went to the address of the process that had asked. Each process counted from 1, so the next process at that address took the grants that its predecessor still waited for, and gave them to whatever request had the number.

Fix: these messages name the process. One that is not for the present process is dropped, counted and logged; a slot granted to a process that has ended is released at once instead of after the lease of its VM. Sequence numbers begin at a random number, because coordinators of earlier builds do not name the process and take part while VMs are replaced.

TestMessagesForAFormerProcessDecideNothing covers each of the five messages.

--- a/internal/scheduling/coordinator.go
+++ b/internal/scheduling/coordinator.go
@@ -118,26 +118,52 @@
 	handle(s, methodReport, s.onReport)
 	handle(s, methodReportAck, func(from peer.Identity, m reportAckMessage) {
 		s.recordResponse(from.VM)
-		s.onUnknown(from.VM, m.Unknown)
+		if s.isOwn(from, methodReportAck, m.Process) {
+			s.onUnknown(from.VM, m.Unknown)
+		}
 	})
 	handle(s, methodQueued, func(from peer.Identity, m ticketMessage) {
 		s.recordResponse(from.VM)
-		s.deliverResponse(m.Sequence, response{from: from.VM})
+		if s.isOwn(from, methodQueued, m.Process) {
+			s.deliverResponse(m.Sequence, response{from: from.VM})
+		}
 	})
 	handle(s, methodGrant, func(from peer.Identity, m grantMessage) {
 		s.recordResponse(from.VM)
-		s.onGrant(from.VM, m)
+		if s.isOwn(from, methodGrant, m.Process) {
+			s.onGrant(from.VM, m)
+			return
+		}
+		// The process has ended, so its request does not run.
+		s.send(from.Address, methodRelease, releaseMessage{Ticket: scheduler.Ticket{VM: m.Process, Sequence: m.Sequence}, Outcome: scheduler.Abandoned})
 	})
 	handle(s, methodRefuse, func(from peer.Identity, m refuseMessage) {
 		if m.Reason != scheduler.NoRegistry {
 			s.recordResponse(from.VM)
 		}
-		s.onRefuse(from.VM, m)
+		if s.isOwn(from, methodRefuse, m.Process) {
+			s.onRefuse(from.VM, m)
+		}
 	})
 	handle(s, methodLoad, func(_ peer.Identity, m loadMessage) { s.onLoad(m) })
 	handle(s, methodLeaving, func(_ peer.Identity, m leavingMessage) { s.scheduler.ReportDraining(m.Target, m.StartedUnixMilli) })
 	handle(s, methodRateLimit, func(from peer.Identity, m rateLimitMessage) { s.applyRateLimit(time.Now(), from.VM, m) })
-	handle(s, methodPreempt, func(_ peer.Identity, m ticketMessage) { s.onPreempt(m.Sequence) })
+	handle(s, methodPreempt, func(from peer.Identity, m ticketMessage) {
+		if s.isOwn(from, methodPreempt, m.Process) {
+			s.onPreempt(m.Sequence)
+		}
+	})
+}
+
+// isOwn reports whether a coordinator's message is about a request of this process, and not of one that had its address before.
+func (s *Service) isOwn(from peer.Identity, method peer.Method, process string) bool {
+	if process == "" || process == s.config.Process {
+		return true
+	}
+	otherProcessMessages.Inc()
+	s.config.Log.Info().Str("coordinator", from.VM).Str("method", string(method)).Str("process", process).
+		Msg("message of a coordinator is for another process, which had this address before; dropped, and a granted slot is released")
+	return false
 }
 
 // handle registers a handler that runs while the service's mutex is held.
@@ -158,19 +184,19 @@
 	now := time.Now()
 	s.recordReporter(now, m.Ticket.VM, from.Address)
 	if !s.hasRegistry {
-		s.send(from.Address, methodRefuse, refuseMessage{Sequence: m.Ticket.Sequence, Reason: scheduler.NoRegistry, RetryAfter: noRegistryRetry})
+		s.send(from.Address, methodRefuse, refuseMessage{Sequence: m.Ticket.Sequence, Process: m.Ticket.VM, Reason: scheduler.NoRegistry, RetryAfter: noRegistryRetry})
 		return
 	}
 	for _, limit := range m.RateLimits {
 		s.applyRateLimit(now, from.VM, limit)
 	}
 	if key, redirected := s.redirect(now, m.request(now), m.Redirects); redirected {
-		s.send(from.Address, methodRefuse, refuseMessage{Sequence: m.Ticket.Sequence, Reason: scheduler.Redirected, Group: key})
+		s.send(from.Address, methodRefuse, newRedirectMessage(m.Ticket, key))
 		return
 	}
 	actions := s.scheduler.Submit(now, m.request(now))
 	if !decides(actions, m.Ticket) {
-		s.send(from.Address, methodQueued, ticketMessage{Sequence: m.Ticket.Sequence})
+		s.send(from.Address, methodQueued, newTicketMessage(m.Ticket))
 	}
 	s.execute(actions)
 }
@@ -187,7 +213,7 @@
 	}
 	actions, unknown := s.scheduler.Report(now, m.VM, m.Runs, m.Waits)
 	s.execute(actions)
-	s.send(from.Address, methodReportAck, reportAckMessage{Unknown: unknown})
+	s.send(from.Address, methodReportAck, reportAckMessage{Unknown: unknown, Process: m.VM})
 }
 
 func decides(actions []scheduler.Action, ticket scheduler.Ticket) bool {
@@ -221,14 +247,14 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case scheduler.Grant:
-			message := grantMessage{Sequence: a.Ticket.Sequence, Target: a.Target, Address: a.Address, Version: a.Version, Group: s.division.Of(a.Target)}
+			message := grantMessage{Sequence: a.Ticket.Sequence, Process: a.Ticket.VM, Target: a.Target, Address: a.Address, Version: a.Version, Group: s.division.Of(a.Target)}
 			if a.RateLimit.PerSecond > 0 {
 				limit := newRateLimitMessage(time.Now(), a.Target, a.RateLimit)
 				message.RateLimit = &limit
 			}
 			s.deliver(a.Ticket, methodGrant, message, func() { s.onGrant(s.vm, message) })
 		case scheduler.Refuse:
-			message := refuseMessage{Sequence: a.Ticket.Sequence, RetryAfter: a.RetryAfter, Reason: a.Reason, Ahead: a.Ahead, Slots: a.Slots, Limited: a.Limited}
+			message := refuseMessage{Sequence: a.Ticket.Sequence, Process: a.Ticket.VM, RetryAfter: a.RetryAfter, Reason: a.Reason, Ahead: a.Ahead, Slots: a.Slots, Limited: a.Limited}
 			s.deliver(a.Ticket, methodRefuse, message, func() { s.onRefuse(s.vm, message) })
 		case scheduler.Ejection:
 			s.config.Log.Info().Str("target", a.Target).Str("process", a.VM).Str("reason", a.Reason).Int("usable", a.Usable).
@@ -245,7 +271,7 @@
 				Float64("slowdown_nearly_full", a.NearlyFull).Int("occupied", a.Occupied).
 				Msg("speed of a target changed; requests take this many times as long there as expected")
 		case scheduler.Preempt:
-			s.deliver(a.Ticket, methodPreempt, ticketMessage{Sequence: a.Ticket.Sequence}, func() { s.onPreempt(a.Ticket.Sequence) })
+			s.deliver(a.Ticket, methodPreempt, newTicketMessage(a.Ticket), func() { s.onPreempt(a.Ticket.Sequence) })
 		}
 	}
 }
--- a/internal/scheduling/groups.go
+++ b/internal/scheduling/groups.go
@@ -140,7 +140,7 @@
 }
 
 func (s *Service) sendElsewhere(ticket scheduler.Ticket, key string) {
-	message := refuseMessage{Sequence: ticket.Sequence, Reason: scheduler.Redirected, Group: key}
+	message := newRedirectMessage(ticket, key)
 	s.deliver(ticket, methodRefuse, message, func() { s.onRefuse(s.vm, message) })
 }
 
--- a/internal/scheduling/messages.go
+++ b/internal/scheduling/messages.go
@@ -10,6 +10,9 @@
 
 // Messages between a VM that needs slots and the coordinator that grants them. Times are sent as durations
 // relative to the time of sending, because the clocks of VMs differ.
+//
+// The coordinator's messages name the process of the request, because a process that starts again gets what was sent to its
+// predecessor. Earlier builds name the request by its sequence number only.
 const (
 	methodSubmit    peer.Method = "slots.submit"
 	methodRelease   peer.Method = "slots.release"
@@ -149,11 +152,17 @@
 type reportAckMessage struct {
 	// Unknown are the waits that the coordinator does not have.
 	Unknown []uint64 `cbor:"1,keyasint,omitempty"`
+	Process string   `cbor:"2,keyasint,omitempty"`
 }
 
 // ticketMessage is the payload of methodQueued and methodPreempt.
 type ticketMessage struct {
 	Sequence uint64 `cbor:"1,keyasint"`
+	Process  string `cbor:"2,keyasint,omitempty"`
+}
+
+func newTicketMessage(t scheduler.Ticket) ticketMessage {
+	return ticketMessage{Sequence: t.Sequence, Process: t.VM}
 }
 
 // leavingMessage tells a coordinator that a target is leaving. If it is lost, the next grant of the target to the same VM
@@ -189,6 +198,7 @@
 	Version string `cbor:"5,keyasint,omitempty"`
 	// RateLimit is what the coordinator knows of the target's rate limit, or nil if the target has none.
 	RateLimit *rateLimitMessage `cbor:"6,keyasint,omitempty"`
+	Process   string            `cbor:"7,keyasint,omitempty"`
 }
 
 type refuseMessage struct {
@@ -200,7 +210,12 @@
 	// Group is the group that a redirected request is to be sent to.
 	Group string `cbor:"6,keyasint,omitempty"`
 	// Limited is the number of targets whose rate limits leave slots unused.
-	Limited int `cbor:"7,keyasint,omitempty"`
+	Limited int    `cbor:"7,keyasint,omitempty"`
+	Process string `cbor:"8,keyasint,omitempty"`
+}
+
+func newRedirectMessage(t scheduler.Ticket, key string) refuseMessage {
+	return refuseMessage{Sequence: t.Sequence, Process: t.VM, Reason: scheduler.Redirected, Group: key}
 }
 
 // loadMessage tells the coordinators of a service's other groups the load of a group. A lost one is replaced by the next.
--- a/internal/scheduling/messages_test.go
+++ b/internal/scheduling/messages_test.go
@@ -1,12 +1,16 @@
 package scheduling
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
+	"github.com/rosemarydyke/rosemarydyke/internal/peer"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
@@ -39,3 +43,72 @@
 	qt.Assert(t, plain, qt.DeepEquals, previous)
 	t.Logf("%d bytes, %d with costs", len(plain), len(encoded))
 }
+
+// recordingNode records the messages that a service sends, and passes it messages.
+type recordingNode struct {
+	handlers map[peer.Method]datagram.MessageHandler
+	sent     chan any
+}
+
+func (n *recordingNode) Send(_ netip.AddrPort, _ peer.Method, message any) error {
+	n.sent <- message
+	return nil
+}
+
+func (n *recordingNode) HandleMessage(method peer.Method, handler datagram.MessageHandler) {
+	n.handlers[method] = handler
+}
+
+func (n *recordingNode) receive(t *testing.T, method peer.Method, message any) {
+	payload, err := cbor.Marshal(message)
+	qt.Assert(t, err, qt.IsNil)
+	n.handlers[method](peer.Identity{VM: "coordinator"}, func(out any) error { return cbor.Unmarshal(payload, out) })
+}
+
+// Guards against messages of a coordinator to a former process that decide on a request of the present one with the same number.
+func TestMessagesForAFormerProcessDecideNothing(t *testing.T) {
+	node := &recordingNode{handlers: map[peer.Method]datagram.MessageHandler{}, sent: make(chan any, 1000)}
+	s := New(Config{Process: "vm/2", Node: node, Members: fixedMembers{{VM: "vm"}}, Usable: func(string) bool { return true }, Log: zerolog.Nop()})
+	s.next = 0
+	waits := &pending{responses: make(chan response, 4), class: scheduler.Item}
+	s.pending[1], s.pending[2], s.pending[3] = waits, waits, waits
+	runs := &Slot{Target: "t", service: s, sequence: 4, preempted: make(chan struct{})}
+	s.runs[4] = runs
+	messages := func(process string) map[peer.Method]any {
+		return map[peer.Method]any{
+			methodGrant:     grantMessage{Sequence: 1, Target: "t", Process: process},
+			methodRefuse:    refuseMessage{Sequence: 2, Reason: scheduler.VersionGone, Process: process},
+			methodQueued:    ticketMessage{Sequence: 3, Process: process},
+			methodReportAck: reportAckMessage{Unknown: []uint64{3}, Process: process},
+			methodPreempt:   ticketMessage{Sequence: 4, Process: process},
+		}
+	}
+	isPreempted := func() bool {
+		select {
+		case <-runs.preempted:
+			return true
+		default:
+			return false
+		}
+	}
+	for method, message := range messages("vm/1") {
+		node.receive(t, method, message)
+	}
+	qt.Assert(t, waits.responses, qt.HasLen, 0)
+	qt.Assert(t, waits.queuedAt, qt.Equals, "")
+	qt.Assert(t, isPreempted(), qt.IsFalse)
+	qt.Assert(t, <-node.sent, qt.DeepEquals, any(releaseMessage{Ticket: scheduler.Ticket{VM: "vm/1", Sequence: 1}, Outcome: scheduler.Abandoned}))
+	qt.Assert(t, node.sent, qt.HasLen, 0)
+	// Earlier builds do not name the process.
+	for _, process := range []string{"", "vm/2"} {
+		runs.preempted = make(chan struct{})
+		for method, message := range messages(process) {
+			node.receive(t, method, message)
+		}
+		qt.Assert(t, waits.responses, qt.HasLen, 4)
+		qt.Assert(t, isPreempted(), qt.IsTrue)
+		for range 4 {
+			<-waits.responses
+		}
+	}
+}
--- a/internal/scheduling/metrics.go
+++ b/internal/scheduling/metrics.go
@@ -2,6 +2,9 @@
 
 import "github.com/VictoriaMetrics/metrics"
 
+// otherProcessMessages counts the messages of coordinators to processes that had this one's address before.
+var otherProcessMessages = metrics.NewCounter("rosemarydyke_slots_messages_for_other_process_total")
+
 // Metrics of the coordinator, where targets are chosen by cost.
 var (
 	expectedSlotTime = metrics.NewHistogram("rosemarydyke_slot_time_expected_seconds")
--- a/internal/scheduling/service.go
+++ b/internal/scheduling/service.go
@@ -166,6 +166,8 @@
 		backoffs:          map[string]*backoff{},
 		unansweredReports: map[string]int{},
 		limits:            ratelimit.NewStatements(),
+		// A random start value, because messages of earlier builds do not name the process.
+		next: random.Uint64() >> 1,
 	}
 	s.registerHandlers()
 	return s
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -339,7 +339,7 @@
 // submitHere submits a request of this VM to its own scheduler.
 func (s *Service) submitHere(now time.Time, request scheduler.Request, redirects int) {
 	if key, redirected := s.redirect(now, request, redirects); redirected {
-		s.onRefuse(s.vm, refuseMessage{Sequence: request.Ticket.Sequence, Reason: scheduler.Redirected, Group: key})
+		s.onRefuse(s.vm, newRedirectMessage(request.Ticket, key))
 		return
 	}
 	actions := s.scheduler.Submit(now, request)
