scheduling: a granted slot of another service or version is not used

What callers would see: a request run by a service that no configuration allows, or a stream that goes on at another version.

Acquire now compares the grant with the request, and the target with this VM's own copy of the registry. A slot that doesn't match is given back to the coordinator that granted it, counted and logged, and the request asks again without that target.

TestGrantOfAnotherServiceOrVersionIsNotUsed fails without the comparison in each of its three cases ("a slot of target ... is used") and passes 3 of 3 with it.

--- a/internal/scheduling/messages_test.go
+++ b/internal/scheduling/messages_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/rosemarydyke/rosemarydyke/internal/datagram"
 	"github.com/rosemarydyke/rosemarydyke/internal/peer"
+	"github.com/rosemarydyke/rosemarydyke/member"
+	"github.com/rosemarydyke/rosemarydyke/routing"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
@@ -112,3 +114,52 @@
 		}
 	}
 }
+
+// Guards against requests that run at another service, or go on at another version, because a grant names such a target.
+func TestGrantOfAnotherServiceOrVersionIsNotUsed(t *testing.T) {
+	wrong := []grantMessage{
+		{Target: "other", Group: "b", Version: "2"},
+		// The registry of the coordinator differs.
+		{Target: "moved", Group: "a", Version: "2"},
+		{Target: "older", Group: "a", Version: "1"},
+	}
+	for _, grant := range wrong {
+		t.Run(grant.Target, func(t *testing.T) {
+			node := &recordingNode{handlers: map[peer.Method]datagram.MessageHandler{}, sent: make(chan any, 1000)}
+			members := fixedMembers{{VM: "vm"}, {VM: "coordinator", State: member.Alive, EntryPeers: "10.0.0.9:1", Millicores: 800}}
+			s := New(Config{Process: "vm/2", Node: node, Members: members, Usable: func(string) bool { return true }, Log: zerolog.Nop()})
+			s.SetTargets([]routing.Target{{ID: "moved", Service: "b", Slots: 1}})
+			results := make(chan *Slot, 1)
+			go func() {
+				slot, _ := s.Acquire(t.Context(), scheduler.Request{Class: scheduler.Item, Service: "a", Version: "2"})
+				results <- slot
+			}()
+			answer := func(grant grantMessage) submitMessage {
+				for sent := range node.sent {
+					if m, ok := sent.(submitMessage); ok {
+						grant.Sequence, grant.Process = m.Ticket.Sequence, m.Ticket.VM
+						node.receive(t, methodGrant, grant)
+						return m
+					}
+				}
+				return submitMessage{}
+			}
+			first := answer(grant)
+			var released any
+			for released == nil {
+				select {
+				case slot := <-results:
+					t.Fatalf("a slot of target %q is used", slot.Target)
+				case m := <-node.sent:
+					if _, repeated := m.(submitMessage); !repeated {
+						released = m
+					}
+				}
+			}
+			qt.Assert(t, released, qt.DeepEquals, any(releaseMessage{Ticket: first.Ticket, Outcome: scheduler.Abandoned}))
+			again := answer(grantMessage{Target: "right", Group: "a", Version: "2"})
+			qt.Assert(t, again.Tried, qt.DeepEquals, []string{grant.Target})
+			qt.Assert(t, (<-results).Target, qt.Equals, "right")
+		})
+	}
+}
--- a/internal/scheduling/slot.go
+++ b/internal/scheduling/slot.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/group"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
@@ -57,15 +58,33 @@
 func (s *Service) Acquire(ctx context.Context, request scheduler.Request) (*Slot, error) {
 	for {
 		slot, err := s.acquire(ctx, request)
-		if err != nil || s.config.Usable(slot.Target) {
-			return slot, err
+		if err != nil {
+			return nil, err
+		}
+		switch service := s.serviceOf(slot); {
+		case service != request.Service || request.Version != "" && slot.Version != request.Version:
+			mismatchedGrants.Inc()
+			s.config.Log.Error().Str("target", slot.Target).Str("coordinator", slot.coordinator).Str("service", service).Str("version", slot.Version).
+				Str("requested_service", request.Service).Str("requested_version", request.Version).
+				Msg("granted target is of another service or version; releasing its slot and requesting another")
+			slot.giveBack()
+		case !s.config.Usable(slot.Target):
+			s.config.Log.Info().Str("target", slot.Target).Msg("granted target is draining or gone; releasing its slot and requesting another")
+			slot.Release(scheduler.Draining, 0)
+		default:
+			return slot, nil
 		}
-		s.config.Log.Info().Str("target", slot.Target).Msg("granted target is draining or gone; releasing its slot and requesting another")
-		slot.Release(scheduler.Draining, 0)
 		request.Tried = append(slices.Clone(request.Tried), slot.Target)
 	}
 }
 
+// serviceOf returns the service of a slot's target by this VM's copy of the registry, or else by that of the coordinator.
+func (s *Service) serviceOf(slot *Slot) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return group.ServiceOf(s.groupOf(slot))
+}
+
 func (s *Service) acquire(ctx context.Context, request scheduler.Request) (*Slot, error) {
 	p := &pending{responses: make(chan response, 4), class: request.Class}
 	s.mu.Lock()
@@ -289,6 +308,16 @@
 	})
 }
 
+// giveBack releases an unused slot at the coordinator that granted it.
+func (s *Slot) giveBack() {
+	s.releaseOnce.Do(func() {
+		s.service.mu.Lock()
+		defer s.service.mu.Unlock()
+		delete(s.service.runs, s.sequence)
+		s.service.releaseAt(s.coordinator, s.request.Ticket)
+	})
+}
+
 // ReportSilent reports that the target has sent nothing for too long. The slot is kept.
 func (s *Slot) ReportSilent() {
 	s.service.mu.Lock()
@@ -381,13 +410,17 @@
 	if m.Group != "" {
 		s.abandoned[m.Group] = time.Now()
 	}
-	ticket := scheduler.Ticket{VM: s.config.Process, Sequence: m.Sequence}
-	if from == s.vm {
+	s.releaseAt(from, scheduler.Ticket{VM: s.config.Process, Sequence: m.Sequence})
+}
+
+// releaseAt releases a slot at the coordinator that granted it. s.mu must be held.
+func (s *Service) releaseAt(coordinator string, ticket scheduler.Ticket) {
+	if coordinator == s.vm {
 		s.execute(s.scheduler.Release(time.Now(), ticket, scheduler.Abandoned, 0))
 		return
 	}
 	for _, mem := range s.config.Members.Members() {
-		if mem.VM != from {
+		if mem.VM != coordinator {
 			continue
 		}
 		if address, ok := peerAddress(mem); ok {
