member: an ack to a former process vouches for no member

An ack that reaches a VM which started again could count for the probe of another member, and a lost VM stayed listed for callers one round longer.

Numbers start at the VM's incarnation, which differs between starts, so no message changes its shape.

--- a/member/machine.go
+++ b/member/machine.go
@@ -29,7 +29,7 @@
 	// order is the round-robin order of probes; next is the position in it.
 	order []string
 	next  int
-	// sequence numbers probes.
+	// sequence numbers probes. It starts at the VM's incarnation, so that an ack to a former process matches no probe.
 	sequence uint64
 	relays   map[uint64]relay
 	seeds    []string
@@ -72,12 +72,13 @@
 	cfg = cfg.withDefaults()
 	self.State = Alive
 	m := &Machine{
-		cfg:     cfg,
-		rng:     rng,
-		self:    self,
-		members: map[string]*entry{},
-		queue:   queue{items: map[string]*queued{}},
-		relays:  map[uint64]relay{},
+		cfg:      cfg,
+		rng:      rng,
+		self:     self,
+		sequence: self.Incarnation,
+		members:  map[string]*entry{},
+		queue:    queue{items: map[string]*queued{}},
+		relays:   map[uint64]relay{},
 	}
 	// A random offset of the first probe keeps VMs that start together from probing in lockstep.
 	m.probe.end = now.Add(time.Duration(rng.Int64N(int64(cfg.Period))))
