platform, engine: a response with an invalid status is no response

With X-Not-Run such an answer counted as a promise that nothing had run.

Cause: net/http takes any three digits for a status, and neither client looked at it.

Fix: both clients of targets accept 200 to 599 only. Anything else may have run: it is repeated where that is allowed, and answered as the failure of the target otherwise.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
 
@@ -108,6 +110,12 @@
 	}
 	x.response = response
 	x.ctx = ctx
+	// net/http accepts any three digits.
+	if status := response.StatusCode; status < 200 || status > 599 {
+		x.close()
+		return nil, failure(admission.EndInterrupted, verdict.MayHaveRun, verdict.CodeTargetFailed,
+			fmt.Sprintf("the target answered with %03d, which is not the status of a response", status), nil)
+	}
 	return x, nil
 }
 
--- a/internal/engine/cut_response_test.go
+++ b/internal/engine/cut_response_test.go
@@ -59,3 +59,18 @@
 		})
 	}
 }
+
+// Guards against a status that is none, or not a final one, being passed on to a client. net/http's server panics at some of them.
+func TestResponseWithAnInvalidStatusMayHaveRun(t *testing.T) {
+	for _, status := range []string{"000", "001", "+20", "042", "099", "101", "600", "700", "999"} {
+		target := startRawTarget(t, func(target *rawTarget, conn net.Conn) {
+			if _, ok := target.execute(bufio.NewReader(conn)); ok {
+				_, _ = io.WriteString(conn, strings.Replace(completeJSON, "200 OK", status+" X", 1))
+			}
+		})
+		for _, stream := range []bool{false, true} {
+			err := clientSend(engine.New(engine.Config{}))(target.address(), stream)
+			qt.Check(t, verdict.Of(err), qt.Equals, verdict.MayHaveRun, qt.Commentf("%v for status %s, stream %t", err, status, stream))
+		}
+	}
+}
