platform: events that are short of their end share a bound

Events now share the bound of whole bodies: 0.15 of the VM's memory. A response without room is aborted, counted and explained in its attempts; that is a failure of the VM, so it counts neither against the target's health nor as a crash. settings check knows the bound of the largest response.

--- a/configcheck/limits.go
+++ b/configcheck/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/rosemarydyke/rosemarydyke/intake"
 	"github.com/rosemarydyke/rosemarydyke/routing"
@@ -33,5 +34,12 @@
 		add(BodyBytes, "a job of %d bytes takes %d bytes while it is submitted, and a large request may take %d on a VM with %d MB; it is served only while others hold little",
 			l.BodyBytes, intake.SubmissionCopies*l.BodyBytes, room, vmMemory>>20)
 	}
+	if room := intake.ResponseMemory(vmMemory); room < intake.MaxResponseBytes {
+		add(Entry, "responses of targets may take %d bytes on a VM with %d MB; larger ones are aborted, although %d are allowed", room, vmMemory>>20, intake.MaxResponseBytes)
+	}
+	isBatch := func(r *routing.Route) bool { return r.Kind == routing.Batch }
+	if room := intake.TextMemory(vmMemory); room < intake.MaxTextBytes && slices.ContainsFunc(t.Routes, isBatch) {
+		add(Entry, "texts of items may take %d bytes on a VM with %d MB; larger ones start anew, although %d are allowed", room, vmMemory>>20, intake.MaxTextBytes)
+	}
 	return findings
 }
--- a/configcheck/limits_test.go
+++ b/configcheck/limits_test.go
@@ -31,3 +31,22 @@
 		})
 	}
 }
+
+func TestCheckLimitsOfSmallVMs(t *testing.T) {
+	batch := &routing.Table{Routes: []*routing.Route{{Name: "b", Kind: routing.Batch}}}
+	for _, test := range []struct {
+		name     string
+		table    *routing.Table
+		memory   int64
+		findings int
+	}{
+		{"room for the largest response and text", batch, 128 << 20, 0},
+		{"no room for the largest response", &routing.Table{}, 96 << 20, 1},
+		{"no room for the largest text either", batch, 64 << 20, 2},
+		{"no texts", &routing.Table{}, 64 << 20, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, configcheck.CheckLimits(test.table, test.memory), qt.HasLen, test.findings)
+		})
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -17,6 +17,18 @@
 // LargestRequest returns how much one request may hold beside others, given the memory of all clients.
 func LargestRequest(memory int64) int64 { return memory - int64(smallShare*float64(memory)) }
 
+const (
+	// MaxResponseBytes limits a target's response that is read as a whole, and MaxTextBytes the text of an item.
+	MaxResponseBytes = 16 << 20
+	MaxTextBytes     = 4 << 20
+)
+
+// ResponseMemory returns how much of a VM's memory the responses of targets may hold, and TextMemory how much the texts of items.
+func ResponseMemory(vm int64) int64 { return int64(responseShare * float64(vm)) }
+
+// TextMemory is described at ResponseMemory.
+func TextMemory(vm int64) int64 { return int64(textShare * float64(vm)) }
+
 // Phase is what a client does.
 type Phase uint8
 
@@ -50,6 +62,9 @@
 	leastRate = 1 << 10
 	// clientShare is the share of a VM's memory that clients may hold.
 	clientShare = 0.4
+	// responseShare and textShare are those for responses of targets and for the texts of items.
+	responseShare = 0.15
+	textShare     = 0.05
 	// SubmissionCopies is how many times its size a job takes while it is parsed and stored.
 	SubmissionCopies = 5
 	// retryAfter is when a refused client may come back: a client that stops is ended within this time.
--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -376,7 +376,7 @@
 		return scheduler.TimedOut
 	case !errors.As(err, &failure):
 		return scheduler.Interrupted
-	case failure.OfPath():
+	case failure.OfVM():
 		return scheduler.Abandoned
 	}
 	switch failure.Failure {
--- a/internal/completion/completion_test.go
+++ b/internal/completion/completion_test.go
@@ -88,7 +88,7 @@
 			var failure *platform.TargetError
 			qt.Assert(t, errors.As(err, &failure), qt.IsTrue, qt.Commentf("%v", err))
 			qt.Check(t, failure.NotRun(), qt.IsFalse)
-			qt.Check(t, failure.OfPath(), qt.Equals, test.ofPath)
+			qt.Check(t, failure.OfVM(), qt.Equals, test.ofPath)
 		})
 	}
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -182,7 +182,7 @@
 // to another VM.
 func (e *exchange) refuseWithoutPath(err error) bool {
 	var failure *platform.TargetError
-	if e.mayHaveRun || e.started || !errors.As(err, &failure) || !failure.NotRun() || !failure.OfPath() {
+	if e.mayHaveRun || e.started || !errors.As(err, &failure) || !failure.NotRun() || !failure.OfVM() {
 		return false
 	}
 	refusedTotal.Inc()
@@ -447,7 +447,7 @@
 func (e *exchange) classifyFailure(ctx context.Context, err error) scheduler.Outcome {
 	var failure *platform.TargetError
 	if errors.As(err, &failure) && failure.NotRun() {
-		if failure.OfPath() {
+		if failure.OfVM() {
 			return scheduler.Abandoned
 		}
 		switch failure.Failure {
@@ -464,7 +464,7 @@
 	if errors.Is(err, errEndUnconfirmed) {
 		return scheduler.Finished
 	}
-	if ctx.Err() != nil || isClientError(err) || errors.Is(err, errReplaced) || errors.Is(err, errNotNeeded) || failure != nil && failure.OfPath() {
+	if ctx.Err() != nil || isClientError(err) || errors.Is(err, errReplaced) || errors.Is(err, errNotNeeded) || failure != nil && failure.OfVM() {
 		return scheduler.Abandoned
 	}
 	return scheduler.Interrupted
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/rosemarydyke/rosemarydyke/account"
 	"github.com/rosemarydyke/rosemarydyke/connreuse"
 	"github.com/rosemarydyke/rosemarydyke/drain"
+	"github.com/rosemarydyke/rosemarydyke/intake"
 	"github.com/rosemarydyke/rosemarydyke/internal/batchjobs"
 	"github.com/rosemarydyke/rosemarydyke/internal/boottime"
 	"github.com/rosemarydyke/rosemarydyke/internal/clientconn"
@@ -48,10 +49,8 @@
 	addressTTL = 1500 * time.Millisecond
 	// cachedTTLs is the longest time for which clients cache addresses, as a multiple of the TTL.
 	cachedTTLs = 3
-	// responseMemoryShare and itemMemoryShare are the shares of the VM's memory for responses that are held as a whole, and for the
-	// items of jobs.
-	responseMemoryShare = 0.15
-	itemMemoryShare     = 0.15
+	// itemMemoryShare is the share of the VM's memory for the items of jobs.
+	itemMemoryShare = 0.15
 	// headMemoryShare is the share of the VM's memory for the heads of all jobs.
 	headMemoryShare = 0.1
 	// leaveTimeout bounds the deregistration and the last messages to the other VMs.
@@ -205,7 +204,7 @@
 	if slices.Contains(s.Capabilities, platform.CapabilityConnections) {
 		targets.ReuseConnections(n.connectionShare)
 	}
-	targets.LimitBuffered(int64(responseMemoryShare * float64(s.MemoryMB<<20)))
+	targets.LimitBuffered(intake.ResponseMemory(s.MemoryMB << 20))
 	n.targets = targets
 	tracker := evidence.NewSharedTracker(quarantine.Config{
 		CrashThreshold: quarantineCrashes,
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -12,6 +12,6 @@
   known=$(awk 'NF && $1 !~ /^#/ {print "^" $1 "$"}' KNOWN-RED.txt | paste -sd'|')
 fi
 packages="./cmd/rosemary-ingress ./internal/fleettest"
-alone=$(sed -n 's/^func \(Test[A-Za-z0-9]*\)(.*/^\1$/p' cmd/rosemary-ingress/unruly_clients_test.go internal/fleettest/unruly_callers_test.go | paste -sd'|')
+alone=$(sed -n 's/^func \(Test[A-Za-z0-9]*\)(.*/^\1$/p' cmd/rosemary-ingress/unruly_*_test.go internal/fleettest/unruly_*_test.go | paste -sd'|')
 "$go" test -race -count=1 -timeout 5m -skip "$known${known:+|}$alone" ./...
 "$go" test -race -count=1 -timeout 10m -p 1 -run "$alone" ${known:+-skip "$known"} $packages
