batchjobs: the texts of items share a bound

Same cause as the events of streams: the text of one item was bounded (4 MB), those of all items together were not. 64 items whose target sends events without end took a VM of 96 MB to 297 MB.

TestTextsOfALargeJobFinish fails where commits release nothing (trial); TestTextsOfItemsShareABound checks that room comes back when an item starts anew or its job ends here.

--- a/cmd/rosemary-ingress/unruly_targets_test.go
+++ b/cmd/rosemary-ingress/unruly_targets_test.go
@@ -121,3 +121,27 @@
 		})
 	}
 }
+
+// The texts of items had no bound together either.
+func TestItemsWithoutEndExhaustMemory(t *testing.T) {
+	u := startUnrulyFleet(t, streamtarget.Config{Events: streamEvents})
+	u.addUnrulyTarget(sendEvents(39, 100_000))
+	const items = 64
+	job := strings.ReplaceAll(jobOf("j", items, 8*items), `"/b/`, `"/ub/`)
+	status, _, err := u.do(http.MethodPost, u.vm.clients, "/ub/j", "j", job)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, http.StatusAccepted)
+	time.Sleep(3 * time.Second)
+	u.check()
+}
+
+// Guards against memory that stays reserved for texts that are committed: all of this job's take more than there is.
+func TestTextsOfALargeJobFinish(t *testing.T) {
+	u := startUnrulyFleet(t, streamtarget.Config{Events: streamEvents, Padding: 4000})
+	const items = 90
+	status, _, err := u.do(http.MethodPost, u.vm.clients, "/b/j", "j", jobOf("j", items, 8*items))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, http.StatusAccepted)
+	u.results("j", u.vm, items)
+	u.check()
+}
--- a/internal/batchjobs/commit.go
+++ b/internal/batchjobs/commit.go
@@ -131,6 +131,9 @@
 	if err != nil {
 		return results, err
 	}
+	for _, result := range results[:consumed] {
+		run.texts.release(result.index)
+	}
 	s.cacheCommitted(run.job, e.head, head, results[:consumed])
 	s.heads.put(run.job, head, version)
 	s.config.Log.Info().EmbedObject(jobName(run.job)).Uint64("row_version", version).Int("position", len(e.head.Results)).
--- a/internal/batchjobs/item.go
+++ b/internal/batchjobs/item.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rosemarydyke/rosemarydyke/intake"
 	"github.com/rosemarydyke/rosemarydyke/internal/completion"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/platform"
@@ -25,7 +26,7 @@
 	itemIdleTimeout    = time.Second
 	maxItemIdleTimeout = 16 * time.Second
 	// maxItemTextBytes bounds the text of an item, which is held in memory until it is complete.
-	maxItemTextBytes = 4 << 20
+	maxItemTextBytes = intake.MaxTextBytes
 	// heldItemInterval is how often a quarantined item is checked again.
 	heldItemInterval = 500 * time.Millisecond
 	// itemRetryDelay is the delay before an item is retried.
@@ -45,6 +46,9 @@
 type itemState struct {
 	mu sync.Mutex
 	itemProgress
+	// index is the item's position in its job, and texts bounds the texts of the job.
+	index int
+	texts *textRoom
 
 	tried []string
 	// connReused is set when the item is sent on a connection that served an earlier request.
@@ -71,7 +75,8 @@
 	return s.itemProgress
 }
 
-// addEvent adds an event to the text. An item whose text is too long starts anew, since no target ends such a text.
+// addEvent adds an event to the text. An item whose text is too long starts anew, since no target ends such a text, and so does one
+// for whose text there is no room, which leaves that to others.
 func (s *itemState) addEvent(id int64, data []byte, version string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -84,6 +89,10 @@
 		s.Text = append(s.Text, '\n')
 	}
 	s.Text = append(s.Text, data...)
+	if !s.texts.cover(s.index, cap(s.Text)) {
+		s.dropEvents()
+		return errNoTextRoom
+	}
 	s.Position = id
 	s.Events++
 	s.endUnconfirmed = false
@@ -116,6 +125,7 @@
 // dropEvents makes the item start anew. The caller holds s.mu.
 func (s *itemState) dropEvents() {
 	s.itemProgress = itemProgress{Position: platform.NoEvent, Failures: s.Failures}
+	s.texts.release(s.index)
 	s.endUnconfirmed = false
 }
 
@@ -370,7 +380,7 @@
 	switch {
 	case err == nil, errors.Is(err, errEndUnconfirmed):
 		return scheduler.Finished
-	case errors.Is(err, errSlotPreempted), ctx.Err() != nil:
+	case errors.Is(err, errSlotPreempted), errors.Is(err, errNoTextRoom), ctx.Err() != nil:
 		return scheduler.Abandoned
 	case errors.Is(err, context.DeadlineExceeded):
 		return scheduler.TimedOut
--- a/internal/batchjobs/runner.go
+++ b/internal/batchjobs/runner.go
@@ -43,6 +43,7 @@
 	// running holds the items that run or wait for a slot, and saved the last checkpoint of each item.
 	running map[int]*itemState
 	saved   map[int]savedItem
+	texts   *textRoom
 }
 
 // begin returns the state of an item that is about to run, with the progress made so far.
@@ -54,7 +55,7 @@
 		progress = itemProgress{Position: platform.NoEvent}
 	}
 	delete(r.progress, index)
-	state := &itemState{itemProgress: progress}
+	state := &itemState{itemProgress: progress, index: index, texts: r.texts}
 	r.running[index] = state
 	return state
 }
@@ -135,6 +136,7 @@
 		progress: s.handedOver.take(job),
 		running:  map[int]*itemState{},
 		saved:    map[int]savedItem{},
+		texts:    newTextRoom(s.textsLeft),
 	}
 	if accepted, ok := s.acceptedItems[job]; ok {
 		run.items, run.memory = accepted.items, accepted.memory
@@ -143,6 +145,7 @@
 	s.runs[job] = run
 	s.tasks.Go(func() {
 		defer func() { s.itemRoom.Release(run.memory) }()
+		defer run.texts.close()
 		defer close(run.stopped)
 		defer cancel()
 		s.runJob(runCtx, run)
--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -82,6 +82,9 @@
 	HeadMemory int64
 	// ItemMemory is the memory for the items of the jobs that this VM runs, in bytes. Further jobs wait. Zero means no bound.
 	ItemMemory int64
+	// TextMemory is the memory for the texts of items until they are committed, in bytes, beside 16 KB of each. Items for which there
+	// is none start anew. Zero means no bound.
+	TextMemory int64
 	Log        zerolog.Logger
 }
 
@@ -110,7 +113,9 @@
 	ownerMissingSince map[string]time.Time
 	tasks             sync.WaitGroup
 	// itemRoom is what is left of Config.ItemMemory.
-	itemRoom  *semaphore.Weighted
+	itemRoom *semaphore.Weighted
+	// textsLeft is what is left of Config.TextMemory.
+	textsLeft *semaphore.Weighted
 	waitQueue *waitQueue
 	started   time.Time
 }
@@ -120,6 +125,9 @@
 	if config.ItemMemory == 0 {
 		config.ItemMemory = math.MaxInt64
 	}
+	if config.TextMemory == 0 {
+		config.TextMemory = math.MaxInt64
+	}
 	s := &Service{
 		config:            config,
 		store:             store{rows: config.Rows},
@@ -134,6 +142,7 @@
 		started:           time.Now(),
 		handedOver:        newHandedOverProgress(),
 		itemRoom:          semaphore.NewWeighted(config.ItemMemory),
+		textsLeft:         semaphore.NewWeighted(config.TextMemory),
 	}
 	config.Node.HandleCall(methodProgress, s.handleProgress)
 	s.follower = follow.New(follow.Config{
--- a/internal/batchjobs/text_test.go
+++ b/internal/batchjobs/text_test.go
@@ -5,8 +5,10 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/rosemarydyke/rosemarydyke/platform"
+	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
 
 // Guards against a target whose events never end, which would fill the VM's memory.
@@ -22,3 +24,44 @@
 	qt.Assert(t, failure.Failure, qt.Equals, platform.InvalidResponse)
 	qt.Assert(t, state.snapshot(), qt.DeepEquals, itemProgress{Position: platform.NoEvent, Failures: 2})
 }
+
+// Guards against texts that are held together without a bound, and against memory that stays reserved for texts that are gone.
+func TestTextsOfItemsShareABound(t *testing.T) {
+	const bound = 1 << 20
+	left := semaphore.NewWeighted(bound)
+	isFree := func() bool {
+		free := left.TryAcquire(bound)
+		if free {
+			left.Release(bound)
+		}
+		return free
+	}
+	run := &jobRun{running: map[int]*itemState{}, texts: newTextRoom(left)}
+	grow := func(index int, events int64) (state *itemState, err error) {
+		state = run.begin(index)
+		for id := int64(0); err == nil && id < events; id++ {
+			err = state.addEvent(id, make([]byte, 1<<10), "v1")
+		}
+		return state, err
+	}
+	_, err := grow(0, 500)
+	qt.Assert(t, err, qt.IsNil)
+	second, err := grow(1, 2000)
+	qt.Assert(t, err, qt.Equals, errNoTextRoom)
+	qt.Assert(t, outcomeOf(t.Context(), err), qt.Equals, scheduler.Abandoned)
+	qt.Assert(t, second.snapshot(), qt.DeepEquals, itemProgress{Position: platform.NoEvent})
+	// Small texts need no room.
+	qt.Assert(t, left.TryAcquire(1<<18), qt.IsTrue)
+	_, err = grow(2, 12)
+	qt.Assert(t, err, qt.IsNil)
+	left.Release(1 << 18)
+	qt.Assert(t, isFree(), qt.IsFalse)
+	run.texts.release(0)
+	qt.Assert(t, isFree(), qt.IsTrue)
+	_, err = grow(3, 500)
+	qt.Assert(t, err, qt.IsNil)
+	run.texts.close()
+	qt.Assert(t, isFree(), qt.IsTrue)
+	qt.Assert(t, run.texts.cover(3, bound), qt.IsTrue)
+	qt.Assert(t, isFree(), qt.IsTrue)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -222,6 +222,7 @@
 		ResultRetention: s.ResultRetention,
 		HeadMemory:      int64(headMemoryShare * float64(s.MemoryMB<<20)),
 		ItemMemory:      int64(itemMemoryShare * float64(s.MemoryMB<<20)),
+		TextMemory:      intake.TextMemory(s.MemoryMB << 20),
 		Log:             n.log,
 	})
 	n.evidence = evidence.New(evidence.Config{
