targetrelay: an invalid answer of another VM ends the attempt

By a test of the readers of bytes of other VMs: a VM that closed the connection, sent no HTTP or a part of a head when asked for a tunnel left the attempt waiting for good, with its goroutines and its connection; a request without another path waited with it for all of its time. A head without end was read up to 10 MB.

Cause: net/http reports a broken response only once it has stopped writing the body, and the body of a tunnel waits for the request. The timeout of the attempt (250 ms) ended the context, for which net/http no longer waits at that point.

Fix: the end of an attempt ends the body too, and heads of tunnels end at 16 KB.

--- a/internal/targetrelay/relay.go
+++ b/internal/targetrelay/relay.go
@@ -69,7 +69,7 @@
 func New(config Config) *Relay {
 	return &Relay{
 		config: config,
-		client: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		client: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
 		paths:  reach.New(reach.Config{}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 }
--- a/internal/targetrelay/tunnel.go
+++ b/internal/targetrelay/tunnel.go
@@ -25,6 +25,8 @@
 	headerWitness = "Rosemarydyke-Witness"
 	trailerBroken = "Rosemarydyke-Broken"
 
+	// maxHeaderBytes limits the header of another VM's response.
+	maxHeaderBytes    = 16 << 10
 	tunnelBufferBytes = 16 << 10
 	maxReasonBytes    = 1 << 10
 )
@@ -47,8 +49,12 @@
 	defer cancelAttempt()
 	// The tunnel outlives the attempt.
 	tunnelCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	attached := context.AfterFunc(ctx, cancel)
 	reader, writer := io.Pipe()
+	attached := context.AfterFunc(ctx, func() {
+		cancel()
+		// If the other VM ends the connection or sends no response, net/http waits for the body before it says so.
+		_ = reader.CloseWithError(ctx.Err())
+	})
 	request, err := http.NewRequestWithContext(tunnelCtx, http.MethodPost, "http://"+via.Address+PathTunnel, reader)
 	if err != nil {
 		cancel()
