reserve: memory that many holders share, in one package

Responses of targets and texts of items reserved memory by the same rule in two places, and the client of model engines needs it too. No change of behaviour.

--- a/internal/batchjobs/runner.go
+++ b/internal/batchjobs/runner.go
@@ -136,7 +136,7 @@
 		progress: s.handedOver.take(job),
 		running:  map[int]*itemState{},
 		saved:    map[int]savedItem{},
-		texts:    newTextRoom(s.textsLeft),
+		texts:    newTextRoom(s.textRoom),
 	}
 	if accepted, ok := s.acceptedItems[job]; ok {
 		run.items, run.memory = accepted.items, accepted.memory
--- a/internal/batchjobs/service.go
+++ b/internal/batchjobs/service.go
@@ -19,6 +19,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/follow"
 	"github.com/rosemarydyke/rosemarydyke/internal/periodic"
 	rowstore "github.com/rosemarydyke/rosemarydyke/internal/platform"
+	"github.com/rosemarydyke/rosemarydyke/internal/reserve"
 	"github.com/rosemarydyke/rosemarydyke/internal/scheduling"
 	"github.com/rosemarydyke/rosemarydyke/member"
 	"github.com/rosemarydyke/rosemarydyke/platform"
@@ -114,8 +115,8 @@
 	tasks             sync.WaitGroup
 	// itemRoom is what is left of Config.ItemMemory.
 	itemRoom *semaphore.Weighted
-	// textsLeft is what is left of Config.TextMemory.
-	textsLeft *semaphore.Weighted
+	// textRoom is Config.TextMemory.
+	textRoom  *reserve.Room
 	waitQueue *waitQueue
 	started   time.Time
 }
@@ -142,7 +143,7 @@
 		started:           time.Now(),
 		handedOver:        newHandedOverProgress(),
 		itemRoom:          semaphore.NewWeighted(config.ItemMemory),
-		textsLeft:         semaphore.NewWeighted(config.TextMemory),
+		textRoom:          reserve.NewRoom(config.TextMemory),
 	}
 	config.Node.HandleCall(methodProgress, s.handleProgress)
 	s.follower = follow.New(follow.Config{
--- a/internal/batchjobs/text_test.go
+++ b/internal/batchjobs/text_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
-	"golang.org/x/sync/semaphore"
 
+	"github.com/rosemarydyke/rosemarydyke/internal/reserve"
 	"github.com/rosemarydyke/rosemarydyke/platform"
 	"github.com/rosemarydyke/rosemarydyke/scheduler"
 )
@@ -28,15 +28,13 @@
 // Guards against texts that are held together without a bound, and against memory that stays reserved for texts that are gone.
 func TestTextsOfItemsShareABound(t *testing.T) {
 	const bound = 1 << 20
-	left := semaphore.NewWeighted(bound)
+	room := reserve.NewRoom(bound)
 	isFree := func() bool {
-		free := left.TryAcquire(bound)
-		if free {
-			left.Release(bound)
-		}
-		return free
+		all := room.Reserve()
+		defer all.Release()
+		return all.Cover(bound + reserve.FreeBytes)
 	}
-	run := &jobRun{running: map[int]*itemState{}, texts: newTextRoom(left)}
+	run := &jobRun{running: map[int]*itemState{}, texts: newTextRoom(room)}
 	grow := func(index int, events int64) (state *itemState, err error) {
 		state = run.begin(index)
 		for id := int64(0); err == nil && id < events; id++ {
@@ -51,10 +49,11 @@
 	qt.Assert(t, outcomeOf(t.Context(), err), qt.Equals, scheduler.Abandoned)
 	qt.Assert(t, second.snapshot(), qt.DeepEquals, itemProgress{Position: platform.NoEvent})
 	// Small texts need no room.
-	qt.Assert(t, left.TryAcquire(1<<18), qt.IsTrue)
+	rest := room.Reserve()
+	qt.Assert(t, rest.Cover(1<<18), qt.IsTrue)
 	_, err = grow(2, 12)
 	qt.Assert(t, err, qt.IsNil)
-	left.Release(1 << 18)
+	rest.Release()
 	qt.Assert(t, isFree(), qt.IsFalse)
 	run.texts.release(0)
 	qt.Assert(t, isFree(), qt.IsTrue)
--- a/internal/batchjobs/textroom.go
+++ b/internal/batchjobs/textroom.go
@@ -5,14 +5,8 @@
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
-	"golang.org/x/sync/semaphore"
-)
 
-const (
-	// freeTextBytes is what the text of an item may take while the texts of others take all there is.
-	freeTextBytes = 16 << 10
-	// textStep is the number of bytes that are reserved at a time.
-	textStep = 64 << 10
+	"github.com/rosemarydyke/rosemarydyke/internal/reserve"
 )
 
 var (
@@ -23,15 +17,15 @@
 
 // textRoom is what the texts of a job's items take of Config.TextMemory until they are committed. A nil *textRoom has no bound.
 type textRoom struct {
-	left *semaphore.Weighted
+	room *reserve.Room
 
 	mu     sync.Mutex
-	held   map[int]int64
+	held   map[int]reserve.Reservation
 	closed bool
 }
 
-func newTextRoom(left *semaphore.Weighted) *textRoom {
-	return &textRoom{left: left, held: map[int]int64{}}
+func newTextRoom(room *reserve.Room) *textRoom {
+	return &textRoom{room: room, held: map[int]reserve.Reservation{}}
 }
 
 // cover reserves memory for an item's text of a size. It reports false if there is none.
@@ -41,16 +35,18 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	more := int64(bytes) - freeTextBytes - r.held[index]
-	if more <= 0 || r.closed {
+	if bytes <= reserve.FreeBytes || r.closed {
 		return true
 	}
-	more = (more + textStep - 1) / textStep * textStep
-	if !r.left.TryAcquire(more) {
+	held, ok := r.held[index]
+	if !ok {
+		held = r.room.Reserve()
+	}
+	if !held.Cover(bytes) {
 		textsRefused.Inc()
 		return false
 	}
-	r.held[index] += more
+	r.held[index] = held
 	return true
 }
 
@@ -61,16 +57,18 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.left.Release(r.held[index])
-	delete(r.held, index)
+	if held, ok := r.held[index]; ok {
+		held.Release()
+		delete(r.held, index)
+	}
 }
 
 // close frees what all texts take. The job does not run any more.
 func (r *textRoom) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, bytes := range r.held {
-		r.left.Release(bytes)
+	for _, held := range r.held {
+		held.Release()
 	}
 	r.held, r.closed = nil, true
 }
