platform/client: answers of the list of VMs and the weight store end at 64 KB and 8 MB

Of the readers of bytes from outside the daemons, these kept a head of 10 MB and a body of 64 MB; a daemon may take 256 MB.

--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -19,8 +19,9 @@
 const (
 	// defaultTimeout limits one call if the configuration sets no timeout.
 	defaultTimeout = 2 * time.Second
-	// maxResponseBytes limits one response of the VM list or the weight store.
-	maxResponseBytes = 64 << 20
+	// maxHeaderBytes limits the header of a response of the VM list or the weight store, and maxResponseBytes its body.
+	maxHeaderBytes   = 64 << 10
+	maxResponseBytes = 8 << 20
 	// bytesPerTimeout is the content size for which a write is allowed one more timeout.
 	bytesPerTimeout = 8 << 20
 )
@@ -42,7 +43,7 @@
 		base:    strings.TrimSuffix(baseURL, "/"),
 		timeout: timeout,
 		store:   store.NewStore(strings.TrimPrefix(strings.TrimSuffix(baseURL, "/"), "http://")),
-		http:    &http.Client{Timeout: timeout},
+		http:    &http.Client{Timeout: timeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxHeaderBytes}},
 	}
 }
 
