engine: answers that are read at the same time share a bound

One that finds no room fails as may-have-run; the failure has its own metric and counts as cancelled, so not against the target.

What a complete answer takes until its caller has read it is not in this bound, but in that of the callers.

--- a/cmd/rosemary-batch/main.go
+++ b/cmd/rosemary-batch/main.go
@@ -49,7 +49,7 @@
 		Entry:   entry,
 		Caller:  node,
 		Store:   jobstore.New(store.Table(), store.Objects()),
-		Items:   runner.NewEngineRunner(engine.New(engine.Config{})),
+		Items:   runner.NewEngineRunner(engine.New(engine.Config{BufferBytes: settings.ResponseBytes()})),
 		Members: fleet.Size,
 		Peers:   fleet.Others,
 		Log:     env.Log,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -69,6 +69,11 @@
 	MemoryMB int64 `yaml:"memory_mb" validate:"min=0"`
 }
 
+// ResponseBytes returns the bound on what responses of targets hold together.
+func (c *Common) ResponseBytes() int64 {
+	return intake.ResponseMemory(cmp.Or(c.MemoryMB, defaultMemoryMB) << 20)
+}
+
 // CallerBounds returns the bounds on the callers of the process: the shares of its memory and descriptors that rosemary-ingress has, and
 // times that suit long responses.
 func (c *Common) CallerBounds(log zerolog.Logger) clientconn.Config {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
+	"github.com/rosemarydyke/rosemarydyke/internal/reserve"
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
 
@@ -30,12 +31,15 @@
 	EventTimeout time.Duration
 	// MaxResponseBytes is the maximum body size of an unstreamed response. Default 16 MiB.
 	MaxResponseBytes int64
+	// BufferBytes bounds what all responses hold while they are read, beside 16 KB of each. Default 48 MiB.
+	BufferBytes int64
 }
 
 const (
 	defaultConnectTimeout   = time.Second
 	defaultEventTimeout     = 30 * time.Second
 	defaultMaxResponseBytes = 16 << 20
+	defaultBufferBytes      = 48 << 20
 	// maxHeaderBytes limits the header of a response.
 	maxHeaderBytes = 256 << 10
 )
@@ -50,12 +54,16 @@
 	if c.MaxResponseBytes == 0 {
 		c.MaxResponseBytes = defaultMaxResponseBytes
 	}
+	if c.BufferBytes == 0 {
+		c.BufferBytes = defaultBufferBytes
+	}
 }
 
 // Client sends requests to targets. It is safe for concurrent use.
 type Client struct {
 	config    Config
 	transport *http.Transport
+	buffers   *reserve.Room
 }
 
 // New returns a client.
@@ -74,7 +82,7 @@
 			return &sealableConn{Conn: conn}, nil
 		},
 	}
-	return &Client{config: config, transport: transport}
+	return &Client{config: config, transport: transport, buffers: reserve.NewRoom(config.BufferBytes)}
 }
 
 // Request is one request to a target.
@@ -99,7 +107,7 @@
 // closed.
 func (c *Client) send(ctx context.Context, request Request) (*exchange, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	x := &exchange{cancel: cancel}
+	x := &exchange{cancel: cancel, buffered: c.buffers.Reserve()}
 	x.setTimeout(request.FirstByteTimeout)
 	httpRequest := c.newHTTPRequest(x.trace(ctx), request)
 	response, err := c.transport.RoundTrip(httpRequest)
@@ -149,6 +157,8 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	response *http.Response
+	// buffered is what the response holds while it is read.
+	buffered reserve.Reservation
 
 	mu    sync.Mutex
 	conn  *sealableConn
@@ -197,6 +207,7 @@
 	if x.response != nil {
 		_ = x.response.Body.Close()
 	}
+	x.buffered.Release()
 }
 
 // failureVerdict returns the verdict of an exchange without a complete response.
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/rosemarydyke/rosemarydyke/internal/engine"
+	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
 
 // Guards against targets that send bytes without end, which would fill the VM's memory.
@@ -52,3 +56,49 @@
 		})
 	}
 }
+
+// Guards against several answers that fill the VM's memory together, although each is bounded.
+func TestAnswersShareABound(t *testing.T) {
+	const (
+		answers  = 60
+		maxBytes = 100 << 20
+		text     = 3 << 20
+	)
+	heap := func() int64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return int64(stats.HeapAlloc)
+	}
+	for name, head := range map[string]string{
+		"events": "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\ndata: ",
+		"bodies": "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 4000000\r\n\r\n{",
+	} {
+		t.Run(name, func(t *testing.T) {
+			content := []byte(head + strings.Repeat("a", text))
+			target := startRawTarget(t, func(target *rawTarget, conn net.Conn) {
+				if _, ok := target.execute(bufio.NewReader(conn)); ok {
+					_, _ = conn.Write(content)
+					<-target.closing
+				}
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			client := engine.New(engine.Config{BufferBytes: 32 << 20})
+			before := heap()
+			var running sync.WaitGroup
+			for range answers {
+				running.Go(func() {
+					_, err := client.Stream(ctx, engine.Request{Address: target.address(), Method: "POST", Path: "/v1/chat/completions"}, func(engine.Event) error { return nil })
+					qt.Check(t, verdict.Of(err), qt.Equals, verdict.MayHaveRun)
+				})
+			}
+			time.Sleep(time.Second)
+			held := heap() - before
+			cancel()
+			running.Wait()
+			qt.Check(t, held < maxBytes, qt.IsTrue, qt.Commentf("%d MB", held>>20))
+			qt.Check(t, heap()-before < maxBytes/10, qt.IsTrue, qt.Commentf("memory is held after the answers have ended"))
+		})
+	}
+}
--- a/internal/engine/failure.go
+++ b/internal/engine/failure.go
@@ -36,6 +36,8 @@
 		return failure(admission.EndTimeout, v, verdict.CodeTargetFailed, "the target did not answer in time", err)
 	case ctx.Err() != nil:
 		return failure(admission.EndCancelled, v, verdict.CodeCancelled, "the request was given up", err)
+	case errors.Is(err, errNoRoom):
+		return failure(admission.EndCancelled, v, verdict.CodeTargetFailed, "the target's answer is larger than there is room for beside others", err)
 	case v == verdict.NotRun:
 		return failure(admission.EndUnreachable, v, verdict.CodeTargetFailed, "the target could not be reached", err)
 	default:
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/rosemarydyke/rosemarydyke/internal/admission"
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
@@ -16,8 +18,14 @@
 var (
 	errTooLarge   = errors.New("engine: answer is too large")
 	errIncomplete = errors.New("engine: answer ends early")
+	errNoRoom     = errors.New("engine: there is no room for more of the answer beside others")
 )
 
+// bodyStep is the number of bytes of a body that are read at a time.
+const bodyStep = 64 << 10
+
+var responsesWithoutRoom = metrics.NewCounter("rosemarydyke_engine_responses_without_room_total")
+
 // Response is a complete response.
 type Response struct {
 	Status int
@@ -74,7 +82,7 @@
 
 // readBody reads the body and fails unless it is known to be complete.
 func (c *Client) readBody(x *exchange) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(x.response.Body, c.config.MaxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(&bufferedBody{exchange: x}, c.config.MaxResponseBytes+1))
 	if err != nil {
 		return nil, x.classify(x.ctx, err)
 	}
@@ -89,6 +97,33 @@
 	return body, nil
 }
 
+// bufferedBody reserves memory for a body that is held as a whole.
+type bufferedBody struct {
+	exchange *exchange
+	held     int
+}
+
+// Read implements io.Reader.
+func (b *bufferedBody) Read(p []byte) (int, error) {
+	p = p[:min(len(p), bodyStep)]
+	if err := b.exchange.reserve(b.held + len(p)); err != nil {
+		return 0, err
+	}
+	n, err := b.exchange.response.Body.Read(p)
+	b.held += n
+	return n, err
+}
+
+// reserve reserves memory for what the response holds. It fails with errNoRoom if there is none.
+func (x *exchange) reserve(bytes int) error {
+	// Buffers double as they grow.
+	if x.buffered.Cover(2 * bytes) {
+		return nil
+	}
+	responsesWithoutRoom.Inc()
+	return fmt.Errorf("after %d bytes: %w", bytes, errNoRoom)
+}
+
 // isKnownComplete reports whether the body is known to be complete. A body that is delimited only by the
 // end of the connection cannot be told from a truncated one, unless it is a JSON object or array.
 func isKnownComplete(response *http.Response, body []byte) bool {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -21,8 +21,9 @@
 
 // eventLimit fails once a target has sent too many bytes without completing an event. The decoder holds all of them in memory.
 type eventLimit struct {
-	body io.ReadCloser
-	left int
+	exchange *exchange
+	body     io.ReadCloser
+	left     int
 }
 
 // Read implements io.Reader.
@@ -32,6 +33,9 @@
 	}
 	n, err := l.body.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if failure := l.exchange.reserve(maxEventBytes - l.left); failure != nil {
+		return 0, failure
+	}
 	return n, err
 }
 
@@ -92,7 +96,7 @@
 
 func (c *Client) readStream(x *exchange, start time.Time, onEvent func(Event) error) (StreamResult, error) {
 	var result StreamResult
-	limit := &eventLimit{body: x.response.Body, left: maxEventBytes}
+	limit := &eventLimit{exchange: x, body: x.response.Body, left: maxEventBytes}
 	x.response.Body = limit
 	decoder := ssestream.NewDecoder(x.response)
 	for decoder.Next() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -157,7 +157,7 @@
 	e.ledger = idempotency.New(idempotency.Config{VM: vm.Name, Table: table, Check: idempotency.PeerCheck(e.node, e.members)})
 	e.sweeper = idempotency.NewSweeper(idempotency.SweeperConfig{Table: table, ShouldSweep: e.isSweeper, Log: e.config.Log})
 	e.evidence = evidence.New(evidence.Config{Tracker: e.admission, Members: e.members, Caller: e.node, Table: table, Log: e.config.Log})
-	e.engine = engine.New(engine.Config{})
+	e.engine = engine.New(engine.Config{BufferBytes: e.config.Settings.ResponseBytes()})
 	e.orders = orders.New(orders.Config{
 		VM:      vm.Name,
 		Table:   table,
