--- a/configcheck/limits.go
+++ b/configcheck/limits.go
@@ -9,7 +9,7 @@
 )
 
 // CheckLimits finds limits of requests that the VMs do not apply, and those that let one request take more memory than there is for it
-// on a VM of a size.
+// on a VM of a size, and sizes that are too small for the largest response or text. A size of zero is not known.
 func CheckLimits(t *routing.Table, vmMemory int64) []Finding {
 	var findings []Finding
 	add := func(field Field, format string, args ...any) {
@@ -34,6 +34,9 @@
 		add(BodyBytes, "a job of %d bytes takes %d bytes while it is submitted, and a large request may take %d on a VM with %d MB; it is served only while others hold little",
 			l.BodyBytes, intake.SubmissionCopies*l.BodyBytes, room, vmMemory>>20)
 	}
+	if vmMemory <= 0 {
+		return findings
+	}
 	if room := intake.ResponseMemory(vmMemory); room < intake.MaxResponseBytes {
 		add(Entry, "responses of targets may take %d bytes on a VM with %d MB; larger ones are aborted, although %d are allowed", room, vmMemory>>20, intake.MaxResponseBytes)
 	}
