runner: an item that was stopped after its last token gets no other

Cause: an item that is preempted, or whose stream breaks, between its last token and the finish reason is continued with the tokens that are left, and at least one, because engines refuse zero.

Fix: such an item is still sent, for its end and usage, and takes no token of it; it ends by length.

TestItemStoppedAfterItsLastTokenGetsNoOther fails without that ("... clock key" after "... clock").

--- a/internal/runner/engine_test.go
+++ b/internal/runner/engine_test.go
@@ -14,6 +14,7 @@
 	"github.com/rosemarydyke/rosemarydyke/internal/engine"
 	"github.com/rosemarydyke/rosemarydyke/internal/standin/batching"
 	standin "github.com/rosemarydyke/rosemarydyke/internal/standin/engine"
+	"github.com/rosemarydyke/rosemarydyke/job"
 	"github.com/rosemarydyke/rosemarydyke/verdict"
 )
 
@@ -67,3 +68,19 @@
 	qt.Assert(t, o.End, qt.Equals, admission.EndUnreachable)
 	qt.Assert(t, errors.Is(o.Err, context.Canceled), qt.IsFalse)
 }
+
+// Guards against a token more than an item may have: it was stopped after its last token and before its finish reason.
+func TestItemStoppedAfterItsLastTokenGetsNoOther(t *testing.T) {
+	e := startEngine(t, time.Millisecond)
+	items := NewEngineRunner(engine.New(engine.Config{}))
+	for _, field := range []string{"max_tokens", "max_completion_tokens"} {
+		body := []byte(`{"model":"m","` + field + `":5,"messages":[{"role":"user","content":"write a summary of the repair"}]}`)
+		call := ItemCall{Address: e.Address(), RequestID: "r", Path: chatPath, Body: body}
+		whole := decodeCompletion(t, items.RunItem(context.Background(), call))
+		qt.Assert(t, whole.Choices[0].FinishReason, qt.Equals, finishLength)
+		call.Partial = job.Partial{Text: whole.Choices[0].Message.Content, Tokens: whole.Usage.CompletionTokens}
+		resumed := decodeCompletion(t, items.RunItem(context.Background(), call))
+		qt.Check(t, resumed.Choices, qt.DeepEquals, whole.Choices)
+		qt.Check(t, resumed.Usage, qt.DeepEquals, whole.Usage)
+	}
+}
--- a/internal/runner/response.go
+++ b/internal/runner/response.go
@@ -14,12 +14,17 @@
 
 const chatPath = "/v1/chat/completions"
 
+// finishLength is the finish reason of a response that has as many tokens as it may have.
+const finishLength = "length"
+
 // engineRequest is the request body that is sent to an engine for an item.
 type engineRequest struct {
 	body []byte
 	// streams means that the response is streamed, so that a partial response can be continued after a preemption.
 	streams bool
 	partial job.Partial
+	// exhausted means that the partial response has all its tokens, and lacks only its end.
+	exhausted bool
 }
 
 // Fields of a request whose response is more than a single text. Such a request is not streamed.
@@ -35,13 +40,15 @@
 	}
 	fields["stream"] = json.RawMessage(`true`)
 	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
+	exhausted := false
 	if call.Partial.Text != "" {
-		if err := addContinuation(fields, call.Partial); err != nil {
+		var err error
+		if exhausted, err = addContinuation(fields, call.Partial); err != nil {
 			return nil, err
 		}
 	}
 	body, err := json.Marshal(fields)
-	return &engineRequest{body: body, streams: true, partial: call.Partial}, err
+	return &engineRequest{body: body, streams: true, partial: call.Partial, exhausted: exhausted}, err
 }
 
 func needsNonStreaming(fields map[string]json.RawMessage) bool {
@@ -59,34 +66,37 @@
 	Content string `json:"content"`
 }
 
-// addContinuation makes the engine continue the partial response of an earlier attempt.
-func addContinuation(fields map[string]json.RawMessage, partial job.Partial) error {
+// addContinuation makes the engine continue the partial response of an earlier attempt. It reports whether the limit allows no
+// further token.
+func addContinuation(fields map[string]json.RawMessage, partial job.Partial) (exhausted bool, err error) {
 	var messages []json.RawMessage
 	if err := json.Unmarshal(fields["messages"], &messages); err != nil {
-		return err
+		return false, err
 	}
 	last, err := json.Marshal(message{Role: "assistant", Content: partial.Text})
 	if err != nil {
-		return err
+		return false, err
 	}
 	if fields["messages"], err = json.Marshal(append(messages, last)); err != nil {
-		return err
+		return false, err
 	}
 	fields["continue_final_message"] = json.RawMessage(`true`)
 	fields["add_generation_prompt"] = json.RawMessage(`false`)
 	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
-		reduceTokenLimit(fields, name, partial.Tokens)
+		exhausted = reduceTokenLimit(fields, name, partial.Tokens) || exhausted
 	}
-	return nil
+	return exhausted, nil
 }
 
-// reduceTokenLimit subtracts the tokens of earlier attempts, so that the response over all attempts keeps its limit.
-func reduceTokenLimit(fields map[string]json.RawMessage, name string, tokens int) {
+// reduceTokenLimit subtracts the tokens of earlier attempts, so that the response over all attempts keeps its limit. Engines generate
+// at least one token, which an exhausted response does not take.
+func reduceTokenLimit(fields map[string]json.RawMessage, name string, tokens int) (exhausted bool) {
 	var limit int
 	if json.Unmarshal(fields[name], &limit) != nil || limit == 0 {
-		return
+		return false
 	}
 	fields[name], _ = json.Marshal(max(limit-tokens, 1))
+	return tokens >= limit
 }
 
 type usage struct {
@@ -155,7 +165,7 @@
 }
 
 func (a *responseAssembler) addChoice(content string, finishReason *string, started time.Time) {
-	if content != "" {
+	if content != "" && !a.request.exhausted {
 		a.text.WriteString(content)
 		a.tokens++
 		if a.firstToken == 0 {
@@ -164,6 +174,9 @@
 	}
 	if finishReason != nil {
 		a.finishReason = *finishReason
+		if a.request.exhausted {
+			a.finishReason = finishLength
+		}
 	}
 }
 
@@ -194,6 +207,9 @@
 	// The engine counts the text that it continued as part of the prompt.
 	c.Usage.PromptTokens = max(c.Usage.PromptTokens-earlierTokens, 0)
 	c.Usage.CompletionTokens += earlierTokens
+	if a.request.exhausted {
+		c.Usage.CompletionTokens = earlierTokens
+	}
 	c.Usage.TotalTokens = c.Usage.PromptTokens + c.Usage.CompletionTokens
 	return c
 }
