--- a/intake/intake.go
+++ b/intake/intake.go
@@ -23,9 +23,13 @@
 	MaxTextBytes     = 4 << 20
 )
 
-// ResponseMemory returns how much of a VM's memory the responses of targets may hold, and TextMemory how much the texts of items.
+// ResponseMemory returns how much of a VM's memory the responses of targets may hold that are read as a whole, EventMemory how much
+// the events of streams, and TextMemory how much the texts of items.
 func ResponseMemory(vm int64) int64 { return int64(responseShare * float64(vm)) }
 
+// EventMemory is described at ResponseMemory.
+func EventMemory(vm int64) int64 { return int64(eventShare * float64(vm)) }
+
 // TextMemory is described at ResponseMemory.
 func TextMemory(vm int64) int64 { return int64(textShare * float64(vm)) }
 
@@ -62,8 +66,9 @@
 	leastRate = 1 << 10
 	// clientShare is the share of a VM's memory that clients may hold.
 	clientShare = 0.4
-	// responseShare and textShare are those for responses of targets and for the texts of items.
+	// responseShare, eventShare and textShare are those for responses of targets, events of streams and texts of items.
 	responseShare = 0.15
+	eventShare    = 0.1
 	textShare     = 0.05
 	// SubmissionCopies is how many times its size a job takes while it is parsed and stored.
 	SubmissionCopies = 5
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -204,7 +204,7 @@
 	if slices.Contains(s.Capabilities, platform.CapabilityConnections) {
 		targets.ReuseConnections(n.connectionShare)
 	}
-	targets.LimitBuffered(intake.ResponseMemory(s.MemoryMB << 20))
+	targets.LimitBuffered(intake.ResponseMemory(s.MemoryMB<<20), intake.EventMemory(s.MemoryMB<<20))
 	n.targets = targets
 	tracker := evidence.NewSharedTracker(quarantine.Config{
 		CrashThreshold: quarantineCrashes,
