--- a/intake/intake.go
+++ b/intake/intake.go
@@ -68,7 +68,7 @@
 	clientShare = 0.4
 	// responseShare, eventShare and textShare are those for responses of targets, events of streams and texts of items.
 	responseShare = 0.15
-	eventShare    = 0.1
+	eventShare    = 0.35
 	textShare     = 0.05
 	// SubmissionCopies is how many times its size a job takes while it is parsed and stored.
 	SubmissionCopies = 5
