--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -54,7 +54,7 @@
 }
 
 // start opens the listener and registers the worker under a new ID.
-func (w *worker) start() {
+func (w *worker) start() *process {
 	listener, err := net.Listen("tcp4", w.address)
 	check(err)
 	w.mu.Lock()
@@ -65,6 +65,7 @@
 	go func() { _ = p.server.Serve(listener) }()
 	go p.beat()
 	w.printf("server %s started at %s", p.id, w.address)
+	return p
 }
 
 // beat keeps the row alive. The platform removes it after three intervals of silence.
@@ -73,8 +74,6 @@
 		p.put(platform.TargetTable, p.id, fmt.Sprintf(`{"service":"s","address":%q,"zone":"z1","version":"v1","slots":%d,"state":"ready","cold_left_ms":0,"seq":%d}`, p.address, slots, seq))
 		select {
 		case <-p.ended:
-			time.Sleep(3 * heartbeat)
-			p.remove(platform.TargetTable, p.id)
 			return
 		case <-time.After(heartbeat):
 		}
@@ -88,7 +87,8 @@
 		p.crashed(path)
 		close(p.ended)
 		_ = p.server.Close()
-		time.AfterFunc(restartTime, p.start)
+		time.AfterFunc(3*heartbeat, func() { p.remove(platform.TargetTable, p.id) })
+		time.AfterFunc(restartTime, func() { p.start() })
 	})
 }
 
