review: the stand-ins choose ports that the kernel gives to no connection

The stand-ins choose ports below those of connections now, and start the machines anew with others if they don't become ready.

--- a/review/standin3/crashes.go
+++ b/review/standin3/crashes.go
@@ -77,8 +77,8 @@
 	return broken
 }
 
-func startCrashFleet(r *record, watch *crashWatch) *fleet {
-	f := newFleet(r, crashConfig)
+// startCrashFleet starts six workers and three VMs.
+func startCrashFleet(f *fleet, watch *crashWatch) {
 	for i := range 6 {
 		w := newWorker(f, fmt.Sprint(i))
 		w.crashes = func(body string) bool { return body == crashBody }
@@ -87,14 +87,14 @@
 		w.start()
 	}
 	f.startVMs(3)
-	return f
 }
 
 // playCrashingItem submits a job of ten items, one of which crashes each server that begins to run it, after an event.
 func playCrashingItem(r *record, trouble bool) bool {
 	watch := &crashWatch{paths: map[string]*crashCount{}}
-	f := startCrashFleet(r, watch)
+	f := newFleet(r, crashConfig)
 	defer f.stop()
+	startCrashFleet(f, watch)
 	time.Sleep(stable)
 	ctx, cancel := context.WithCancel(context.Background())
 	wait := f.background(ctx, "/live/", 10)
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -63,11 +64,7 @@
 	state  *memory.Platform
 	store  *http.Server
 	vms    []*vm
-	peers  int
-	memory int
-	// contracts are those of the deployment.
-	contracts string
-	nextID    atomic.Int64
+	nextID atomic.Int64
 }
 
 // errSetup ends a case that can't run.
@@ -79,17 +76,49 @@
 	}
 }
 
-func freePort(ip string) int {
-	l, err := net.Listen("tcp4", ip+":0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+// Ports are chosen below those that the kernel gives to connections, so that no connection takes one before its process listens.
+const (
+	firstPort = 15_000
+	portCount = 15_000
+)
+
+// usedPorts are the ports that were chosen in this run.
+var usedPorts = map[int]bool{}
+
+// freePort returns a TCP and UDP port that nobody uses at some loopback addresses.
+func freePort(ips ...string) int {
+	for range 1000 {
+		port := firstPort + rand.IntN(portCount)
+		if usedPorts[port] || !isFree(port, ips) {
+			continue
+		}
+		usedPorts[port] = true
+		return port
+	}
+	panic(errSetup{errors.New("no free port")})
+}
+
+func isFree(port int, ips []string) bool {
+	for _, ip := range ips {
+		address := fmt.Sprintf("%s:%d", ip, port)
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+		u, err := net.ListenPacket("udp4", address)
+		if err != nil {
+			return false
+		}
+		_ = u.Close()
+	}
+	return true
 }
 
 func newFleet(r *record, config string) *fleet {
 	dir, err := os.MkdirTemp("", "standin3")
 	check(err)
-	f := &fleet{record: r, dir: dir, state: memory.New(), memory: 314, contracts: "base, drain, config, cost, recover, batch, stream, engine, platform"}
+	f := &fleet{record: r, dir: dir, state: memory.New()}
 	f.put(platform.OperatorTable, platform.ConfigKey, config)
 	f.printf("operator writes the configuration %s", strings.Join(strings.Fields(config), " "))
 	return f
@@ -104,16 +133,35 @@
 	return listener.Addr().String()
 }
 
-// startVMs starts VMs on 127.0.0.1 and so on, which share the port for traffic between them, and waits until all are listed.
+// startVMs starts VMs on 127.0.0.1 and so on, and waits until each knows all others. If they don't, another process may have taken one of
+// their ports, and they are started once more with others.
 func (f *fleet) startVMs(n int) {
 	store := f.serveStore()
-	f.peers = freePort("127.0.0.1")
-	var seeds []string
-	for i := range min(n, 3) {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("127.0.0.%d:%d", i+1, f.peers)))
+	for range 3 {
+		f.tryVMs(n, store)
+		if f.awaitVMs() {
+			f.printf("all VMs are ready")
+			return
+		}
+		f.printf("the VMs do not become ready")
+		f.stopVMs()
 	}
+	panic(errSetup{errors.New("the VMs do not become ready")})
+}
+
+func vmIP(i int) string { return fmt.Sprintf("127.0.0.%d", i+1) }
+
+// tryVMs starts the processes of n VMs, which share the port for traffic between them.
+func (f *fleet) tryVMs(n int, store string) {
+	var ips, seeds []string
 	for i := range n {
-		ip := fmt.Sprintf("127.0.0.%d", i+1)
+		ips = append(ips, vmIP(i))
+	}
+	peers := freePort(ips...)
+	for _, ip := range ips[:min(n, 3)] {
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", ip, peers)))
+	}
+	for i, ip := range ips {
 		address := func() string { return fmt.Sprintf("%s:%d", ip, freePort(ip)) }
 		v := &vm{name: fmt.Sprintf("front-%d", i+1), clients: address(), ready: address(), directory: address(), metrics: address()}
 		settings := fmt.Sprintf(`vm: {name: %s, availability_zone: z%d, region: r}
@@ -127,18 +175,17 @@
 stop_grace: 8s
 max_ttl: 5s
 result_retention: 120s
-capabilities: [%s]
-memory_mb: %d
+capabilities: [base, drain, config, cost, recover, batch, stream, engine, platform]
+memory_mb: 314
 cpu_share: 0.8
 core_speed: 1
 max_fds: 8200
-`, v.name, i+1, store, v.clients, v.ready, v.directory, ip, f.peers, strings.Join(seeds, ","), v.metrics, f.contracts, f.memory)
+`, v.name, i+1, store, v.clients, v.ready, v.directory, ip, peers, strings.Join(seeds, ","), v.metrics)
 		v.path = filepath.Join(f.dir, v.name+".yaml")
 		check(os.WriteFile(v.path, []byte(settings), 0o600))
 		f.vms = append(f.vms, v)
 		f.start(v)
 	}
-	f.awaitVMs()
 }
 
 func (f *fleet) start(v *vm) {
@@ -159,21 +206,18 @@
 	f.printf("process of %s started, for clients at %s", v.name, v.clients)
 }
 
-// awaitVMs waits until each VM is ready and lists all others.
-func (f *fleet) awaitVMs() {
-	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+// awaitVMs reports whether each VM becomes ready and lists all others.
+func (f *fleet) awaitVMs() bool {
+	for deadline := time.Now().Add(8 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		complete := true
 		for _, v := range f.vms {
 			complete = complete && len(f.listed(v)) == len(f.vms) && f.isReady(v)
 		}
 		if complete {
-			f.printf("all VMs are ready")
-			return
-		}
-		if time.Now().After(deadline) {
-			panic(errSetup{fmt.Errorf("the VMs do not become ready, see %s", f.dir)})
+			return true
 		}
 	}
+	return false
 }
 
 func (f *fleet) isReady(v *vm) bool {
@@ -202,12 +246,18 @@
 
 func (f *fleet) anyVM() *vm { return f.vms[rand.IntN(len(f.vms))] }
 
-// stop ends all processes, and removes their files unless the logs shall be kept.
-func (f *fleet) stop() {
+// stopVMs ends the processes of all VMs.
+func (f *fleet) stopVMs() {
 	for _, v := range f.vms {
 		_ = v.command.Process.Kill()
 		<-v.exited
 	}
+	f.vms = nil
+}
+
+// stop ends all processes, and removes their files unless KEEP is set.
+func (f *fleet) stop() {
+	f.stopVMs()
 	if f.store != nil {
 		_ = f.store.Close()
 	}
