--- a/review/standin3/restarts.go
+++ b/review/standin3/restarts.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -23,12 +25,16 @@
 const (
 	plainEvents = 50
 	plainPause  = 20 * time.Millisecond
+	// plainShare is the share of the answers without a length of one half of the workers.
+	plainShare = 0.03
 	// supervisedRestart is how long after its end a worker's process is started again.
 	supervisedRestart = 100 * time.Millisecond
 )
 
-// serveWorker is the process of a worker with an ID, whose listener is descriptor 3. Its answers have no length: they end with their
-// channels.
+// killed are the workers whose processes are killed, one after the other. A share of their answers has no length: it ends with its channel.
+var killed = []string{"i-0", "i-1", "i-2"}
+
+// serveWorker is the process of a worker with an ID, whose listener is descriptor 3.
 func serveWorker(id string) error {
 	listener, err := net.FileListener(os.NewFile(3, "listener"))
 	if err != nil {
@@ -49,8 +55,10 @@
 		}
 		platform.SetTargetHeaders(w, call.ID, "seal-"+id)
 		w.Header().Set("Content-Type", "text/event-stream")
-		w.Header().Set("Transfer-Encoding", "identity")
-		w.Header().Set("Connection", "close")
+		if slices.Contains(killed, id) && rand.Float64() < plainShare {
+			w.Header().Set("Transfer-Encoding", "identity")
+			w.Header().Set("Connection", "close")
+		}
 		for event := max(call.LastEvent, 0) + 1; event <= plainEvents; event++ {
 			select {
 			case <-r.Context().Done():
@@ -144,7 +152,7 @@
 	_ = s.listener.Close()
 }
 
-// playRestarts kills the process of one of six workers each three seconds, which is started again at once under its ID.
+// playRestarts kills the process of one of six workers each two seconds, which is started again at once under its ID.
 func playRestarts(r *record, trouble bool) bool {
 	f := newFleet(r, crashConfig)
 	defer f.stop()
@@ -160,7 +168,7 @@
 	var clients sync.WaitGroup
 	var mu sync.Mutex
 	truncated, complete, cut, refused := 0, 0, 0, 0
-	for range 15 {
+	for range 44 {
 		clients.Go(func() {
 			for ctx.Err() == nil {
 				id, v := f.id("s"), f.anyVM()
@@ -184,10 +192,10 @@
 			}
 		})
 	}
-	for i := range 10 {
-		time.Sleep(3 * time.Second)
+	for i := range 48 {
+		time.Sleep(2 * time.Second)
 		if trouble {
-			workers[i%len(workers)].kill()
+			workers[i%len(killed)].kill()
 		}
 	}
 	time.Sleep(2 * time.Second)
